--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds everything and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+bash tools/install_dependencies.sh
+cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+cmake --build build
+ctest --test-dir build --output-on-failure -j "$(nproc)"
