admission: add shares, fairness, limits and demand summaries

Cause: the simple queue had neither shares nor limits. Change: rank_scheduler, organisation_fairness, organisation_limiter, pool_backlog, capacity_share, peer_view, demand_tracker, space_saving, ordering_policy with four baselines, and the controller around them.

--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/admission/admission_queue.hpp
@@ -0,0 +1,77 @@
+#ifndef BUCKTHORNVALE_DECISION_ADMISSION_ADMISSION_QUEUE_HPP
+#define BUCKTHORNVALE_DECISION_ADMISSION_ADMISSION_QUEUE_HPP
+
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace buckthornvale::decision::admission
+{
+
+//! Position of a waiting request within its organisation.
+struct queue_position
+{
+    std::int64_t key = 0;       //!< lower goes first
+    std::uint64_t sequence = 0; //!< breaks ties by arrival
+
+    friend bool operator<(queue_position a, queue_position b)
+    {
+        return a.key != b.key ? a.key < b.key : a.sequence < b.sequence;
+    }
+};
+
+//! Waiting requests of one rank that need the same pools, by organisation.
+//! Organisations are ordered by their counter.
+class admission_queue
+{
+public:
+    void push(organisation_id organisation, double counter,
+              queue_position position, request_id request);
+
+    //! Removes a request; does nothing when it is not here.
+    void erase(organisation_id organisation, queue_position position);
+
+    //! The first request of the organisation with the lowest counter.
+    //! `counter_of` gives an organisation's present counter: it may have
+    //! risen by dispatches from other queues. The queue must not be empty.
+    template <class CounterOf>
+    std::pair<organisation_id, request_id> front(CounterOf counter_of)
+    {
+        for (;;)
+        {
+            auto const [counter, id] = *order_.begin();
+            auto const present = counter_of(id);
+            if (present <= counter)
+                return {id, flows_[id].requests.begin()->second};
+            reposition(id, present);
+        }
+    }
+
+    bool empty() const { return order_.empty(); }
+    std::size_t size() const { return size_; }
+
+private:
+    struct flow
+    {
+        double counter = 0.0; //!< as in order_
+        std::map<queue_position, request_id> requests;
+    };
+
+    void reposition(organisation_id id, double counter);
+
+    absl::flat_hash_map<organisation_id, flow> flows_;
+    std::set<std::pair<double, organisation_id>> order_;
+    std::size_t size_ = 0;
+};
+
+} // namespace buckthornvale::decision::admission
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/admission/decayed_rate.hpp
@@ -0,0 +1,41 @@
+#ifndef BUCKTHORNVALE_DECISION_ADMISSION_DECAYED_RATE_HPP
+#define BUCKTHORNVALE_DECISION_ADMISSION_DECAYED_RATE_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <cmath>
+
+namespace buckthornvale::decision::admission
+{
+
+//! Share of an amount that is left after a time with exponential decay.
+inline double decay_factor(duration elapsed, duration memory)
+{
+    if (elapsed <= duration::zero())
+        return 1.0;
+    return std::exp(-to_seconds(elapsed) / to_seconds(memory));
+}
+
+//! Rate of events per second, averaged with exponential decay.
+class decayed_rate
+{
+public:
+    void add(double amount, duration memory, time_point now)
+    {
+        rate_ = at(memory, now) + amount / to_seconds(memory);
+        updated_ = now;
+    }
+
+    double at(duration memory, time_point now) const
+    {
+        return rate_ * decay_factor(now - updated_, memory);
+    }
+
+private:
+    double rate_ = 0.0;
+    time_point updated_;
+};
+
+} // namespace buckthornvale::decision::admission
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/admission/peer_view.hpp
@@ -0,0 +1,87 @@
+#ifndef BUCKTHORNVALE_DECISION_ADMISSION_PEER_VIEW_HPP
+#define BUCKTHORNVALE_DECISION_ADMISSION_PEER_VIEW_HPP
+
+#include <buckthornvale/decision/admission/admission_types.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace buckthornvale::decision::admission
+{
+
+//! Demand of one organisation, summed over the fresh peers.
+struct peer_organisation
+{
+    double request_rate = 0.0;
+    double in_flight = 0.0;
+    std::array<double, rank_count> cost_rate{};
+    //! Upper bounds of the peers that list it, to be left out of the sum of
+    //! the bounds of peers that do not.
+    double listed_bounds = 0.0;
+};
+
+//! What this VM knows of its peers: fresh summaries and the fleet's size.
+class peer_view
+{
+public:
+    peer_view(duration summary_lifetime, duration fleet_memory);
+
+    void set_fleet(std::size_t live_vms, time_point now);
+    void update(vm_id peer, demand_summary const& summary, time_point now);
+
+    //! Recomputes the sums over the fresh peers; call before the queries.
+    void refresh(time_point now);
+
+    //! Entry VMs that are alive, this one included.
+    std::size_t fleet_size() const;
+
+    //! Largest fleet size within the fleet memory, as of the last refresh.
+    std::size_t largest_fleet_size() const;
+
+    //! Live peers without a fresh summary, counted against the largest fleet
+    //! size, as of the last refresh.
+    std::size_t stale_against_largest() const;
+
+    //! Fresh summaries, as of the last refresh.
+    std::vector<demand_summary const*> const& fresh() const { return fresh_; }
+
+    //! Sum over the fresh peers; all zero for an unlisted organisation.
+    peer_organisation organisation(organisation_id id) const;
+
+    //! Sum of the fresh peers' bounds for an organisation that none lists.
+    double unlisted_request_rate() const { return unlisted_sum_; }
+
+    //! Largest single bound among the fresh peers.
+    double largest_unlisted_request_rate() const { return unlisted_max_; }
+
+private:
+    struct received
+    {
+        demand_summary summary;
+        time_point at;
+    };
+
+    void expire_sizes(time_point now);
+    void add_organisations(demand_summary const& summary);
+
+    duration summary_lifetime_;
+    duration fleet_memory_;
+    std::size_t live_ = 1;
+    //! Earlier sizes above the present one, falling, with the time at which
+    //! each was last in force.
+    std::deque<std::pair<time_point, std::size_t>> earlier_sizes_;
+    std::map<vm_id, received> peers_; //!< ordered: sums are reproducible
+    std::vector<demand_summary const*> fresh_;
+    absl::flat_hash_map<organisation_id, peer_organisation> organisations_;
+    double unlisted_sum_ = 0.0;
+    double unlisted_max_ = 0.0;
+};
+
+} // namespace buckthornvale::decision::admission
+
+#endif
--- a/packages/decision/src/admission/admission_controller.cpp
+++ b/packages/decision/src/admission/admission_controller.cpp
@@ -1,58 +1,55 @@
-#include <buckthornvale/decision/admission/admission_controller.hpp>
+#include "admission_state.hpp"
 
-#include <absl/container/flat_hash_map.h>
-
-#include <deque>
+#include <algorithm>
 
 namespace buckthornvale::decision::admission
 {
 
-namespace detail
-{
-
-struct kept_request
+namespace
 {
-    std::vector<stage_demand> stages;
-    time_point latest_start;
-    bool running = false;
-};
 
-struct admission_state
+void release_unfinished(detail::admission_state& state,
+                        detail::kept_request const& request)
 {
-    admission_settings settings;
-    absl::flat_hash_map<pool_id, double> slots;
-    absl::flat_hash_map<pool_id, double> backlog;
-    absl::flat_hash_map<request_id, kept_request> requests;
-    std::array<std::deque<request_id>, rank_count> queues;
-
-    bool admissible(std::vector<stage_demand> const& stages) const
+    double refund = 0.0;
+    for (auto const& it : request.stages)
     {
-        for (auto const& it : stages)
-        {
-            auto const cap = slots.find(it.pool);
-            auto const used = backlog.find(it.pool);
-            if (cap != slots.end() && used != backlog.end() &&
-                used->second >= cap->second)
-                return false;
-        }
-        return true;
+        if (it.finished)
+            continue;
+        auto& pool = state.pools[it.pool];
+        pool.release(request.work_rank, it.committed);
+        refund += it.expected / std::max(pool.fleet_slots().value_or(1.0), 1.0);
     }
+    auto* const record = state.organisations.find(request.organisation);
+    if (record != nullptr && refund > 0.0)
+        state.fairness.correct(*record, request.work_rank, -refund,
+                               request.weight);
+}
 
-    void start(kept_request& request)
-    {
-        request.running = true;
-        for (auto const& it : request.stages)
-            backlog[it.pool] += to_seconds(it.expected_work);
-    }
-};
+//! A request that was cut short says nothing about the time it would have
+//! needed, unless it had already used more than that.
+bool measures_residence(detail::kept_request const& request, duration elapsed)
+{
+    return elapsed >= request.expected_total ||
+           std::all_of(request.stages.begin(), request.stages.end(),
+                       [](auto const& it) { return it.finished; });
+}
+
+void forget(detail::admission_state& state, request_id id)
+{
+    auto const it = state.requests.find(id);
+    auto* const record = state.organisations.find(it->second->organisation);
+    if (record != nullptr && record->in_flight > 0)
+        --record->in_flight;
+    state.requests.erase(it);
+}
 
-} // namespace detail
+} // namespace
 
 admission_controller::admission_controller(admission_settings settings,
-                                           std::uint64_t)
-    : state_(std::make_unique<detail::admission_state>())
+                                           std::uint64_t seed)
+    : state_(std::make_unique<detail::admission_state>(settings, seed))
 {
-    state_->settings = settings;
 }
 
 admission_controller::~admission_controller() = default;
@@ -64,21 +61,35 @@
 admission_decision admission_controller::admit(admission_request const& request,
                                                time_point now)
 {
-    if (now + request.expected_total > request.deadline)
-        return {verdict::refused, error_kind::deadline_unreachable, {}};
-    auto& queue = state_->queues[index_of(request.work_rank)];
-    if (queue.size() >= state_->settings.queue_capacity)
-        return {verdict::refused, error_kind::overloaded,
-                std::chrono::seconds(1)};
-    auto& kept = state_->requests[request.request];
-    kept.stages.assign(request.stages.begin(), request.stages.end());
-    kept.latest_start = request.deadline - request.expected_total;
-    if (queue.empty() && state_->admissible(kept.stages))
+    auto& state = *state_;
+    state.refresh(now);
+    auto& record = state.organisations.touch(request.organisation, now);
+    state.demand.add_request(record, now);
+    auto const limited =
+        state.check_limits(record, state.limits_of(request.organisation), now);
+    if (limited.outcome == verdict::refused)
+        return limited;
+    auto kept = state.describe(request, record, now);
+    state.note_demand(kept, record, now);
+    if (state.changed)
+        state.refresh(now);
+    if (state.without_runner(kept))
+        return state.refuse(error_kind::no_runner, {});
+    auto const checked = state.check_deadline(kept, record, now);
+    if (checked.outcome == verdict::refused)
+        return checked;
+    bool const at_once = state.may_dispatch_now(kept);
+    if (!at_once && state.queue_full(record, kept.work_rank))
+        return state.refuse(error_kind::overloaded, {});
+    auto& slot = state.requests[kept.id];
+    slot = std::make_unique<detail::kept_request>(std::move(kept));
+    ++record.in_flight;
+    if (at_once)
     {
-        state_->start(kept);
+        state.start(*slot, now);
         return {verdict::dispatch, error_kind::none, {}};
     }
-    queue.push_back(request.request);
+    state.enqueue(*slot, record);
     return {verdict::queued, error_kind::none, {}};
 }
 
@@ -86,100 +97,144 @@
                                 std::vector<request_id>& dispatch,
                                 std::vector<request_id>& expired)
 {
-    for (auto& queue : state_->queues)
+    auto& state = *state_;
+    state.organisations.drop_idle(now);
+    if (state.expiries.empty())
+        return;
+    state.refresh(now);
+    auto const expire = [&](detail::kept_request const& request)
+    {
+        auto const id = request.id;
+        state.dequeue(request);
+        expired.push_back(id);
+        forget(state, id);
+    };
+    while (!state.expiries.empty() && state.expiries.begin()->first < now)
+        expire(*state.requests.find(state.expiries.begin()->second)->second);
+    while (auto* const next = state.next_candidate())
     {
-        while (!queue.empty())
+        if (state.too_late(*next, now))
         {
-            auto const it = state_->requests.find(queue.front());
-            if (it == state_->requests.end())
-            {
-                queue.pop_front();
-                continue;
-            }
-            if (it->second.latest_start < now)
-            {
-                expired.push_back(it->first);
-                state_->requests.erase(it);
-                queue.pop_front();
-                continue;
-            }
-            if (!state_->admissible(it->second.stages))
-                break;
-            state_->start(it->second);
-            dispatch.push_back(it->first);
-            queue.pop_front();
+            expire(*next);
+            continue;
         }
+        state.dequeue(*next);
+        state.start(*next, now);
+        dispatch.push_back(next->id);
     }
 }
 
-void admission_controller::stage_finished(request_id id, pool_id pool, duration,
-                                          time_point)
+void admission_controller::stage_finished(request_id id, pool_id pool,
+                                          duration actual_work, time_point)
 {
-    auto const it = state_->requests.find(id);
-    if (it == state_->requests.end())
+    auto& state = *state_;
+    auto const found = state.requests.find(id);
+    auto const index = state.pool_indices.find(pool);
+    if (found == state.requests.end() || !found->second->running ||
+        index == state.pool_indices.end())
         return;
-    auto& stages = it->second.stages;
-    for (auto stage = stages.begin(); stage != stages.end(); ++stage)
-    {
-        if (stage->pool != pool)
-            continue;
-        state_->backlog[pool] -= to_seconds(stage->expected_work);
-        stages.erase(stage);
+    auto& request = *found->second;
+    auto const stage =
+        std::find_if(request.stages.begin(), request.stages.end(),
+                     [&](auto const& it)
+                     { return it.pool == index->second && !it.finished; });
+    if (stage == request.stages.end())
         return;
-    }
+    stage->finished = true;
+    auto& backlog = state.pools[stage->pool];
+    auto const actual = to_seconds(actual_work);
+    backlog.release(request.work_rank, stage->committed);
+    backlog.measure(stage->expected, actual);
+    auto* const record = state.organisations.find(request.organisation);
+    if (record != nullptr)
+        state.fairness.correct(
+            *record, request.work_rank,
+            (actual - stage->expected) /
+                std::max(backlog.fleet_slots().value_or(1.0), 1.0),
+            request.weight);
 }
 
-void admission_controller::finished(request_id id, time_point)
+void admission_controller::finished(request_id id, time_point now)
 {
-    auto const it = state_->requests.find(id);
-    if (it == state_->requests.end())
+    auto& state = *state_;
+    auto const it = state.requests.find(id);
+    if (it == state.requests.end())
         return;
-    if (it->second.running)
+    auto const& request = *it->second;
+    if (!request.running)
     {
-        for (auto const& stage : it->second.stages)
-            state_->backlog[stage.pool] -= to_seconds(stage.expected_work);
+        cancel(id, now);
+        return;
     }
-    state_->requests.erase(it);
+    release_unfinished(state, request);
+    auto const elapsed = now - request.dispatched;
+    if (measures_residence(request, elapsed))
+        state.paths[request.path].residence[index_of(request.work_rank)].add(
+            request.expected_total, elapsed, now);
+    forget(state, id);
 }
 
 bool admission_controller::cancel(request_id id, time_point)
 {
     auto const it = state_->requests.find(id);
-    if (it == state_->requests.end() || it->second.running)
+    if (it == state_->requests.end() || it->second->running)
         return false;
-    state_->requests.erase(it);
+    state_->dequeue(*it->second);
+    forget(*state_, id);
     return true;
 }
 
 void admission_controller::set_pool_capacity(pool_id pool, double slots,
                                              time_point)
 {
-    state_->slots[pool] = slots;
+    auto const index = state_->pool_index(pool);
+    state_->pools[index].set_fleet_slots(std::max(slots, 0.0));
+    state_->changed = true;
 }
 
-void admission_controller::set_organisation(organisation_id,
-                                            organisation_limits const&)
+void admission_controller::set_organisation(organisation_id id,
+                                            organisation_limits const& limits)
 {
+    state_->limits[id] = limits;
 }
 
-void admission_controller::remove_organisation(organisation_id) {}
+void admission_controller::remove_organisation(organisation_id id)
+{
+    state_->limits.erase(id);
+}
 
-void admission_controller::set_ranks(rank_table const&) {}
+void admission_controller::set_ranks(rank_table const& ranks)
+{
+    state_->ranks.set_ranks(ranks);
+    state_->changed = true;
+}
 
-void admission_controller::set_fleet(std::size_t, time_point) {}
+void admission_controller::set_fleet(std::size_t live_vms, time_point now)
+{
+    state_->peers.set_fleet(live_vms, now);
+    state_->changed = true;
+}
 
-void admission_controller::peer_demand(vm_id, demand_summary const&, time_point)
+void admission_controller::peer_demand(vm_id peer,
+                                       demand_summary const& summary,
+                                       time_point now)
 {
+    state_->peers.update(peer, summary, now);
 }
 
-demand_summary admission_controller::local_demand(time_point) const
+demand_summary admission_controller::local_demand(time_point now) const
 {
-    return {};
+    return state_->demand.summary(state_->pools, state_->organisations, now);
 }
 
 admission_counts admission_controller::counts() const
 {
-    return {};
+    admission_counts out;
+    out.queued = state_->expiries.size();
+    out.running = state_->requests.size() - out.queued;
+    out.organisations = state_->organisations.size();
+    out.stale_peers = state_->peers.stale_against_largest();
+    return out;
 }
 
 } // namespace buckthornvale::decision::admission
--- /dev/null
+++ b/packages/decision/src/admission/admission_queue.cpp
@@ -0,0 +1,40 @@
+#include <buckthornvale/decision/admission/admission_queue.hpp>
+
+namespace buckthornvale::decision::admission
+{
+
+void admission_queue::push(organisation_id organisation, double counter,
+                           queue_position position, request_id request)
+{
+    auto const [it, added] = flows_.try_emplace(organisation);
+    if (added)
+    {
+        it->second.counter = counter;
+        order_.emplace(counter, organisation);
+    }
+    it->second.requests.emplace(position, request);
+    ++size_;
+}
+
+void admission_queue::erase(organisation_id organisation,
+                            queue_position position)
+{
+    auto const it = flows_.find(organisation);
+    if (it == flows_.end() || it->second.requests.erase(position) == 0)
+        return;
+    --size_;
+    if (!it->second.requests.empty())
+        return;
+    order_.erase({it->second.counter, organisation});
+    flows_.erase(it);
+}
+
+void admission_queue::reposition(organisation_id id, double counter)
+{
+    auto& moved = flows_[id];
+    order_.erase({moved.counter, id});
+    moved.counter = counter;
+    order_.emplace(counter, id);
+}
+
+} // namespace buckthornvale::decision::admission
--- /dev/null
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -0,0 +1,391 @@
+#include "admission_state.hpp"
+
+#include <buckthornvale/decision/admission/capacity_share.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::admission::detail
+{
+
+namespace
+{
+
+//! Capacity shares follow demand this often; summaries come once a second.
+constexpr duration refresh_period = std::chrono::milliseconds(100);
+
+//! Spread of retry_after, so that refused callers do not come back together.
+constexpr double retry_jitter = 0.25;
+
+//! Slots assumed for the cost of work on a pool whose capacity is unknown.
+constexpr double unknown_slots = 1.0;
+
+constexpr duration no_runner_retry = std::chrono::seconds(1);
+constexpr duration queue_full_retry = std::chrono::seconds(1);
+
+organisation_limits const default_limits;
+
+} // namespace
+
+admission_state::admission_state(admission_settings const& values,
+                                 std::uint64_t seed)
+    : settings(values), policy(make_ordering_policy(values.order)),
+      traits(policy->traits()), random(seed),
+      organisations(values.organisation_idle, values.demand_memory),
+      demand(values.summary_organisations, values.demand_memory),
+      peers(values.summary_lifetime, values.fleet_memory)
+{
+}
+
+organisation_limits const& admission_state::limits_of(organisation_id id) const
+{
+    auto const it = limits.find(id);
+    return it == limits.end() ? default_limits : it->second;
+}
+
+std::uint32_t admission_state::pool_index(pool_id id)
+{
+    auto const next = static_cast<std::uint32_t>(pools.size());
+    auto const [it, added] = pool_indices.try_emplace(id, next);
+    if (added)
+        pools.emplace_back(id);
+    return it->second;
+}
+
+std::uint32_t admission_state::path_index(absl::Span<kept_stage const> stages)
+{
+    absl::InlinedVector<std::uint32_t, usual_stages> order;
+    for (auto const& it : stages)
+        order.push_back(it.pool);
+    auto const key =
+        XXH3_64bits(order.data(), order.size() * sizeof(std::uint32_t));
+    auto const next = static_cast<std::uint32_t>(paths.size());
+    auto const [it, added] = path_indices.try_emplace(key, next);
+    if (added)
+    {
+        std::sort(order.begin(), order.end());
+        order.erase(std::unique(order.begin(), order.end()), order.end());
+        paths.emplace_back().pools = order;
+    }
+    return it->second;
+}
+
+void admission_state::refresh(time_point now)
+{
+    if (!changed && now - refreshed < refresh_period)
+        return;
+    changed = false;
+    refreshed = now;
+    peers.refresh(now);
+    std::vector<pool_capacity> capacities;
+    for (auto const& it : pools)
+        capacities.push_back({it.id(), it.fleet_slots().value_or(0.0)});
+    auto const shares =
+        divide_pools(capacities, demand.summary(pools, organisations, now),
+                     peers, ranks.ranks(),
+                     [&](organisation_id id) { return limits_of(id).weight; });
+    for (std::size_t i = 0; i < pools.size(); ++i)
+        pools[i].set_share(shares[i]);
+}
+
+admission_decision
+admission_state::check_limits(organisation_record& record,
+                              organisation_limits const& limits_in_force,
+                              time_point now)
+{
+    auto const rate = limits_in_force.requests_per_second;
+    auto const concurrent = limits_in_force.concurrent;
+    if (rate <= 0.0 && concurrent == 0)
+        return {verdict::dispatch, error_kind::none, {}};
+    auto const share = share_of_limit(record, peers);
+    if (concurrent > 0 && !within_concurrency(record, concurrent, share))
+        return refuse(error_kind::too_many_concurrent, {});
+    if (rate > 0.0 &&
+        !take_rate_token(record, rate, settings.rate_burst, share, now))
+        return refuse(error_kind::rate_limited,
+                      rate_retry_after(record, rate, share));
+    return {verdict::dispatch, error_kind::none, {}};
+}
+
+admission_decision
+admission_state::check_deadline(kept_request const& request,
+                                organisation_record const& record,
+                                time_point now)
+{
+    if (request.deadline <= now)
+        return refuse(error_kind::deadline_passed, {});
+    if (!traits.deadline_checks)
+        return {verdict::dispatch, error_kind::none, {}};
+    auto const wait = predicted_wait(request, record, now);
+    if (now + wait > request.expires)
+        return refuse(error_kind::deadline_unreachable, wait);
+    return {verdict::dispatch, error_kind::none, {}};
+}
+
+// An organisation may queue as much as there is room left (dynamic threshold):
+// one caller cannot fill the queue, and a few can use all of it.
+bool admission_state::queue_full(organisation_record const& record,
+                                 rank r) const
+{
+    auto const used = queued[index_of(r)];
+    auto const room =
+        settings.queue_capacity - std::min(used, settings.queue_capacity);
+    return record.queued[index_of(r)] >= room;
+}
+
+bool admission_state::without_runner(kept_request const& request) const
+{
+    return std::any_of(
+        request.stages.begin(), request.stages.end(),
+        [&](auto const& it)
+        { return pools[it.pool].fleet_slots().value_or(1.0) <= 0.0; });
+}
+
+kept_request admission_state::describe(admission_request const& request,
+                                       organisation_record const& record,
+                                       time_point now)
+{
+    kept_request out;
+    out.id = request.request;
+    out.organisation = request.organisation;
+    out.work_rank = request.work_rank;
+    out.deadline = request.deadline;
+    out.expected_total = request.expected_total;
+    for (auto const& it : request.stages)
+    {
+        kept_stage stage;
+        stage.pool = pool_index(it.pool);
+        stage.expected = to_seconds(it.expected_work);
+        stage.committed = stage.expected * pools[stage.pool].work_ratio();
+        out.cost +=
+            stage.expected /
+            std::max(pools[stage.pool].fleet_slots().value_or(unknown_slots),
+                     unknown_slots);
+        out.stages.push_back(stage);
+    }
+    out.path = path_index(out.stages);
+    auto const r = index_of(request.work_rank);
+    out.weight = static_cast<float>(local_weight(
+        limits_of(request.organisation).weight,
+        record.cost_rate[r] + out.cost / to_seconds(settings.demand_memory),
+        peers.organisation(request.organisation).cost_rate[r]));
+    out.expires = request.deadline;
+    if (traits.deadline_checks)
+        out.expires -=
+            paths[out.path].residence[r].predict(request.expected_total, now);
+    out.position.sequence = ++arrivals;
+    if (traits.least_slack)
+        out.position.key = out.expires.time_since_epoch().count();
+    return out;
+}
+
+void admission_state::note_demand(kept_request const& request,
+                                  organisation_record& record, time_point now)
+{
+    demand.add_cost(record, request.work_rank, request.cost, now);
+    double lead = 0.0;
+    for (auto const& it : request.stages)
+    {
+        lead += it.expected;
+        auto const held = std::min(from_seconds(lead), request.expected_total);
+        pools[it.pool].offer(request.work_rank, it.committed, held,
+                             settings.demand_memory, now);
+    }
+}
+
+pool_access admission_state::access(std::uint32_t path, rank r) const
+{
+    auto out = pool_access::guaranteed;
+    for (auto const pool : paths[path].pools)
+        out =
+            std::min(out, ranks.access(pools[pool], r, settings.runner_queueing,
+                                       traits.rank_shares));
+    return out;
+}
+
+// A request starts without passing through the queue only when it cannot
+// overtake one that poll() would dispatch.
+bool admission_state::may_dispatch_now(kept_request const& request) const
+{
+    auto const allowed = access(request.path, request.work_rank);
+    if (allowed == pool_access::blocked)
+        return false;
+    if (expiries.empty())
+        return true;
+    return allowed == pool_access::guaranteed && traits.rank_shares &&
+           paths[request.path].queues[index_of(request.work_rank)].empty();
+}
+
+duration admission_state::predicted_wait(kept_request const& request,
+                                         organisation_record const& record,
+                                         time_point now) const
+{
+    if (may_dispatch_now(request))
+        return {};
+    auto const r = request.work_rank;
+    auto const i = index_of(r);
+    // Fair service lets the organisation pass others; what it then has to
+    // wait for is its own queue times the weights that share the rank.
+    double turns = 0.0;
+    if (traits.organisation_fair && request.cost > 0.0)
+    {
+        auto const others = queued_weight[i] - record.queued_weight[i];
+        turns = (record.queued_cost[i] + request.cost) / request.cost *
+                (1.0 + others / request.weight);
+    }
+    double wait = 0.0;
+    for (auto const& stage : request.stages)
+    {
+        auto const& pool = pools[stage.pool];
+        double ahead = pool.queued(r);
+        if (turns > 0.0)
+            ahead = std::min(ahead, turns * stage.committed);
+        auto excess =
+            pool.total_backlog() - pool.bound(settings.runner_queueing);
+        if (traits.rank_shares)
+            excess = std::min(
+                excess, pool.backlog(r) -
+                            pool.guaranteed_bound(r, settings.runner_queueing));
+        wait = std::max(wait, (ahead + std::max(excess, 0.0)) /
+                                  ranks.expected_slots(
+                                      pool, r, settings.demand_memory, now));
+    }
+    return from_seconds(std::min(wait, 3600.0));
+}
+
+void admission_state::enqueue(kept_request const& request,
+                              organisation_record& record)
+{
+    auto const r = request.work_rank;
+    auto const i = index_of(r);
+    if (record.queued[i] == 0)
+    {
+        fairness.activate(record, r);
+        record.queued_weight[i] = request.weight;
+        queued_weight[i] += request.weight;
+    }
+    ++record.queued[i];
+    record.queued_cost[i] += request.cost;
+    ++queued[i];
+    for (auto const& it : request.stages)
+        pools[it.pool].add_queued(r, it.committed);
+    auto const counter = traits.organisation_fair ? record.counter[i] : 0.0;
+    paths[request.path].queues[i].push(flow_of(request), counter,
+                                       request.position, request.id);
+    expiries.emplace(request.expires, request.id);
+}
+
+void admission_state::dequeue(kept_request const& request)
+{
+    auto const r = request.work_rank;
+    auto const i = index_of(r);
+    paths[request.path].queues[i].erase(flow_of(request), request.position);
+    expiries.erase({request.expires, request.id});
+    --queued[i];
+    for (auto const& it : request.stages)
+        pools[it.pool].add_queued(r, -it.committed);
+    auto* const record = organisations.find(request.organisation);
+    if (record == nullptr || record->queued[i] == 0)
+        return;
+    record->queued_cost[i] -= request.cost;
+    if (--record->queued[i] > 0)
+        return;
+    record->queued_cost[i] = 0.0;
+    queued_weight[i] -= record->queued_weight[i];
+    record->queued_weight[i] = 0.0F;
+    if (queued[i] == 0)
+        queued_weight[i] = 0.0;
+}
+
+void admission_state::start(kept_request& request, time_point now)
+{
+    auto const r = request.work_rank;
+    request.running = true;
+    request.dispatched = now;
+    for (auto const& it : request.stages)
+        pools[it.pool].commit(r, it.committed, settings.demand_memory, now);
+    ranks.charge(r, request.cost);
+    if (auto* const record = organisations.find(request.organisation))
+    {
+        if (record->queued[index_of(r)] == 0)
+            fairness.activate(*record, r);
+        fairness.charge(*record, r, request.cost, request.weight);
+    }
+}
+
+kept_request* admission_state::next_candidate()
+{
+    kept_request* best = nullptr;
+    candidate best_candidate;
+    for (std::uint32_t path = 0; path < paths.size(); ++path)
+    {
+        for (auto const r : all_ranks)
+        {
+            auto const i = index_of(r);
+            auto& queue = paths[path].queues[i];
+            if (queue.empty())
+                continue;
+            candidate it;
+            it.access = access(path, r);
+            if (it.access == pool_access::blocked)
+                continue;
+            auto const counter_of = [&](organisation_id id)
+            {
+                auto const* const record = organisations.find(id);
+                return record == nullptr ? 0.0 : record->counter[i];
+            };
+            auto const [flow, id] = queue.front(counter_of);
+            auto& request = *requests.find(id)->second;
+            it.work_rank = r;
+            it.sequence = request.position.sequence;
+            it.latest_start = request.expires;
+            it.counter = counter_of(flow);
+            it.rank_tag = ranks.tag(r);
+            it.worth_per_cost =
+                ranks.ranks()[i].worth / std::max(request.cost, 1e-9);
+            if (best == nullptr || policy->before(it, best_candidate))
+            {
+                best = &request;
+                best_candidate = it;
+            }
+        }
+    }
+    return best;
+}
+
+bool admission_state::too_late(kept_request const& request,
+                               time_point now) const
+{
+    if (!traits.deadline_checks)
+        return now >= request.deadline;
+    auto const& estimate =
+        paths[request.path].residence[index_of(request.work_rank)];
+    return now + estimate.predict(request.expected_total, now) >
+           request.deadline;
+}
+
+organisation_id admission_state::flow_of(kept_request const& request) const
+{
+    return traits.organisation_fair ? request.organisation : organisation_id{};
+}
+
+duration admission_state::jittered(duration value)
+{
+    auto const unit =
+        static_cast<double>(random()) / static_cast<double>(pcg32::max());
+    return from_seconds(to_seconds(value) *
+                        (1.0 + retry_jitter * (2.0 * unit - 1.0)));
+}
+
+admission_decision admission_state::refuse(error_kind reason,
+                                           duration retry_after)
+{
+    if (retry_after == duration::zero() && reason == error_kind::no_runner)
+        retry_after = no_runner_retry;
+    if (retry_after == duration::zero() && reason == error_kind::overloaded)
+        retry_after = queue_full_retry;
+    return {verdict::refused, reason, jittered(retry_after)};
+}
+
+} // namespace buckthornvale::decision::admission::detail
--- /dev/null
+++ b/packages/decision/src/admission/admission_state.hpp
@@ -0,0 +1,131 @@
+#ifndef BUCKTHORNVALE_DECISION_ADMISSION_ADMISSION_STATE_HPP
+#define BUCKTHORNVALE_DECISION_ADMISSION_ADMISSION_STATE_HPP
+
+#include <buckthornvale/decision/admission/admission_controller.hpp>
+#include <buckthornvale/decision/admission/admission_queue.hpp>
+#include <buckthornvale/decision/admission/demand_tracker.hpp>
+#include <buckthornvale/decision/admission/ordering_policy.hpp>
+#include <buckthornvale/decision/admission/organisation_fairness.hpp>
+#include <buckthornvale/decision/admission/organisation_limiter.hpp>
+#include <buckthornvale/decision/admission/organisation_table.hpp>
+#include <buckthornvale/decision/admission/peer_view.hpp>
+#include <buckthornvale/decision/admission/pool_backlog.hpp>
+#include <buckthornvale/decision/admission/rank_scheduler.hpp>
+#include <buckthornvale/decision/admission/residence_estimate.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/inlined_vector.h>
+#include <pcg_random.hpp>
+
+#include <memory>
+#include <set>
+
+namespace buckthornvale::decision::admission::detail
+{
+
+//! Longest pipeline of the target size; longer ones use the heap.
+constexpr std::size_t usual_stages = 6;
+
+//! Work of one stage of a kept request.
+struct kept_stage
+{
+    std::uint32_t pool = 0;
+    double expected = 0.0;  //!< seconds of slot time, as demanded
+    double committed = 0.0; //!< scaled by the pool's measured ratio
+    bool finished = false;
+};
+
+struct kept_request
+{
+    request_id id;
+    organisation_id organisation;
+    rank work_rank = rank::standard;
+    std::uint32_t path = 0;
+    float weight = 1.0F;
+    bool running = false;
+    queue_position position;
+    time_point deadline;
+    time_point expires;    //!< from the queue
+    time_point dispatched; //!< when running
+    duration expected_total{};
+    double cost = 0.0;
+    absl::InlinedVector<kept_stage, usual_stages> stages;
+};
+
+//! Requests that pass through the same pools in the same order. The number of
+//! paths follows the pipelines in force.
+struct path_state
+{
+    absl::InlinedVector<std::uint32_t, usual_stages> pools; //!< distinct
+    std::array<admission_queue, rank_count> queues;
+    std::array<residence_estimate, rank_count> residence;
+};
+
+//! State of the admission controller and the steps that its functions share.
+struct admission_state
+{
+    admission_state(admission_settings const& settings, std::uint64_t seed);
+
+    // Settings and capacity.
+    organisation_limits const& limits_of(organisation_id id) const;
+    std::uint32_t pool_index(pool_id id);
+    std::uint32_t path_index(absl::Span<kept_stage const> stages);
+    void refresh(time_point now);
+
+    // Checks before a request is kept; error_kind::none lets it pass.
+    admission_decision check_limits(organisation_record& record,
+                                    organisation_limits const& limits,
+                                    time_point now);
+    admission_decision check_deadline(kept_request const& request,
+                                      organisation_record const& record,
+                                      time_point now);
+    bool queue_full(organisation_record const& record, rank r) const;
+    bool without_runner(kept_request const& request) const;
+
+    kept_request describe(admission_request const& request,
+                          organisation_record const& record, time_point now);
+    void note_demand(kept_request const& request, organisation_record& record,
+                     time_point now);
+
+    // Queue.
+    pool_access access(std::uint32_t path, rank r) const;
+    bool may_dispatch_now(kept_request const& request) const;
+    duration predicted_wait(kept_request const& request,
+                            organisation_record const& record,
+                            time_point now) const;
+    void enqueue(kept_request const& request, organisation_record& record);
+    void dequeue(kept_request const& request);
+    void start(kept_request& request, time_point now);
+    kept_request* next_candidate();
+    bool too_late(kept_request const& request, time_point now) const;
+    organisation_id flow_of(kept_request const& request) const;
+    duration jittered(duration value);
+
+    admission_decision refuse(error_kind reason, duration retry_after);
+
+    admission_settings settings;
+    std::unique_ptr<ordering_policy const> policy;
+    policy_traits traits;
+    pcg32 random;
+    rank_scheduler ranks;
+    organisation_fairness fairness;
+    organisation_table organisations;
+    demand_tracker demand;
+    peer_view peers;
+    absl::flat_hash_map<organisation_id, organisation_limits> limits;
+    std::vector<pool_backlog> pools;
+    absl::flat_hash_map<pool_id, std::uint32_t> pool_indices;
+    std::vector<path_state> paths;
+    absl::flat_hash_map<std::uint64_t, std::uint32_t> path_indices;
+    absl::flat_hash_map<request_id, std::unique_ptr<kept_request>> requests;
+    std::set<std::pair<time_point, request_id>> expiries;
+    std::array<std::size_t, rank_count> queued{};
+    std::array<double, rank_count> queued_weight{};
+    std::uint64_t arrivals = 0;
+    time_point refreshed;
+    bool changed = true; //!< capacity, ranks or fleet since the last refresh
+};
+
+} // namespace buckthornvale::decision::admission::detail
+
+#endif
--- /dev/null
+++ b/packages/decision/src/admission/capacity_share.cpp
@@ -0,0 +1,238 @@
+#include <buckthornvale/decision/admission/capacity_share.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <limits>
+#include <map>
+
+namespace buckthornvale::decision::admission
+{
+
+namespace
+{
+
+using by_rank = std::array<double, rank_count>;
+
+//! Part of the slots that nobody asks for which is spread evenly; the rest
+//! follows demand. A VM whose demand rises has room before its next summary
+//! reaches the peers.
+constexpr double even_part = 0.5;
+
+//! A rank served to this degree counts as served in full.
+constexpr double served_in_full = 0.999;
+
+//! Demand of every VM with a summary; the first one is this VM.
+class fleet_demand
+{
+public:
+    fleet_demand(absl::Span<pool_capacity const> pools,
+                 demand_summary const& own, peer_view const& peers)
+        : pools_(pools)
+    {
+        for (std::size_t i = 0; i < pools.size(); ++i)
+            index_.emplace(pools[i].pool, i);
+        vms_.push_back(&own);
+        vms_.insert(vms_.end(), peers.fresh().begin(), peers.fresh().end());
+        rates_.assign(pools.size() * vms_.size(), by_rank{});
+        for (std::size_t vm = 0; vm < vms_.size(); ++vm)
+            add(vm);
+    }
+
+    std::size_t vm_count() const { return vms_.size(); }
+    demand_summary const& vm(std::size_t n) const { return *vms_[n]; }
+    by_rank& rate(std::size_t pool, std::size_t vm)
+    {
+        return rates_[pool * vms_.size() + vm];
+    }
+
+    by_rank total(std::size_t pool)
+    {
+        by_rank sum{};
+        for (std::size_t vm = 0; vm < vms_.size(); ++vm)
+        {
+            for (std::size_t r = 0; r < rank_count; ++r)
+                sum[r] += rate(pool, vm)[r];
+        }
+        return sum;
+    }
+
+    void scale(std::size_t vm, std::size_t r, double factor)
+    {
+        for (std::size_t pool = 0; pool < pools_.size(); ++pool)
+            rate(pool, vm)[r] *= factor;
+    }
+
+private:
+    void add(std::size_t vm)
+    {
+        for (auto const& it : vms_[vm]->pools)
+        {
+            auto const found = index_.find(it.pool);
+            if (found == index_.end())
+                continue;
+            std::copy(it.work_rate.begin(), it.work_rate.end(),
+                      rate(found->second, vm).begin());
+        }
+    }
+
+    absl::Span<pool_capacity const> pools_;
+    absl::flat_hash_map<pool_id, std::size_t> index_;
+    std::vector<demand_summary const*> vms_;
+    std::vector<by_rank> rates_;
+};
+
+//! Part of each rank's demand that the most contended pool can serve.
+by_rank served_parts(fleet_demand& demand,
+                     absl::Span<pool_capacity const> pools, double reachable,
+                     rank_table const& ranks)
+{
+    by_rank out;
+    out.fill(1.0);
+    for (std::size_t pool = 0; pool < pools.size(); ++pool)
+    {
+        auto const total = demand.total(pool);
+        auto const given =
+            allocate_ranks(total, pools[pool].slots * reachable, ranks);
+        for (std::size_t r = 0; r < rank_count; ++r)
+        {
+            if (total[r] > 0.0)
+                out[r] = std::min(out[r], given[r] / total[r]);
+        }
+    }
+    return out;
+}
+
+//! Caps the demand of heavy organisations in one rank at their fair part.
+void cap_heavy(fleet_demand& demand, std::size_t r, double served,
+               absl::FunctionRef<double(organisation_id)> weight_of)
+{
+    // Ordered, so that sums and with them decisions are reproducible.
+    std::map<organisation_id, double> heavy;
+    double total = 0.0;
+    double listed = 0.0;
+    for (std::size_t vm = 0; vm < demand.vm_count(); ++vm)
+    {
+        total += demand.vm(vm).cost_rate[r];
+        for (auto const& it : demand.vm(vm).heaviest)
+        {
+            heavy[it.organisation] += it.cost_rate[r];
+            listed += it.cost_rate[r];
+        }
+    }
+    auto const rest = std::max(0.0, total - listed);
+    auto const for_heavy = served * total - rest;
+    if (for_heavy <= 0.0)
+        return;
+    std::vector<weighted_demand> demands;
+    demands.reserve(heavy.size());
+    for (auto const& [id, rate] : heavy)
+        demands.push_back({rate, weight_of(id)});
+    auto const level = water_level(std::move(demands), for_heavy);
+    for (std::size_t vm = 0; vm < demand.vm_count(); ++vm)
+    {
+        double const offered = demand.vm(vm).cost_rate[r];
+        double excess = 0.0;
+        for (auto const& it : demand.vm(vm).heaviest)
+        {
+            auto const all = heavy[it.organisation];
+            auto const fair = std::min(all, level * weight_of(it.organisation));
+            if (all > 0.0)
+                excess += it.cost_rate[r] * (1.0 - fair / all);
+        }
+        if (offered > 0.0)
+            demand.scale(vm, r, std::max(0.0, 1.0 - excess / offered));
+    }
+}
+
+pool_share own_share(fleet_demand& demand, std::size_t pool, double slots,
+                     rank_table const& ranks)
+{
+    auto const total = demand.total(pool);
+    auto const& own = demand.rate(pool, 0);
+    auto const given = allocate_ranks(total, slots, ranks);
+    auto const even = 1.0 / static_cast<double>(demand.vm_count());
+    pool_share out;
+    double own_sum = 0.0;
+    double all_sum = 0.0;
+    double spare = slots;
+    for (std::size_t r = 0; r < rank_count; ++r)
+    {
+        auto const part = total[r] > 0.0 ? own[r] / total[r] : even;
+        out.slots += given[r] * part;
+        out.guaranteed[r] =
+            ranks[r].guaranteed_share * slots * std::max(part, even);
+        own_sum += own[r];
+        all_sum += total[r];
+        spare -= given[r];
+    }
+    auto const by_demand = all_sum > 0.0 ? own_sum / all_sum : even;
+    out.slots += std::max(0.0, spare) *
+                 (even_part * even + (1.0 - even_part) * by_demand);
+    return out;
+}
+
+} // namespace
+
+std::vector<pool_share>
+divide_pools(absl::Span<pool_capacity const> pools, demand_summary const& own,
+             peer_view const& peers, rank_table const& ranks,
+             absl::FunctionRef<double(organisation_id)> weight_of)
+{
+    fleet_demand demand(pools, own, peers);
+    auto const reachable = static_cast<double>(demand.vm_count()) /
+                           static_cast<double>(peers.fleet_size());
+    auto const served = served_parts(demand, pools, reachable, ranks);
+    for (std::size_t r = 0; r < rank_count; ++r)
+    {
+        if (served[r] < served_in_full)
+            cap_heavy(demand, r, served[r], weight_of);
+    }
+    std::vector<pool_share> out;
+    out.reserve(pools.size());
+    for (std::size_t pool = 0; pool < pools.size(); ++pool)
+        out.push_back(
+            own_share(demand, pool, pools[pool].slots * reachable, ranks));
+    return out;
+}
+
+std::array<double, rank_count>
+allocate_ranks(std::array<double, rank_count> const& demand, double slots,
+               rank_table const& ranks)
+{
+    by_rank given{};
+    double spare = slots;
+    for (std::size_t r = 0; r < rank_count; ++r)
+    {
+        given[r] = std::min(demand[r], ranks[r].guaranteed_share * slots);
+        spare -= given[r];
+    }
+    for (std::size_t r = 0; r < rank_count; ++r)
+    {
+        auto const more =
+            std::clamp(demand[r] - given[r], 0.0, std::max(spare, 0.0));
+        given[r] += more;
+        spare -= more;
+    }
+    return given;
+}
+
+double water_level(std::vector<weighted_demand> demands, double total)
+{
+    std::sort(demands.begin(), demands.end(),
+              [](auto const& a, auto const& b)
+              { return a.demand * b.weight < b.demand * a.weight; });
+    double weights = 0.0;
+    for (auto const& it : demands)
+        weights += it.weight;
+    for (auto const& it : demands)
+    {
+        if (it.demand * weights > total * it.weight)
+            return total / weights;
+        total -= it.demand;
+        weights -= it.weight;
+    }
+    return std::numeric_limits<double>::infinity();
+}
+
+} // namespace buckthornvale::decision::admission
--- /dev/null
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -0,0 +1,62 @@
+#include <buckthornvale/decision/admission/rank_scheduler.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::admission
+{
+
+namespace
+{
+
+//! A rank without a guaranteed share still gets a finite counter.
+constexpr double smallest_share = 1e-3;
+
+//! A rank that uses less than this is not predicted to wait for ever.
+constexpr double smallest_slots = 1e-2;
+
+} // namespace
+
+pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
+                                   duration runner_queueing, bool shares) const
+{
+    if (!pool.fleet_slots())
+        return pool_access::guaranteed;
+    if (*pool.fleet_slots() <= 0.0)
+        return pool_access::blocked;
+    if (shares && pool.backlog(r) < pool.guaranteed_bound(r, runner_queueing))
+        return pool_access::guaranteed;
+    return pool.total_backlog() < pool.bound(runner_queueing)
+               ? pool_access::lent
+               : pool_access::blocked;
+}
+
+double rank_scheduler::expected_slots(pool_backlog const& pool, rank r,
+                                      duration memory, time_point now) const
+{
+    auto const& share = pool.share();
+    double slots = share.slots;
+    for (auto other : all_ranks)
+    {
+        if (other == r)
+            continue;
+        auto const used = pool.started(other, memory, now);
+        slots -= other < r ? used
+                           : std::min(used, share.guaranteed[index_of(other)]);
+    }
+    return std::max({slots, share.guaranteed[index_of(r)], smallest_slots});
+}
+
+void rank_scheduler::charge(rank r, double cost)
+{
+    auto& counter = counter_[index_of(r)];
+    virtual_time_ = std::max(virtual_time_, tag(r));
+    counter = tag(r) + cost / std::max(ranks_[index_of(r)].guaranteed_share,
+                                       smallest_share);
+}
+
+double rank_scheduler::tag(rank r) const
+{
+    return std::max(counter_[index_of(r)], virtual_time_);
+}
+
+} // namespace buckthornvale::decision::admission
--- /dev/null
+++ b/packages/decision/src/admission/residence_estimate.cpp
@@ -0,0 +1,51 @@
+#include <buckthornvale/decision/admission/decayed_rate.hpp>
+#include <buckthornvale/decision/admission/residence_estimate.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornvale::decision::admission
+{
+
+namespace
+{
+
+//! Weight of one sample: about the last 30 requests.
+constexpr double gain = 1.0 / 32.0;
+
+//! Mean absolute deviations added to the mean, as for a retransmission
+//! timeout but with less margin: a request that is refused wrongly costs as
+//! much as one that fails late.
+constexpr double margin = 2.0;
+
+constexpr duration memory = std::chrono::seconds(5);
+
+} // namespace
+
+void residence_estimate::add(duration expected, duration measured,
+                             time_point now)
+{
+    if (expected <= duration::zero())
+        return;
+    auto const keep = confidence(now);
+    ratio_ = 1.0 + keep * (ratio_ - 1.0);
+    deviation_ *= keep;
+    auto const error = to_seconds(measured) / to_seconds(expected) - ratio_;
+    ratio_ += gain * error;
+    deviation_ += gain * (std::abs(error) - deviation_);
+    updated_ = now;
+}
+
+duration residence_estimate::predict(duration expected, time_point now) const
+{
+    auto const keep = confidence(now);
+    auto const factor = 1.0 + keep * (ratio_ - 1.0 + margin * deviation_);
+    return from_seconds(to_seconds(expected) * std::max(factor, 0.1));
+}
+
+double residence_estimate::confidence(time_point now) const
+{
+    return decay_factor(now - updated_, memory);
+}
+
+} // namespace buckthornvale::decision::admission
