--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/retry/retry_budget.hpp
@@ -0,0 +1,48 @@
+#ifndef BUCKTHORNVALE_DECISION_RETRY_RETRY_BUDGET_HPP
+#define BUCKTHORNVALE_DECISION_RETRY_RETRY_BUDGET_HPP
+
+#include <cstdint>
+
+namespace buckthornvale::decision::retry
+{
+
+//! Counters and limits are in thousandths of a token, so that a long run of
+//! first attempts adds up exactly.
+struct retry_budget_settings
+{
+    std::int64_t earned_per_first_attempt = 100; //!< 0.1 token
+    std::int64_t most = 10'000;                  //!< 10 tokens
+};
+
+//! Token bucket of one VM for retries and hedges. It starts empty, so extra
+//! attempts are at most a tenth of first attempts at every moment, and the
+//! sum over VMs holds without any agreement between them.
+class retry_budget
+{
+public:
+    explicit retry_budget(retry_budget_settings settings = {});
+
+    void first_attempt();
+
+    //! Takes a token; false when there is none.
+    bool take();
+
+    //! Gives a token back for an attempt that was not sent after all.
+    void give_back();
+
+    double tokens() const;
+    std::uint64_t first_attempts() const { return first_attempts_; }
+    std::uint64_t taken() const { return taken_; }
+    std::uint64_t refused() const { return refused_; }
+
+private:
+    retry_budget_settings settings_;
+    std::int64_t tokens_ = 0; //!< thousandths
+    std::uint64_t first_attempts_ = 0;
+    std::uint64_t taken_ = 0;
+    std::uint64_t refused_ = 0;
+};
+
+} // namespace buckthornvale::decision::retry
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/retry/retry_policy.hpp
@@ -0,0 +1,41 @@
+#ifndef BUCKTHORNVALE_DECISION_RETRY_RETRY_POLICY_HPP
+#define BUCKTHORNVALE_DECISION_RETRY_RETRY_POLICY_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/retry/retry_budget.hpp>
+
+#include <cstdint>
+
+namespace buckthornvale::decision::retry
+{
+
+//! An attempt that failed. The caller excludes all runners tried before.
+struct failed_attempt
+{
+    bool repeatable = false;    //!< the stage may run more than once
+    bool may_have_run = true;   //!< false when it provably did not start
+    std::uint32_t attempts = 1; //!< of the stage, this one included
+    time_point deadline;        //!< of the stage
+    duration expected{};        //!< usual time of the stage (median)
+};
+
+enum class retry_verdict
+{
+    retry,
+    not_repeatable,
+    no_time,
+    too_many_attempts,
+    no_budget
+};
+
+//! Attempts of one stage, the first included.
+constexpr std::uint32_t most_attempts = 3;
+
+//! Decides on a retry and takes its token. A stage that must not run twice
+//! is tried again only when the failed attempt provably did not start.
+retry_verdict decide_retry(failed_attempt const& failed, retry_budget& budget,
+                           time_point now);
+
+} // namespace buckthornvale::decision::retry
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/retry/stage_times.hpp
@@ -0,0 +1,47 @@
+#ifndef BUCKTHORNVALE_DECISION_RETRY_STAGE_TIMES_HPP
+#define BUCKTHORNVALE_DECISION_RETRY_STAGE_TIMES_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/storage_adaptor.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <tuple>
+#include <vector>
+
+namespace buckthornvale::decision::retry
+{
+
+//! Distribution of one stage's times, 0.1 ms to 1,000 s in steps of 8%. Old
+//! times count half as much after every 2,000 new ones.
+class stage_times
+{
+public:
+    stage_times();
+
+    void record(duration took);
+
+    //! Upper edge of the bin that holds the quantile; empty without times.
+    std::optional<duration> quantile(double share) const;
+
+    std::uint64_t recorded() const { return recorded_; }
+
+private:
+    using axis = boost::histogram::axis::regular<
+        double, boost::histogram::axis::transform::log,
+        boost::histogram::use_default,
+        decltype(boost::histogram::axis::option::underflow |
+                 boost::histogram::axis::option::overflow)>;
+    using storage = boost::histogram::dense_storage<float>;
+
+    boost::histogram::histogram<std::tuple<axis>, storage> times_;
+    double weight_ = 0.;
+    std::uint64_t recorded_ = 0;
+};
+
+} // namespace buckthornvale::decision::retry
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/candidates.hpp
@@ -0,0 +1,74 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_CANDIDATES_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_CANDIDATES_HPP
+
+#include <buckthornvale/decision/routing/prefix_index.hpp>
+#include <buckthornvale/decision/routing/routing_settings.hpp>
+#include <buckthornvale/decision/routing/runner_table.hpp>
+
+namespace buckthornvale::decision::routing
+{
+
+//! Read-only view of the runners that one query may use, with the estimates
+//! that strategies choose by. Valid during one choice.
+class candidates
+{
+public:
+    candidates(routing_settings const& settings, runner_table const& table,
+               pool_entry const& pool, route_query const& query,
+               time_point now);
+
+    absl::Span<runner_index const> usable() const { return usable_; }
+    absl::Span<runner_index const> local() const { return local_; }
+    absl::Span<prefix_match const> cached() const { return prefixes.span(); }
+    absl::Span<prefix_match const> adapted() const { return adapters.span(); }
+
+    route_query const& query() const { return query_; }
+
+    //! False for runners that the query excludes.
+    bool allowed(runner_index index) const;
+
+    //! True when a match's runner is usable and still holds what it did.
+    bool is_live(prefix_match const& match) const;
+
+    //! Expected seconds to completion: (work ahead + own work - cached work)
+    //! / speed + cost of another failure domain + lack of progress.
+    double cost(runner_index index) const;
+
+    //! Work ahead of and in the attempt there, in seconds at speed 1.
+    double work(runner_index index) const;
+
+    //! Estimated requests in the runner per slot.
+    double load(runner_index index) const;
+
+    //! Attempts of this VM in the runner per slot.
+    double own_load(runner_index index) const;
+
+    //! Decayed mean of the runner's response times, seconds.
+    double latency(runner_index index) const;
+
+    //! Filled by the router before the choice.
+    prefix_matches prefixes;
+    prefix_matches adapters;
+
+private:
+    double saved(runner_index index, double work) const;
+    double adapter_cost(runner_index index) const;
+    double stalled(runner_entry const& entry) const;
+
+    routing_settings const& settings_;
+    runner_table const& table_;
+    pool_entry const& pool_;
+    route_query const& query_;
+    time_point now_;
+    absl::Span<runner_index const> usable_;
+    absl::Span<runner_index const> local_;
+    double mean_others_ = 0.;
+    double mean_speed_ = 1.;
+    double own_work_ = 0.;
+    double saved_per_block_ = 0.;
+    double remote_cost_ = 0.;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/circuit_breaker.hpp
@@ -0,0 +1,75 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_CIRCUIT_BREAKER_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_CIRCUIT_BREAKER_HPP
+
+#include <buckthornvale/decision/routing/routing_settings.hpp>
+
+#include <pcg_random.hpp>
+
+#include <cstdint>
+
+namespace buckthornvale::decision::routing
+{
+
+enum class circuit_state : std::uint8_t
+{
+    closed,
+    open,     //!< no work until the wait has passed
+    half_open //!< one probe is in flight
+};
+
+//! Circuit breaker of one runner. An open circuit lets one probe through
+//! after a jittered wait that doubles with each failed probe.
+class circuit_breaker
+{
+public:
+    circuit_state state() const { return state_; }
+
+    //! Reports a completion in the expected time; closes after a probe.
+    void succeeded();
+
+    //! Reports a failure; `random` jitters the wait.
+    void failed(breaker_settings const& settings, time_point now,
+                pcg32& random);
+
+    //! Reports a slow completion; opens only when `may_open`.
+    void slow(breaker_settings const& settings, bool may_open, time_point now,
+              pcg32& random);
+
+    //! True when the wait has passed and no probe is in flight.
+    bool probe_due(time_point now) const
+    {
+        return state_ == circuit_state::open && now >= next_probe_;
+    }
+
+    time_point next_probe() const { return next_probe_; }
+
+    void probe_sent() { state_ = circuit_state::half_open; }
+
+    //! The probe ended without telling anything; another may follow at once.
+    void probe_lost();
+
+    //! True when the circuit is not closed because of slowness alone.
+    bool opened_by_slowness() const { return by_slowness_; }
+
+    //! True when so many probes in a row were slow that the runner's speed
+    //! should be taken as it is.
+    bool accepts_slowness(breaker_settings const& settings) const
+    {
+        return slow_probes_ >= settings.slow_probes_to_accept;
+    }
+
+private:
+    void open(breaker_settings const& settings, time_point now, pcg32& random);
+
+    time_point next_probe_{};
+    std::uint32_t failures_ = 0;
+    std::uint32_t slow_ = 0;
+    std::uint32_t slow_probes_ = 0;
+    std::uint32_t openings_ = 0; //!< in a row, without a good probe
+    circuit_state state_ = circuit_state::closed;
+    bool by_slowness_ = false;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/detail/sampling.hpp
@@ -0,0 +1,58 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_DETAIL_SAMPLING_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_DETAIL_SAMPLING_HPP
+
+#include <buckthornvale/decision/routing/candidates.hpp>
+
+#include <pcg_random.hpp>
+
+namespace buckthornvale::decision::routing::detail
+{
+
+//! A random runner of `from`, or `no_index` when it is empty. The choice may
+//! be excluded by the query.
+inline runner_index draw(absl::Span<runner_index const> from, pcg32& random)
+{
+    if (from.empty())
+        return no_index;
+    return from[random(static_cast<std::uint32_t>(from.size()))];
+}
+
+//! The first allowed runner from a random position on.
+inline runner_index draw_allowed(candidates const& from, pcg32& random)
+{
+    auto const usable = from.usable();
+    if (usable.empty())
+        return no_index;
+    std::size_t const n = usable.size();
+    std::size_t const first = random(static_cast<std::uint32_t>(n));
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        auto const index = usable[(first + i) % n];
+        if (from.allowed(index))
+            return index;
+    }
+    return no_index;
+}
+
+//! Keeps the runner of least cost among those offered.
+class least
+{
+public:
+    void offer(runner_index index, double cost)
+    {
+        if (index_ != no_index && cost >= cost_)
+            return;
+        index_ = index;
+        cost_ = cost;
+    }
+
+    runner_index index() const { return index_; }
+
+private:
+    runner_index index_ = no_index;
+    double cost_ = 0.;
+};
+
+} // namespace buckthornvale::decision::routing::detail
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/load_estimate.hpp
@@ -0,0 +1,57 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_LOAD_ESTIMATE_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_LOAD_ESTIMATE_HPP
+
+#include <buckthornvale/decision/routing/types.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace buckthornvale::decision::routing
+{
+
+//! Requests in one runner: the last report, corrected by what this VM sent
+//! and finished since the figures were taken.
+class load_estimate
+{
+public:
+    void sent(time_point now);
+    void finished(time_point now);
+
+    //! Takes a report; returns false when a later one was already taken.
+    bool report(load_report const& value, time_point now);
+
+    //! Attempts of this VM in the runner.
+    std::uint32_t own() const { return own_; }
+
+    //! Requests of other VMs in the runner at the time of the last report.
+    double others() const { return others_; }
+
+    //! Estimated requests in the runner. As the report ages past `fresh`, the
+    //! pool's mean of `others` takes its place.
+    double total(time_point now, double mean_others, duration fresh) const;
+
+    //! Time of the last progress seen: a completion, or the first send to the
+    //! runner while it had nothing of this VM.
+    time_point progress() const { return progress_; }
+
+private:
+    static constexpr std::size_t history_size = 16;
+    static constexpr duration history_step = std::chrono::milliseconds(125);
+
+    void advance(time_point now);
+    std::uint32_t own_at(time_point when) const;
+
+    std::array<std::uint16_t, history_size> history_{};
+    std::int64_t step_ = 0; //!< history step that `own_` belongs to
+    std::uint32_t own_ = 0;
+    double others_ = 0.;
+    std::uint64_t sequence_ = 0;
+    time_point reported_{};
+    time_point progress_{};
+    bool has_report_ = false;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/router.hpp
@@ -0,0 +1,127 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_ROUTER_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_ROUTER_HPP
+
+#include <buckthornvale/decision/routing/choice_strategy.hpp>
+#include <buckthornvale/decision/routing/prefix_index.hpp>
+#include <buckthornvale/decision/routing/routing_settings.hpp>
+#include <buckthornvale/decision/routing/runner_table.hpp>
+#include <buckthornvale/decision/routing/types.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+#include <pcg_random.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace buckthornvale::decision::routing
+{
+
+struct routing_counters
+{
+    std::uint64_t choices = 0;
+    std::uint64_t no_runner = 0; //!< choices without a usable runner
+    std::uint64_t probes = 0;
+    std::uint64_t opened_by_failure = 0;
+    std::uint64_t opened_by_slowness = 0;
+    std::uint64_t closed = 0;
+    std::uint64_t stale_reports = 0;
+    std::uint64_t cache_gaps = 0;
+    std::uint64_t unknown_attempts = 0;
+};
+
+//! Chooses a runner for each stage attempt and learns from what happens.
+class router
+{
+public:
+    router(routing_settings settings, std::uint64_t seed);
+
+    //! Replaces the runners of a pool. Runners that join a pool which already
+    //! had some are warmed up; the first list of a pool is taken as warm.
+    void set_runners(pool_id pool, absl::Span<runner_info const> runners,
+                     time_point now);
+
+    //! A leaving runner gets no new attempts; the ones it has go on.
+    void set_leaving(runner_id runner, bool leaving, time_point now);
+
+    //! Keeps a runner free of new attempts while a suspect runs alone there.
+    void set_reserved(runner_id runner, bool reserved, time_point now);
+
+    void report(load_report const& value, time_point now);
+
+    //! Models and adapters that a runner reports as loaded.
+    void report_resident(runner_id runner,
+                         absl::Span<std::uint64_t const> models,
+                         absl::Span<std::uint64_t const> adapters,
+                         time_point now);
+
+    void cache_event(runner_id runner, routing::cache_event const& event,
+                     time_point now);
+
+    //! Picks a runner; empty when no allowed runner is usable. Does not
+    //! allocate. The caller reports the attempt with `sent` when it sends it.
+    std::optional<runner_id> choose(route_query const& query, time_point now);
+
+    void sent(runner_id runner, attempt_id attempt, route_query const& query,
+              time_point now);
+
+    //! Ends an attempt; `took` is its time from `sent` on.
+    void finished(attempt_id attempt, attempt_result result, duration took,
+                  time_point now);
+
+    //! Usable slots: live, circuit closed, scaled down during warm-up. A
+    //! runner whose probe is due counts as one slot, so that admission lets
+    //! the probe through.
+    double pool_slots(pool_id pool, time_point now) const;
+
+    //! Attempts of this VM in the runner.
+    std::uint32_t in_flight(runner_id runner) const;
+
+    routing_counters const& counters() const { return counters_; }
+
+    //! Bytes held for runners, and for the prefix and adapter indices.
+    std::size_t runner_bytes() const { return table_.bytes(); }
+    std::size_t index_bytes() const;
+
+private:
+    struct flight
+    {
+        runner_index runner = no_index;
+        std::uint32_t incarnation = 0;
+        bool probe = false;
+        double work = 0.; //!< ahead of and in the attempt when it was sent
+    };
+
+    std::optional<runner_id>
+    choose_probe(pool_entry& pool, route_query const& query, time_point now);
+    runner_index choose_idle(candidates const& from) const;
+    void find_matches(candidates& from, route_query const& query,
+                      time_point now) const;
+    void keep_live(absl::Span<prefix_match const> found, bool adapters,
+                   prefix_matches& out) const;
+    void remember(runner_index index, route_query const& query, time_point now);
+    void learn(flight const& ended, attempt_result result, duration took,
+               time_point now);
+    void completed(runner_index index, double work, double elapsed,
+                   time_point now);
+    bool may_open_for_slowness(pool_entry const& pool) const;
+    void circuit_changed(runner_index index, circuit_state before,
+                         time_point now);
+
+    routing_settings settings_;
+    pcg32 random_;
+    runner_table table_;
+    prefix_index prefixes_;
+    prefix_index adapters_;
+    std::unique_ptr<choice_strategy> strategy_;
+    absl::flat_hash_map<attempt_id, flight> flights_;
+    std::vector<runner_index> added_;
+    routing_counters counters_;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/speed_estimate.hpp
@@ -0,0 +1,46 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_SPEED_ESTIMATE_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_SPEED_ESTIMATE_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <cstdint>
+
+namespace buckthornvale::decision::routing
+{
+
+//! Learnt speed of one runner: predicted work per second of elapsed time,
+//! where work is service time at speed 1. It is the factor that makes the
+//! router's own predictions right, queueing included.
+class speed_estimate
+{
+public:
+    //! Learns from an attempt with `work` seconds ahead of and in it.
+    void completed(double work, double elapsed);
+
+    //! Speed now; `prior` (the pool's mean) fades with completions.
+    double recent(double prior) const;
+
+    //! Speed over a long time; slow completions do not lower it.
+    double long_term(double prior) const;
+
+    //! True when `elapsed` is past `factor` times the prediction plus margin.
+    bool is_slow(double work, double elapsed, double prior, double factor,
+                 double margin) const;
+
+    //! Takes the recent speed as the long-term one.
+    void accept_recent() { baseline_ = work_ / elapsed_; }
+
+    //! Learns a completion into the long-term speed as well.
+    void confirm(double work, double elapsed);
+
+private:
+    double work_ = 0.;     //!< decayed sum, seconds
+    double elapsed_ = 0.;  //!< decayed sum, seconds
+    double weight_ = 0.;   //!< decayed count
+    double baseline_ = 0.; //!< 0: nothing learnt
+    std::uint32_t confirmed_ = 0;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- /dev/null
+++ b/packages/decision/src/routing/candidates.cpp
@@ -0,0 +1,125 @@
+#include <buckthornvale/decision/routing/candidates.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::routing
+{
+
+namespace
+{
+
+//! Time without progress is a cost past this multiple of one mean request.
+constexpr double patience = 3.0;
+
+index_group const& group_of(pool_entry const& pool, std::uint64_t model)
+{
+    if (model == 0)
+        return pool.usable;
+    auto const it = pool.by_model.find(model);
+    // Without a runner that reports the model, any may have to load it.
+    if (it == pool.by_model.end() || it->second.all.empty())
+        return pool.usable;
+    return it->second;
+}
+
+} // namespace
+
+candidates::candidates(routing_settings const& settings,
+                       runner_table const& table, pool_entry const& pool,
+                       route_query const& query, time_point now)
+    : settings_(settings), table_(table), pool_(pool), query_(query), now_(now),
+      mean_others_(pool.mean_others()), mean_speed_(pool.mean_speed()),
+      own_work_(query.expected_work > duration::zero()
+                    ? to_seconds(query.expected_work)
+                    : pool.mean_work),
+      saved_per_block_(to_seconds(settings.prefix.saved_per_block)),
+      remote_cost_(to_seconds(settings.remote_cost))
+{
+    auto const& group = group_of(pool, query.model);
+    usable_ = group.all;
+    local_ = group.local(query.local_domain);
+}
+
+bool candidates::allowed(runner_index index) const
+{
+    auto const id = table_.at(index).info.id;
+    return std::find(query_.exclude.begin(), query_.exclude.end(), id) ==
+           query_.exclude.end();
+}
+
+bool candidates::is_live(prefix_match const& match) const
+{
+    auto const& entry = table_.at(match.holder.runner);
+    return entry.listed && !entry.leaving && !entry.reserved &&
+           entry.info.pool == query_.pool &&
+           entry.breaker.state() == circuit_state::closed;
+}
+
+double candidates::cost(runner_index index) const
+{
+    auto const& entry = table_.at(index);
+    double const speed =
+        entry.speed.recent(mean_speed_) * entry.ramp.share(now_);
+    double const remote =
+        entry.info.domain == query_.local_domain ? 0. : remote_cost_;
+    return work(index) / speed + remote + stalled(entry);
+}
+
+double candidates::work(runner_index index) const
+{
+    auto const& entry = table_.at(index);
+    double const slots = std::max(1., entry.info.slots);
+    double const total =
+        entry.load.total(now_, mean_others_, settings_.report_fresh);
+    double const ahead = std::max(0., total + 1. - slots) / slots;
+    double const own =
+        own_work_ - saved(index, own_work_) + adapter_cost(index);
+    return ahead * pool_.mean_work + own;
+}
+
+double candidates::load(runner_index index) const
+{
+    auto const& entry = table_.at(index);
+    double const total =
+        entry.load.total(now_, mean_others_, settings_.report_fresh);
+    return total / std::max(1., entry.info.slots);
+}
+
+double candidates::own_load(runner_index index) const
+{
+    auto const& entry = table_.at(index);
+    return double(entry.load.own()) / std::max(1., entry.info.slots);
+}
+
+double candidates::latency(runner_index index) const
+{
+    return table_.at(index).latency;
+}
+
+double candidates::saved(runner_index index, double work) const
+{
+    auto const blocks = prefixes.blocks_of(index);
+    if (blocks == 0)
+        return 0.;
+    auto const trust = table_.at(index).cache.trust();
+    double const whole = double(blocks) * saved_per_block_;
+    return std::min(whole, work * settings_.prefix.largest_saving) * trust;
+}
+
+double candidates::adapter_cost(runner_index index) const
+{
+    if (query_.adapter == 0 || adapters.blocks_of(index) != 0)
+        return 0.;
+    return to_seconds(settings_.adapter_load);
+}
+
+double candidates::stalled(runner_entry const& entry) const
+{
+    if (entry.load.own() == 0)
+        return 0.;
+    double const since = to_seconds(now_ - entry.load.progress());
+    double const usual = pool_.mean_work / entry.speed.long_term(mean_speed_);
+    return std::max(0., since - patience * usual);
+}
+
+} // namespace buckthornvale::decision::routing
--- /dev/null
+++ b/packages/decision/src/routing/expected_completion.cpp
@@ -0,0 +1,42 @@
+#include <buckthornvale/decision/routing/detail/sampling.hpp>
+#include <buckthornvale/decision/routing/expected_completion.hpp>
+
+namespace buckthornvale::decision::routing
+{
+
+namespace
+{
+
+void offer(candidates const& from, runner_index index, detail::least& best)
+{
+    if (index != no_index && from.allowed(index))
+        best.offer(index, from.cost(index));
+}
+
+void offer_matches(candidates const& from,
+                   absl::Span<prefix_match const> matches, detail::least& best)
+{
+    for (auto const& it : matches)
+    {
+        if (from.is_live(it))
+            offer(from, it.holder.runner, best);
+    }
+}
+
+} // namespace
+
+runner_index expected_completion::choose(candidates const& from, pcg32& random)
+{
+    detail::least best;
+    for (std::size_t i = 0; i < samples_; ++i)
+        offer(from, detail::draw(from.usable(), random), best);
+    for (std::size_t i = 0; i < local_samples_; ++i)
+        offer(from, detail::draw(from.local(), random), best);
+    offer_matches(from, from.cached(), best);
+    offer_matches(from, from.adapted(), best);
+    if (best.index() != no_index)
+        return best.index();
+    return detail::draw_allowed(from, random);
+}
+
+} // namespace buckthornvale::decision::routing
--- /dev/null
+++ b/packages/decision/src/routing/load_estimate.cpp
@@ -0,0 +1,78 @@
+#include <buckthornvale/decision/routing/load_estimate.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace buckthornvale::decision::routing
+{
+
+void load_estimate::sent(time_point now)
+{
+    advance(now);
+    if (own_ == 0)
+        progress_ = now;
+    ++own_;
+}
+
+void load_estimate::finished(time_point now)
+{
+    advance(now);
+    if (own_ > 0)
+        --own_;
+    progress_ = now;
+}
+
+bool load_estimate::report(load_report const& value, time_point now)
+{
+    auto const taken = now - value.age;
+    // A restarted engine counts its sequence from the beginning, so an old
+    // sequence is stale only when its figures are older as well.
+    bool const stale =
+        has_report_ && value.sequence <= sequence_ && taken <= reported_;
+    if (stale)
+        return false;
+    advance(now);
+    others_ =
+        std::max(0., value.running + value.queued - double(own_at(taken)));
+    sequence_ = value.sequence;
+    reported_ = taken;
+    has_report_ = true;
+    return true;
+}
+
+double load_estimate::total(time_point now, double mean_others,
+                            duration fresh) const
+{
+    if (!has_report_)
+        return double(own_) + mean_others;
+    auto const over = now - reported_ - fresh;
+    if (over <= duration::zero())
+        return double(own_) + others_;
+    double const lost = std::min(1., to_seconds(over) / to_seconds(fresh));
+    return double(own_) + others_ + (mean_others - others_) * lost;
+}
+
+void load_estimate::advance(time_point now)
+{
+    auto const step = now.time_since_epoch() / history_step;
+    constexpr std::uint32_t largest = std::numeric_limits<std::uint16_t>::max();
+    auto const kept = static_cast<std::uint16_t>(std::min(own_, largest));
+    auto const first =
+        std::max(step_, step - static_cast<std::int64_t>(history_size));
+    for (auto it = first; it < step; ++it)
+        history_[static_cast<std::size_t>(it) % history_size] = kept;
+    step_ = std::max(step_, step);
+}
+
+std::uint32_t load_estimate::own_at(time_point when) const
+{
+    auto const step = when.time_since_epoch() / history_step;
+    if (step >= step_)
+        return own_;
+    auto const oldest =
+        std::max<std::int64_t>(0, step_ - std::int64_t{history_size});
+    auto const at = std::max(step, oldest);
+    return history_[static_cast<std::size_t>(at) % history_size];
+}
+
+} // namespace buckthornvale::decision::routing
