--- a/packages/decision/include/buckthornvale/decision/isolation/crash_isolation.hpp
+++ b/packages/decision/include/buckthornvale/decision/isolation/crash_isolation.hpp
@@ -24,9 +24,10 @@
 
 struct isolation_settings
 {
-    //! Runners that one content may take down before it is isolated even
-    //! when none of its crashes was alone.
-    std::uint32_t crash_bound = 3;
+    //! Known crashes that isolate content even when none was alone. Within
+    //! one VM the second crash of a suspect is alone; without a mark in time,
+    //! two VMs can each lose a runner to content that ran beside others.
+    std::size_t crash_bound = 2;
     duration suspect_lifetime = std::chrono::minutes(10);
     duration isolated_lifetime = std::chrono::hours(1);
     //! Remembered after a clear, so that late suspect marks are recognised.
@@ -54,7 +55,9 @@
 class crash_isolation
 {
 public:
-    explicit crash_isolation(isolation_settings settings = {});
+    //! `incarnation` differs between processes; it tells their crashes apart.
+    explicit crash_isolation(isolation_settings settings = {},
+                             std::uint64_t incarnation = 0);
 
     //! Says how the content may run now.
     verdict check(fingerprint content, time_point now);
@@ -118,7 +121,8 @@
 
     kept_mark const* find(fingerprint content, time_point now) const;
     bool is_suspect(fingerprint content, time_point now) const;
-    void note_crash(attempt const& lost, time_point now);
+    void note_crash(attempt const& lost, std::uint64_t crash_id,
+                    time_point now);
     void store(mark value, time_point now);
     void make_room(time_point now);
     duration lifetime_of(mark_state state) const;
@@ -128,6 +132,7 @@
     isolation_settings settings_;
     absl::flat_hash_map<runner_id, attempts> in_flight_;
     absl::flat_hash_map<fingerprint, kept_mark> marks_;
+    std::uint64_t incarnation_ = 0;
     std::uint64_t changes_ = 0;
     bool links_up_ = true;
     isolation_counters counters_;
--- a/packages/decision/include/buckthornvale/decision/routing/load_estimate.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/load_estimate.hpp
@@ -27,6 +27,8 @@
     //! Requests of other VMs in the runner at the time of the last report.
     double others() const { return others_; }
 
+    bool has_report() const { return has_report_; }
+
     //! Estimated requests in the runner. As the report ages past `fresh`, the
     //! pool's mean of `others` takes its place.
     double total(time_point now, double mean_others, duration fresh) const;
--- a/packages/decision/include/buckthornvale/decision/routing/runner_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/runner_table.hpp
@@ -31,7 +31,6 @@
     double latency = 0.;                 //!< decayed mean, seconds
     std::uint32_t incarnation = 0;       //!< raised when the place is reused
     std::uint16_t adapters_reported = 0; //!< generation of adapter entries
-    bool models_known = false;
     bool listed = false;
     bool leaving = false;
     bool reserved = false;
@@ -64,14 +63,15 @@
     double mean_work = 0.05; //!< decayed mean of expected work, seconds
     double work = 1.;        //!< decayed sums over completions, for the speed
     double elapsed = 1.;
-    double sum_others = 0.; //!< over members with a load report
-    std::uint32_t probes = 0;
+    double sum_others = 0.;      //!< over members with a load report
+    std::uint32_t reporting = 0; //!< members with a load report
+    std::uint32_t probes = 0;    //!< in flight
     time_point next_probe = time_point::max();
 
     double mean_speed() const { return work / elapsed; }
     double mean_others() const
     {
-        return members.empty() ? 0. : sum_others / double(members.size());
+        return reporting == 0 ? 0. : sum_others / double(reporting);
     }
 };
 
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/routing/warm_keeper.hpp
@@ -0,0 +1,103 @@
+#ifndef BUCKTHORNVALE_DECISION_ROUTING_WARM_KEEPER_HPP
+#define BUCKTHORNVALE_DECISION_ROUTING_WARM_KEEPER_HPP
+
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <absl/types/span.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace buckthornvale::decision::routing
+{
+
+//! Prefix and adapter that an organisation expects to find warm.
+struct warm_target
+{
+    organisation_id organisation;
+    pool_id pool;
+    std::uint64_t adapter = 0;
+    std::uint64_t model = 0;
+    std::vector<std::uint64_t> prefix_blocks;
+    duration work{};    //!< of one refresh, at speed 1
+    double worth = 1.0; //!< of a warm start, against other targets
+};
+
+struct warm_settings
+{
+    //! Time after which engines drop an unused prefix or adapter.
+    duration cache_lifetime = std::chrono::minutes(5);
+    //! A target unused for this share of the lifetime is refreshed.
+    double refresh_at = 0.8;
+    //! Share of the slots' time that refreshes may take, over the fleet.
+    double budget_share = 0.01;
+    std::size_t most_targets = 512;
+    std::size_t most_blocks = 64; //!< kept per target
+};
+
+//! What keeping organisations warm cost and what it brought.
+struct warm_counters
+{
+    std::uint64_t refreshes = 0;
+    double work_s = 0.;          //!< refresh work, seconds at speed 1
+    std::uint64_t warm_hits = 0; //!< uses that only a refresh kept warm
+    std::uint64_t over_budget = 0;
+    std::uint64_t dropped = 0; //!< targets that found no room
+};
+
+//! Decides which rarely used prefixes and adapters are run again before the
+//! engines drop them. Each target is refreshed by one VM, its owner by
+//! rendezvous hash over the live VMs; the owner counts the cost.
+class warm_keeper
+{
+public:
+    explicit warm_keeper(warm_settings settings = {});
+
+    //! Adds or replaces the target of an organisation in a pool. When full,
+    //! the target of least worth per work is dropped.
+    void keep(warm_target target, time_point now);
+    void forget(organisation_id organisation);
+
+    void set_vms(vm_id self, absl::Span<vm_id const> live);
+
+    //! Usable slots of all pools: what the budget is a share of.
+    void set_slots(double slots, time_point now);
+
+    //! A request of the organisation ran in the pool.
+    void used(organisation_id organisation, pool_id pool, time_point now);
+
+    //! Appends the targets to refresh now, best worth per work first, as far
+    //! as the budget goes. Pointers are valid until the next change.
+    void due(time_point now, std::vector<warm_target const*>& out);
+
+    std::size_t targets() const { return targets_.size(); }
+    warm_counters const& counters() const { return counters_; }
+
+private:
+    struct kept
+    {
+        warm_target target;
+        time_point used;
+        time_point refreshed;
+    };
+
+    kept* find(organisation_id organisation, pool_id pool);
+    bool owns(warm_target const& target) const;
+    void earn(time_point now);
+    void make_room();
+
+    warm_settings settings_;
+    std::vector<kept> targets_; //!< best worth per work first
+    vm_id self_;
+    std::vector<vm_id> live_;
+    double slots_ = 0.;
+    double budget_s_ = 0.; //!< refresh work that may be spent now
+    time_point earned_{};
+    warm_counters counters_;
+};
+
+} // namespace buckthornvale::decision::routing
+
+#endif
--- a/packages/decision/src/isolation/crash_isolation.cpp
+++ b/packages/decision/src/isolation/crash_isolation.cpp
@@ -1,12 +1,15 @@
 #include <buckthornvale/decision/isolation/crash_isolation.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace buckthornvale::decision::isolation
 {
 
-crash_isolation::crash_isolation(isolation_settings settings)
-    : settings_(settings)
+crash_isolation::crash_isolation(isolation_settings settings,
+                                 std::uint64_t incarnation)
+    : settings_(settings), incarnation_(incarnation)
 {
 }
 
@@ -56,7 +59,7 @@
     ++counters_.cleared;
     mark value = kept->value;
     value.state = mark_state::cleared;
-    value.crashes = 0;
+    value.crash_ids.clear();
     ++value.clears;
     store(value, now);
 }
@@ -73,6 +76,8 @@
     if (it == in_flight_.end())
         return;
     ++counters_.crashes;
+    std::uint64_t const key[] = {incarnation_, runner.value, counters_.crashes};
+    auto const crash_id = XXH3_64bits(key, sizeof key);
     auto const lost = std::move(it->second);
     in_flight_.erase(it);
     for (std::size_t i = 0; i < lost.size(); ++i)
@@ -81,11 +86,12 @@
         { return other.content == lost[i].content; };
         // Two copies of one content on a runner are one crash of it.
         if (std::none_of(lost.begin(), lost.begin() + i, same))
-            note_crash(lost[i], now);
+            note_crash(lost[i], crash_id, now);
     }
 }
 
-void crash_isolation::note_crash(attempt const& lost, time_point now)
+void crash_isolation::note_crash(attempt const& lost, std::uint64_t crash_id,
+                                 time_point now)
 {
     auto const* const kept = find(lost.content, now);
     mark value;
@@ -94,11 +100,10 @@
         value = kept->value;
     bool const was_suspect =
         kept != nullptr && value.state == mark_state::suspect;
-    ++value.crashes;
-    bool const isolated =
-        (was_suspect && lost.alone) || value.crashes >= settings_.crash_bound;
-    if (value.state == mark_state::isolated)
-        return store(value, now);
+    add_crash(value, crash_id);
+    bool const isolated = (was_suspect && lost.alone) ||
+                          value.state == mark_state::isolated ||
+                          value.crash_ids.size() >= settings_.crash_bound;
     value.state = isolated ? mark_state::isolated : mark_state::suspect;
     ++(isolated ? counters_.isolated : counters_.suspects);
     store(value, now);
@@ -109,9 +114,19 @@
     if (value.remaining <= duration::zero())
         return false;
     auto const* const kept = find(value.content, now);
-    if (kept != nullptr && !supersedes(value, kept->value))
+    auto merged = kept == nullptr ? value : merge(kept->value, value);
+    if (kept != nullptr && same_knowledge(merged, kept->value))
         return false;
-    store(value, now);
+    if (merged.state == mark_state::suspect &&
+        merged.crash_ids.size() >= settings_.crash_bound)
+    {
+        // Nobody else may know both crashes, so this isolation starts here.
+        merged.state = mark_state::isolated;
+        ++counters_.isolated;
+        store(merged, now);
+        return true;
+    }
+    store(merged, now);
     // A mark never outlives the time its sender gave it, so that marks which
     // VMs repeat to each other expire.
     auto& stored = marks_[value.content];
@@ -156,7 +171,7 @@
     if (auto const* const kept = find(content, now))
         value = kept->value;
     value.state = mark_state::cleared;
-    value.crashes = 0;
+    value.crash_ids.clear();
     ++value.lifts;
     store(value, now);
     // A lift outlives the isolation that it ends.
--- a/packages/decision/src/routing/router.cpp
+++ b/packages/decision/src/routing/router.cpp
@@ -63,10 +63,12 @@
     if (index == no_index)
         return;
     auto& load = table_.at(index).load;
+    auto& pool = table_.pool_of(index);
     double const before = load.others();
+    pool.reporting += load.has_report() ? 0 : 1;
     if (!load.report(value, now))
         ++counters_.stale_reports;
-    table_.pool_of(index).sum_others += load.others() - before;
+    pool.sum_others += load.others() - before;
 }
 
 void router::report_resident(runner_id runner,
@@ -179,6 +181,9 @@
     auto const before = entry.breaker.state();
     if (ended.probe)
         --table_.pool_of(ended.runner).probes;
+    // While a probe is out, only the probe tells the runner's present state.
+    if (before == circuit_state::half_open && !ended.probe)
+        return;
     learn(ended, result, took, now);
     circuit_changed(ended.runner, before, now);
 }
@@ -370,6 +375,8 @@
         ++counters_.closed;
         entry.ramp.start(now, settings_.warm_up, settings_.warm_up_start);
     }
+    else if (before != circuit_state::closed)
+        ; // a probe failed or was lost; the circuit was open before
     else if (entry.breaker.opened_by_slowness())
         ++counters_.opened_by_slowness;
     else
--- a/packages/decision/src/routing/runner_table.cpp
+++ b/packages/decision/src/routing/runner_table.cpp
@@ -28,6 +28,14 @@
     ++group.domains.back().count;
 }
 
+//! Takes a runner that leaves the list out of the pool's sums.
+void take_out(pool_entry& pool, runner_entry const& runner)
+{
+    pool.sum_others -= runner.load.others();
+    pool.reporting -= runner.load.has_report() ? 1 : 0;
+    pool.probes -= runner.breaker.state() == circuit_state::half_open ? 1 : 0;
+}
+
 void clear(index_group& group)
 {
     group.all.clear();
@@ -59,7 +67,7 @@
     {
         if (listed.contains(entries_[index].info.id))
             return false;
-        entry.sum_others -= entries_[index].load.others();
+        take_out(entry, entries_[index]);
         release(index);
         return true;
     };
--- /dev/null
+++ b/packages/decision/tests/isolation/crash_isolation_test.cpp
@@ -0,0 +1,265 @@
+#include <buckthornvale/decision/isolation/crash_isolation.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision::isolation
+{
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+time_point const start{hours(1)};
+
+runner_id runner(int i)
+{
+    return runner_id::of("runner-" + std::to_string(i));
+}
+
+fingerprint content(int i)
+{
+    return fingerprint_of(pipeline_id::of("replies"), organisation_id::of("a"),
+                          "input " + std::to_string(i));
+}
+
+auto const poison = content(666);
+
+//! Several VMs that pass marks to each other, now or later.
+struct vms
+{
+    explicit vms(std::size_t n)
+    {
+        for (std::size_t i = 0; i < n; ++i)
+            all.emplace_back(isolation_settings{}, i);
+    }
+
+    //! Spreads each VM's new marks to the others.
+    void spread()
+    {
+        for (auto& from : all)
+        {
+            std::vector<mark> marks;
+            from.take_marks(now, marks);
+            for (auto& to : all)
+            {
+                for (auto const& it : marks)
+                    to.apply_mark(it, now);
+            }
+        }
+    }
+
+    //! Sends the poison through one VM beside an innocent request; returns
+    //! false when the VM refuses it.
+    bool send(std::size_t vm)
+    {
+        auto& it = all[vm];
+        if (it.check(poison, now) == verdict::refused)
+            return false;
+        auto const to = runner(++crashes);
+        auto const beside = content(crashes);
+        if (it.check(poison, now) == verdict::clear)
+            it.started(to, beside, now);
+        EXPECT_TRUE(it.may_share(to, poison, now));
+        it.started(to, poison, now);
+        it.crashed(to, now);
+        return true;
+    }
+
+    std::vector<crash_isolation> all;
+    int crashes = 0;
+    time_point now = start;
+};
+
+// Guards against a request that takes down a runner on each VM it is sent
+// through. Bound with marks in time: 3.
+TEST(crash_isolation, bounds_a_caller_that_sends_again_through_all_vms)
+{
+    vms fleet(8);
+    for (std::size_t i = 0; i < 40; ++i)
+    {
+        fleet.send(i % 8);
+        fleet.spread();
+        fleet.now += seconds(1);
+    }
+    EXPECT_LE(fleet.crashes, 3);
+    EXPECT_EQ(fleet.all[7].check(poison, fleet.now), verdict::refused);
+}
+
+// Guards against late marks that unbound the damage: marks that arrive after
+// `late` more sends cost at most that many runners more than the 2 that one VM
+// alone loses. One send late is the stated bound of 3.
+TEST(crash_isolation, loses_one_runner_more_per_send_that_marks_are_late)
+{
+    for (std::size_t late = 0; late < 5; ++late)
+    {
+        vms fleet(8);
+        std::vector<std::vector<mark>> sent;
+        for (std::size_t i = 0; i < 40; ++i)
+        {
+            fleet.send(i % 8);
+            fleet.all[i % 8].take_marks(fleet.now, sent.emplace_back());
+            if (i < late)
+                continue;
+            for (auto& to : fleet.all)
+            {
+                for (auto const& it : sent[i - late])
+                    to.apply_mark(it, fleet.now);
+            }
+            fleet.now += seconds(1);
+        }
+        EXPECT_LE(fleet.crashes, 2 + static_cast<int>(late));
+    }
+}
+
+// Guards against a partition in which each side learns at full price: a VM
+// without links adds one crash and then refuses.
+TEST(crash_isolation, adds_one_crash_per_vm_that_is_cut_off)
+{
+    vms fleet(4);
+    for (auto& it : fleet.all)
+        it.set_links_up(false);
+    for (std::size_t i = 0; i < 40; ++i)
+        fleet.send(i % 4);
+    EXPECT_EQ(fleet.crashes, 4);
+    for (auto& it : fleet.all)
+        it.set_links_up(true);
+    fleet.spread();
+    for (std::size_t i = 0; i < 40; ++i)
+        fleet.send(i % 4);
+    EXPECT_EQ(fleet.crashes, 4);
+}
+
+// Guards against an innocent request that stays suspect because it ran beside
+// a poisoned one, and against clearing it by a completion beside others.
+TEST(crash_isolation, clears_a_suspect_by_a_completion_alone_only)
+{
+    crash_isolation it;
+    it.started(runner(1), content(1), start);
+    it.started(runner(1), poison, start);
+    it.started(runner(2), content(1), start);
+    it.started(runner(2), content(2), start);
+    it.crashed(runner(1), start);
+    it.finished(runner(2), content(1), start);
+    EXPECT_EQ(it.check(content(1), start), verdict::run_alone);
+    EXPECT_EQ(it.check(content(2), start), verdict::clear);
+    EXPECT_FALSE(it.may_share(runner(2), content(1), start));
+    it.started(runner(3), content(1), start);
+    EXPECT_FALSE(it.may_share(runner(3), content(2), start));
+    it.abandoned(runner(3), content(1), start);
+    EXPECT_EQ(it.check(content(1), start), verdict::run_alone);
+    it.started(runner(3), content(1), start);
+    it.finished(runner(3), content(1), start);
+    EXPECT_EQ(it.check(content(1), start), verdict::clear);
+}
+
+// Guards against a clear on one VM that undoes an isolation on another, in
+// whatever order the marks arrive.
+TEST(crash_isolation, keeps_an_isolation_against_a_racing_clear)
+{
+    vms fleet(2);
+    fleet.send(0);
+    fleet.spread();
+    fleet.send(0);
+    auto& other = fleet.all[1];
+    other.started(runner(50), poison, fleet.now);
+    other.finished(runner(50), poison, fleet.now);
+    EXPECT_EQ(other.check(poison, fleet.now), verdict::clear);
+    fleet.spread();
+    EXPECT_EQ(fleet.all[0].check(poison, fleet.now), verdict::refused);
+    EXPECT_EQ(other.check(poison, fleet.now), verdict::refused);
+}
+
+// Guards against a late suspect mark that undoes a clear.
+TEST(crash_isolation, ignores_a_suspicion_older_than_the_clear)
+{
+    crash_isolation it;
+    it.started(runner(1), content(1), start);
+    it.crashed(runner(1), start);
+    std::vector<mark> early;
+    it.take_marks(start, early);
+    it.started(runner(2), content(1), start);
+    it.finished(runner(2), content(1), start);
+    ASSERT_EQ(early.size(), 1U);
+    EXPECT_FALSE(it.apply_mark(early.front(), start));
+    EXPECT_EQ(it.check(content(1), start), verdict::clear);
+}
+
+// Guards against an operator's lift that the other VMs' marks undo.
+TEST(crash_isolation, lifts_on_all_vms)
+{
+    vms fleet(3);
+    fleet.send(0);
+    fleet.send(0);
+    fleet.spread();
+    fleet.all[2].lift(poison, fleet.now);
+    std::vector<mark> old;
+    fleet.all[0].recent_marks(fleet.now, 10, old);
+    fleet.spread();
+    for (auto const& it : old)
+        fleet.all[1].apply_mark(it, fleet.now);
+    EXPECT_EQ(fleet.all[0].check(poison, fleet.now), verdict::clear);
+    EXPECT_EQ(fleet.all[1].check(poison, fleet.now), verdict::clear);
+}
+
+// Guards against marks that VMs keep alive by repeating them to each other.
+TEST(crash_isolation, lets_repeated_marks_expire)
+{
+    vms fleet(2);
+    fleet.send(0);
+    fleet.send(0);
+    for (int i = 0; i < 90; ++i)
+    {
+        for (std::size_t from = 0; from < 2; ++from)
+        {
+            std::vector<mark> marks;
+            fleet.all[from].recent_marks(fleet.now, 10, marks);
+            for (auto const& it : marks)
+                fleet.all[1 - from].apply_mark(it, fleet.now);
+        }
+        fleet.now += minutes(1);
+    }
+    EXPECT_EQ(fleet.all[0].check(poison, fleet.now), verdict::clear);
+    EXPECT_EQ(fleet.all[1].check(poison, fleet.now), verdict::clear);
+}
+
+// Guards against memory that grows with crashes, and against isolated content
+// that is forgotten before mere suspects.
+TEST(crash_isolation, bounds_its_marks_and_keeps_isolated_ones)
+{
+    isolation_settings settings;
+    settings.most_marks = 50;
+    crash_isolation it(settings);
+    for (int i = 0; i < 2; ++i)
+    {
+        it.started(runner(0), poison, start);
+        it.crashed(runner(0), start);
+    }
+    for (int i = 1; i < 500; ++i)
+    {
+        it.started(runner(i), content(i), start);
+        it.crashed(runner(i), start);
+    }
+    EXPECT_EQ(it.marks(), 50U);
+    EXPECT_EQ(it.check(poison, start), verdict::refused);
+}
+
+// Guards against one organisation's content that marks another's.
+TEST(fingerprint, differs_between_organisations_and_pipelines)
+{
+    auto const a = organisation_id::of("a");
+    auto const b = organisation_id::of("b");
+    auto const p = pipeline_id::of("a");
+    EXPECT_EQ(fingerprint_of(p, a, "x"), fingerprint_of(p, a, "x"));
+    EXPECT_NE(fingerprint_of(p, a, "x"), fingerprint_of(p, b, "x"));
+    EXPECT_NE(fingerprint_of(p, a, "x"), fingerprint_of(p, a, "y"));
+    auto const q = pipeline_id::of("b");
+    EXPECT_NE(fingerprint_of(p, b, "x"), fingerprint_of(q, a, "x"));
+}
+
+} // namespace
+} // namespace buckthornvale::decision::isolation
--- /dev/null
+++ b/packages/decision/tests/retry/retry_test.cpp
@@ -0,0 +1,186 @@
+#include <buckthornvale/decision/retry/deadline_split.hpp>
+#include <buckthornvale/decision/retry/hedge_policy.hpp>
+#include <buckthornvale/decision/retry/retry_budget.hpp>
+#include <buckthornvale/decision/retry/retry_policy.hpp>
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::decision::retry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start{seconds(100)};
+
+// Guards against retries that multiply the load of an outage: at every moment
+// at most a tenth of first attempts, and no burst after a quiet hour.
+TEST(retry_budget, stays_within_a_tenth_of_first_attempts)
+{
+    retry_budget budget;
+    EXPECT_FALSE(budget.take());
+    for (int i = 0; i < 1000; ++i)
+    {
+        budget.first_attempt();
+        budget.take();
+        EXPECT_LE(budget.taken() * 10, budget.first_attempts());
+    }
+    EXPECT_EQ(budget.taken(), 100U);
+    for (int i = 0; i < 1000; ++i)
+        budget.first_attempt();
+    int burst = 0;
+    while (budget.take())
+        ++burst;
+    EXPECT_EQ(burst, 10);
+}
+
+retry_budget full_budget()
+{
+    retry_budget budget;
+    for (int i = 0; i < 1000; ++i)
+        budget.first_attempt();
+    return budget;
+}
+
+failed_attempt lookup()
+{
+    failed_attempt failed;
+    failed.repeatable = true;
+    failed.deadline = start + seconds(1);
+    failed.expected = milliseconds(200);
+    return failed;
+}
+
+// Guards against I4: a booking sent twice because its connection was lost.
+TEST(retry_policy, repeats_a_booking_only_when_it_provably_did_not_start)
+{
+    auto budget = full_budget();
+    auto booking = lookup();
+    booking.repeatable = false;
+    EXPECT_EQ(decide_retry(booking, budget, start),
+              retry_verdict::not_repeatable);
+    booking.may_have_run = false;
+    EXPECT_EQ(decide_retry(booking, budget, start), retry_verdict::retry);
+}
+
+// Guards against retries that cannot end in time, without end, or without
+// budget; a refused retry takes no token.
+TEST(retry_policy, refuses_without_time_attempts_or_budget)
+{
+    auto budget = full_budget();
+    auto failed = lookup();
+    EXPECT_EQ(decide_retry(failed, budget, start + milliseconds(801)),
+              retry_verdict::no_time);
+    EXPECT_EQ(decide_retry(failed, budget, start + seconds(2)),
+              retry_verdict::no_time);
+    failed.attempts = most_attempts;
+    EXPECT_EQ(decide_retry(failed, budget, start),
+              retry_verdict::too_many_attempts);
+    EXPECT_EQ(budget.taken(), 0U);
+    retry_budget empty;
+    EXPECT_EQ(decide_retry(lookup(), empty, start), retry_verdict::no_budget);
+}
+
+// Guards against an early stage that uses up the deadline of the slow one
+// after it.
+TEST(deadline_split, gives_each_stage_its_measured_share)
+{
+    deadline_split times;
+    for (int i = 0; i < 200; ++i)
+    {
+        times.record(1, milliseconds(50));
+        times.record(2, milliseconds(450));
+    }
+    std::vector<remaining_stage> const path = {{1, seconds(9)}, {2, {}}};
+    std::vector<duration> budgets;
+    times.split(path, start + seconds(3), start, budgets);
+    ASSERT_EQ(budgets.size(), 2U);
+    EXPECT_NEAR(to_seconds(budgets[0]), 0.3, 0.03);
+    EXPECT_NEAR(to_seconds(budgets[1]), 2.7, 0.03);
+    EXPECT_EQ(times.budget(path, start + seconds(3), start), budgets[0]);
+    EXPECT_EQ(times.budget(path, start, start + seconds(1)), duration::zero());
+}
+
+// Guards against a split by nothing before any time is measured.
+TEST(deadline_split, uses_expected_times_until_enough_are_measured)
+{
+    deadline_split times;
+    times.record(1, seconds(5));
+    std::vector<remaining_stage> const path = {{1, milliseconds(100)},
+                                               {2, milliseconds(300)}};
+    EXPECT_EQ(times.budget(path, start + seconds(4), start), seconds(1));
+}
+
+// Guards against a distribution that never forgets a bad hour.
+TEST(deadline_split, follows_a_stage_that_changes)
+{
+    deadline_split times;
+    remaining_stage const stage{1, {}};
+    for (int i = 0; i < 2000; ++i)
+        times.record(1, seconds(2));
+    for (int i = 0; i < 12'000; ++i)
+        times.record(1, milliseconds(20));
+    EXPECT_LT(times.quantile(stage, 0.95), milliseconds(25));
+}
+
+hedge_query hedge()
+{
+    hedge_query query;
+    query.stage = {1, {}};
+    query.repeatable = true;
+    query.marked = true;
+    query.started = start;
+    query.deadline = start + seconds(1);
+    return query;
+}
+
+deadline_split measured()
+{
+    deadline_split times;
+    for (int i = 0; i < 1000; ++i)
+        times.record(1, milliseconds(i % 20 == 0 ? 400 : 20));
+    return times;
+}
+
+// Guards against a second copy of work that must not run twice, of stages not
+// marked for it, and of a stage already raced.
+TEST(hedge_policy, races_only_marked_and_repeatable_stages_once)
+{
+    hedge_policy const policy;
+    auto const times = measured();
+    EXPECT_TRUE(policy.due(hedge(), times));
+    auto query = hedge();
+    query.repeatable = false;
+    EXPECT_FALSE(policy.due(query, times));
+    query = hedge();
+    query.marked = false;
+    EXPECT_FALSE(policy.due(query, times));
+    query = hedge();
+    query.hedged = true;
+    EXPECT_FALSE(policy.due(query, times));
+    query = hedge();
+    query.deadline = start + milliseconds(10);
+    EXPECT_FALSE(policy.due(query, times));
+    EXPECT_FALSE(policy.due(hedge(), deadline_split{}));
+}
+
+// Guards against hedges before the p95 and beside the retry budget.
+TEST(hedge_policy, waits_for_the_p95_and_takes_from_the_budget)
+{
+    hedge_policy const policy;
+    auto const times = measured();
+    auto budget = full_budget();
+    EXPECT_FALSE(policy.may_hedge(hedge(), times, budget, start));
+    auto const at = policy.due(hedge(), times).value();
+    EXPECT_GE(at, start + milliseconds(20));
+    EXPECT_LE(at, start + milliseconds(25));
+    EXPECT_TRUE(policy.may_hedge(hedge(), times, budget, at));
+    EXPECT_EQ(budget.taken(), 1U);
+    retry_budget empty;
+    EXPECT_FALSE(policy.may_hedge(hedge(), times, empty, at));
+}
+
+} // namespace
+} // namespace buckthornvale::decision::retry
--- /dev/null
+++ b/packages/decision/tests/routing/load_estimate_test.cpp
@@ -0,0 +1,58 @@
+#include <buckthornvale/decision/routing/load_estimate.hpp>
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::decision::routing
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+time_point const start{seconds(50)};
+
+// Guards against counting own attempts twice: once in the report and once as
+// sent.
+TEST(load_estimate, corrects_a_late_report_by_what_was_sent_since)
+{
+    load_estimate load;
+    load.sent(start);
+    load.sent(start);
+    for (int i = 0; i < 3; ++i)
+        load.sent(start + milliseconds(400));
+    // Figures of 300 ms ago: two own attempts and five of other VMs.
+    load.report({{}, milliseconds(300), 4., 3., 0., 1},
+                start + milliseconds(500));
+    EXPECT_DOUBLE_EQ(load.others(), 5.);
+    EXPECT_DOUBLE_EQ(load.total(start + milliseconds(500), 0., seconds(2)),
+                     10.);
+    load.finished(start + milliseconds(600));
+    EXPECT_DOUBLE_EQ(load.total(start + milliseconds(600), 0., seconds(2)), 9.);
+}
+
+// Guards against a runner that reported idle once, fell silent, and attracts
+// all work from then on.
+TEST(load_estimate, lets_an_old_report_fade_to_the_mean)
+{
+    load_estimate load;
+    load.report({{}, {}, 0., 0., 0., 1}, start);
+    EXPECT_DOUBLE_EQ(load.total(start + seconds(2), 8., seconds(2)), 0.);
+    EXPECT_DOUBLE_EQ(load.total(start + seconds(3), 8., seconds(2)), 4.);
+    EXPECT_DOUBLE_EQ(load.total(start + seconds(60), 8., seconds(2)), 8.);
+}
+
+// Guards against reports that arrive out of order, and against a restarted
+// engine whose sequence begins again.
+TEST(load_estimate, drops_a_report_that_was_overtaken)
+{
+    load_estimate load;
+    EXPECT_TRUE(load.report({{}, {}, 3., 0., 0., 8}, start));
+    EXPECT_FALSE(load.report({{}, seconds(1), 9., 0., 0., 7}, start));
+    EXPECT_DOUBLE_EQ(load.others(), 3.);
+    EXPECT_TRUE(load.report({{}, {}, 1., 0., 0., 1}, start + seconds(1)));
+    EXPECT_DOUBLE_EQ(load.others(), 1.);
+}
+
+} // namespace
+} // namespace buckthornvale::decision::routing
