--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/bookings/booking_table.hpp
@@ -0,0 +1,196 @@
+#ifndef BUCKTHORNVALE_DECISION_BOOKINGS_BOOKING_TABLE_HPP
+#define BUCKTHORNVALE_DECISION_BOOKINGS_BOOKING_TABLE_HPP
+
+#include <buckthornvale/decision/bookings/booking_effects.hpp>
+#include <buckthornvale/decision/bookings/booking_settings.hpp>
+#include <buckthornvale/decision/bookings/shard_committer.hpp>
+#include <buckthornvale/decision/bookings/window_cleaner.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+#include <pcg_random.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision::bookings
+{
+
+//! A request that wants to run a booking.
+struct claim_request
+{
+    booking_key key;
+    body_digest body;
+    request_id request;
+    duration time_left{}; //!< until the request's deadline
+    bool askable = false; //!< the service answers for the outcome of a key
+};
+
+//! Counters of the table.
+struct booking_counters
+{
+    std::uint64_t granted = 0;
+    std::uint64_t duplicates = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unavailable = 0;
+    std::uint64_t unsettled = 0;
+    std::uint64_t unknown = 0; //!< outcomes told as unknown
+    std::uint64_t forwarded = 0;
+    std::uint64_t forward_timeouts = 0;
+    std::uint64_t asked = 0;
+};
+
+//! At-most-once claims of one VM. Each claim() gets exactly one of granted,
+//! duplicate, refused, unavailable or unsettled; each query() one of
+//! duplicate, absent, unavailable or refused. Correctness rests on the store's
+//! conditional update; the committer and the live list only save writes.
+class booking_table
+{
+public:
+    booking_table(booking_settings const& settings, std::uint64_t seed);
+
+    void claim(claim_request const& request, time_point now, wall_time wall,
+               booking_effects& out);
+
+    //! Asks for the outcome of a key without claiming it.
+    void query(claim_request const& request, time_point now, wall_time wall,
+               booking_effects& out);
+
+    void store_answer(bookings::store_answer const& answer, time_point now,
+                      wall_time wall, booking_effects& out);
+
+    //! An update that a peer forwarded to this VM.
+    void peer_claim(vm_id from, shard_update const& update, time_point now,
+                    wall_time wall, booking_effects& out);
+    void peer_claim_answer(vm_id from, update_answer const& answer,
+                           time_point now, wall_time wall,
+                           booking_effects& out);
+
+    //! The granted request is about to send its attempt. Returns false when the
+    //! claim is no longer its own; the attempt must not start then.
+    bool dispatched(request_id request, time_point now, booking_effects& out);
+
+    //! The service responded. The result is written until the store has it.
+    void completed(request_id request, std::string result, time_point now,
+                   booking_effects& out);
+
+    //! The attempt may have run and its response is lost.
+    void failed_unknown(request_id request, time_point now,
+                        booking_effects& out);
+
+    //! The granted request provably did not run: its claim is removed.
+    void not_run(request_id request, time_point now, booking_effects& out);
+
+    //! What the service said about a key; nothing when it does not know. Only
+    //! a result settles the claim: a request still on its way may run yet.
+    void service_answer(claim_id id, std::optional<std::string> result,
+                        time_point now, booking_effects& out);
+
+    void tick(time_point now, wall_time wall, booking_effects& out);
+
+    //! Live entry VMs, this one included.
+    void set_live_vms(absl::Span<live_vm const> vms);
+
+    booking_counters const& counters() const { return counters_; }
+    committer_counters const& store_counters() const
+    {
+        return committer_.counters();
+    }
+    std::size_t records() const { return records_.size(); }
+    std::size_t shards_in_memory() const
+    {
+        return committer_.shards_in_memory();
+    }
+
+private:
+    enum class stage : std::uint8_t
+    {
+        claiming, //!< not known yet whether the claim is ours
+        granted,
+        dispatched,
+        completed, //!< the result is not in the store yet
+        unknown,
+        releasing
+    };
+
+    //! A claim of this process. It stays until the store has its last state,
+    //! so an entry of this incarnation without a record was never dispatched.
+    struct record
+    {
+        stage current = stage::claiming;
+        claim_request request;
+        shard_update update; //!< last update sent for it
+        time_point deadline{};
+        std::optional<vm_id> sent_to; //!< committer that was asked
+        time_point sent_at{};
+        bool outside = false; //!< a peer may hold the claim and write it
+        bool in_committer = false;
+        booking_result result;
+    };
+
+    struct query_record
+    {
+        claim_request request;
+        shard_update update;
+        time_point deadline{};
+        std::optional<vm_id> sent_to;
+        time_point sent_at{};
+    };
+
+    struct question
+    {
+        booking_key key;
+        shard_update update; //!< identifies the claim that is asked about
+        time_point asked{};
+    };
+
+    shard_address address_of(claim_id id, wall_time issued_at) const;
+    std::optional<error> check_key(booking_key const& key,
+                                   wall_time wall) const;
+    std::optional<vm_id> committer_of(shard_address address) const;
+    bool alive(claim_entry const& entry, wall_time wall) const;
+
+    void answer_from_record(record const& held, claim_request const& request,
+                            booking_effects& out);
+    void answer_existing(claim_request const& request, claim_entry entry,
+                         time_point now, wall_time wall, booking_effects& out);
+    void ask(claim_request const& request, shard_update const& update,
+             time_point now, booking_effects& out);
+
+    void send(record& held, time_point now, booking_effects& out);
+    void send_query(query_record& held, time_point now, booking_effects& out);
+    void commit_here(record& held, time_point now, booking_effects& out);
+    void settle(update_answer const& answer, bool from_peer, time_point now,
+                wall_time wall, booking_effects& out);
+    void settle_claim(record& held, update_answer const& answer, bool from_peer,
+                      time_point now, wall_time wall, booking_effects& out);
+    void settle_query(update_answer const& answer, time_point now,
+                      wall_time wall, booking_effects& out);
+    void take_done(time_point now, wall_time wall, booking_effects& out);
+    void release(update_answer const& answer, time_point now,
+                 booking_effects& out);
+    void change_stage(record& held, stage next, update_kind kind,
+                      time_point now, booking_effects& out);
+    void forget(claim_id id);
+    record* find(request_id request);
+
+    booking_settings settings_;
+    pcg64 random_;
+    shard_committer committer_;
+    window_cleaner cleaner_;
+    std::vector<live_vm> live_;
+    std::vector<vm_id> live_ids_;
+    absl::flat_hash_map<claim_id, record> records_;
+    absl::flat_hash_map<request_id, claim_id> by_request_;
+    absl::flat_hash_map<std::uint64_t, query_record> queries_; //!< by nonce
+    absl::flat_hash_map<claim_id, question> questions_;
+    std::vector<committed_update> done_;
+    booking_counters counters_;
+};
+
+} // namespace buckthornvale::decision::bookings
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_committer.hpp
@@ -0,0 +1,135 @@
+#ifndef BUCKTHORNVALE_DECISION_BOOKINGS_SHARD_COMMITTER_HPP
+#define BUCKTHORNVALE_DECISION_BOOKINGS_SHARD_COMMITTER_HPP
+
+#include <buckthornvale/decision/bookings/booking_effects.hpp>
+#include <buckthornvale/decision/bookings/booking_settings.hpp>
+#include <buckthornvale/decision/bookings/shard_document.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <pcg_random.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace buckthornvale::decision::bookings
+{
+
+//! An update with the VM that wants its answer.
+struct committed_update
+{
+    vm_id origin;
+    update_answer answer;
+};
+
+//! Counters of the committer.
+struct committer_counters
+{
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t written_updates = 0; //!< updates that those writes carried
+    std::uint64_t written_bytes = 0;
+    std::uint64_t conflicts = 0;
+    std::uint64_t unknown_writes = 0;
+    std::uint64_t damaged = 0; //!< values that could not be parsed
+};
+
+//! Commits updates of claims to shard objects: many updates in one conditional
+//! write, one store call in flight per shard. The conditional update alone
+//! makes it correct, so any number of VMs may commit the same shard.
+class shard_committer
+{
+public:
+    shard_committer(booking_settings const& settings, std::uint64_t seed);
+
+    //! Takes an update; each update gets one answer in `done`, then or later.
+    void submit(shard_update const& update, vm_id origin, time_point now,
+                booking_effects& out, std::vector<committed_update>& done);
+
+    //! Returns false when the token is not of this committer.
+    bool store_answer(bookings::store_answer const& answer, time_point now,
+                      booking_effects& out,
+                      std::vector<committed_update>& done);
+
+    //! Starts due writes, retries, and expires claims past their deadline.
+    void tick(time_point now, wall_time wall, booking_effects& out,
+              std::vector<committed_update>& done);
+
+    //! Time until the shard is tried again after a failure.
+    duration retry_after(shard_address address, time_point now) const;
+
+    committer_counters const& counters() const { return counters_; }
+    std::size_t shards_in_memory() const { return shards_.size(); }
+    std::size_t cached_bytes() const;
+
+private:
+    enum class phase : std::uint8_t
+    {
+        idle,
+        reading,
+        writing,
+        verifying //!< a write's answer was lost; its nonces are read back
+    };
+
+    struct item
+    {
+        shard_update update;
+        vm_id origin;
+        time_point since{};
+        //! Version that a write of unknown outcome was conditional on. Until
+        //! another version is seen, that write may still take effect.
+        std::optional<std::uint64_t> unsettled_at;
+    };
+
+    struct shard_state
+    {
+        phase current = phase::idle;
+        std::optional<shard_document> document;
+        std::uint64_t version = 0;
+        time_point validated{}; //!< when the document was last the store's
+        time_point used{};
+        std::vector<item> queue;
+        std::vector<item> batch; //!< carried by the write in flight
+        store_token token = 0;
+        time_point call_started{};
+        time_point not_before{}; //!< pace of writes
+        time_point retry_at{};   //!< backoff after a failure
+        int failures = 0;
+    };
+
+    using answers = std::vector<committed_update>;
+
+    void run(shard_address address, shard_state& state, time_point now,
+             booking_effects& out, answers& done);
+    bool due(shard_state const& state, time_point now) const;
+    bool needs_fresh(shard_state const& state, time_point now) const;
+    void start_read(shard_address address, shard_state& state, phase next,
+                    time_point now, booking_effects& out);
+    void start_write(shard_address address, shard_state& state, time_point now,
+                     booking_effects& out, answers& done);
+    void read_done(shard_state& state, bookings::store_answer const& answer,
+                   time_point now, answers& done);
+    void write_done(shard_state& state, bookings::store_answer const& answer,
+                    time_point now, answers& done);
+    bool adopt(shard_state& state, std::uint64_t version,
+               std::string const& value, bool absent, time_point now,
+               answers& done);
+    void requeue_batch(shard_state& state);
+    void fail(shard_state& state, time_point now, answers& done);
+    void refuse_unwritten(shard_state& state, update_verdict verdict,
+                          answers& done);
+    void expire(shard_state& state, wall_time wall, answers& done);
+    void evict(time_point now);
+
+    booking_settings settings_;
+    pcg32 random_;
+    store_token next_token_ = 0;
+    absl::flat_hash_map<shard_address, shard_state> shards_;
+    absl::flat_hash_map<store_token, shard_address> calls_;
+    committer_counters counters_;
+};
+
+} // namespace buckthornvale::decision::bookings
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/fleet/summary_aggregator.hpp
@@ -0,0 +1,88 @@
+#ifndef BUCKTHORNVALE_DECISION_FLEET_SUMMARY_AGGREGATOR_HPP
+#define BUCKTHORNVALE_DECISION_FLEET_SUMMARY_AGGREGATOR_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/fleet/summary.hpp>
+#include <buckthornvale/decision/fleet/topology.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/types/span.h>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace buckthornvale::decision::fleet
+{
+
+//! Parameters of summaries.
+struct summary_settings
+{
+    duration period = std::chrono::seconds(1);
+    //! A contribution without news for so many periods is left out.
+    std::uint32_t stale_periods = 3;
+    //! Every so many periods a summary is sent in full.
+    std::uint32_t full_periods = 10;
+    //! A value is sent again when it differs by more than this fraction of
+    //! what was sent last, and by more than the floor.
+    double change_fraction = 0.1;
+    double change_floor = 0.5;
+};
+
+//! A summary for one link.
+struct outgoing_summary
+{
+    vm_id to;
+    summary_message message;
+};
+
+//! Sums summaries over the topology: upwards the sum of a subtree, downwards
+//! the sum of the fleet.
+class summary_aggregator
+{
+public:
+    explicit summary_aggregator(summary_settings const& settings);
+
+    void set_links(absl::Span<topology_link const> links, time_point now);
+    void set_local(load_summary summary);
+    void receive(vm_id from, summary_message const& message, time_point now);
+    //! Appends one message per link once per period.
+    void tick(time_point now, std::vector<outgoing_summary>& out);
+
+    //! Sum over the fleet as last known, this VM included.
+    load_summary fleet(time_point now) const;
+    //! Sum over the others: what peers' demand adds to the local one.
+    std::uint32_t vms_known(time_point now) const;
+    //! True when a linked VM's contribution is missing or too old.
+    bool stale(time_point now) const;
+
+private:
+    struct link_state
+    {
+        topology_link link;
+        bool received = false;
+        bool in_sequence = false;
+        std::uint64_t last_sequence = 0;
+        time_point heard{};
+        load_summary contribution; //!< what the other side sent last
+        std::uint64_t next_sequence = 1;
+        load_summary sent; //!< what this side sent last
+        std::uint32_t until_full = 0;
+    };
+
+    bool fresh(link_state const& held, time_point now) const;
+    load_summary subtree(time_point now) const;
+    load_summary for_link(link_state const& held, time_point now) const;
+    summary_message difference(link_state& held, load_summary const& load);
+    bool differs(double before, double after) const;
+
+    summary_settings settings_;
+    load_summary local_;
+    std::vector<link_state> links_;
+    time_point next_{};
+    bool started_ = false;
+};
+
+} // namespace buckthornvale::decision::fleet
+
+#endif
