settings: add the TOML schema, the validator and the incremental set

Cause: the daemon and the operator's command need one check of the fleet settings and of a daemon's own file. Change: one table of keys per object (name, member, unit, range, form, meaning) reads, refuses and documents; settings_set keeps the valid value in force, holds back what is not valid yet and indexes references, so that a change costs the changed object and its direct references. The model gains fleet_knobs, pool_settings::models and runner_settings::leaving.

--- a/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
+++ b/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
@@ -40,7 +40,8 @@
     std::string host; //!< IP number
     std::uint16_t port = 0;
     std::string failure_domain;
-    double slots = 1.0; //!< requests that it serves at once
+    double slots = 1.0;   //!< requests that it serves at once
+    bool leaving = false; //!< gets no new work
 };
 
 //! A pool of interchangeable runners.
@@ -48,8 +49,9 @@
 {
     std::string name;
     runner_kind kind = runner_kind::engine;
-    bool checks_fencing = false;   //!< engines refuse an old fencing number
-    bool answers_outcomes = false; //!< service can be asked by key
+    bool checks_fencing = false;     //!< engines refuse an old fencing number
+    bool answers_outcomes = false;   //!< service can be asked by key
+    std::vector<std::string> models; //!< engines: models that orders may load
     std::vector<runner_settings> runners;
 };
 
@@ -86,11 +88,34 @@
     std::vector<std::string> pipelines; //!< allowed ones; empty: all
 };
 
+//! Values that hold for the whole fleet.
+struct fleet_knobs
+{
+    //! Windows over which the burn report computes error budget burn.
+    std::vector<duration> burn_windows = {
+        std::chrono::minutes(5), std::chrono::hours(1), std::chrono::hours(6),
+        std::chrono::hours(72)};
+    double retry_share = 0.1;       //!< retries per first attempt
+    double retry_burst = 10.;       //!< most saved retries, attempts
+    double weight_store_rate = 0.2; //!< model loads per second, whole fleet
+    duration backlog_bound = std::chrono::milliseconds(250); //!< per pool
+    duration summary_period = std::chrono::seconds(1); //!< between summaries
+    duration load_period = std::chrono::milliseconds(500); //!< GET /v1/load
+    duration vm_list_period = std::chrono::seconds(1);     //!< GET /v1/vms
+    duration status_period = std::chrono::seconds(5); //!< between status writes
+    duration remote_domain_cost = std::chrono::milliseconds(1); //!< routing
+    duration warm_up = std::chrono::seconds(10); //!< ramp of a new runner
+    std::uint32_t breaker_failures = 5; //!< failures in a row that open it
+    duration breaker_open = std::chrono::seconds(5); //!< before a probe
+    double breaker_slowness = 4.; //!< times the pool's typical service time
+};
+
 //! All fleet settings in force at one revision.
 struct fleet_settings
 {
     std::uint64_t revision = 0; //!< highest object version it includes
     rank_table ranks;
+    fleet_knobs fleet;
     std::map<std::string, pool_settings> pools;
     std::map<std::string, pipeline_settings> pipelines;
     std::map<std::string, organisation_settings> organisations;
--- /dev/null
+++ b/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
@@ -0,0 +1,126 @@
+#ifndef BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_SET_HPP
+#define BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_SET_HPP
+
+#include <buckthornvale/settings/fleet/object.hpp>
+
+#include <absl/types/span.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace buckthornvale::settings
+{
+
+//! An object of the store as text.
+struct object_text
+{
+    std::string path;
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+//! Effect of one change on the settings in force.
+struct change_result
+{
+    //! Objects whose value in force changed, in the order of the changes: the
+    //! given one, and those that were held back because of it.
+    std::vector<object_path> changed;
+    problem_list problems; //!< why the given object is refused, if it is
+    bool is_stale = false; //!< the version was not above the known one
+};
+
+//! The fleet settings in force, changed object by object. An invalid value
+//! never replaces a valid one: it is held back, and taken when a later
+//! change of another object makes it valid. A change costs what the changed
+//! object and its direct references cost. Not thread-safe.
+class settings_set
+{
+public:
+    using hash_function = std::uint64_t (*)(std::string_view);
+
+    //! Tests pass a weak hash to get collisions.
+    explicit settings_set(hash_function hash = &decision::stable_hash);
+
+    //! Puts a new value; versions of one path must rise.
+    change_result put(std::string_view path, std::uint64_t version,
+                      std::string_view toml_text);
+
+    //! Removes an object at the version of the deletion. It stays in force
+    //! while another object refers to it. `settings/ranks` cannot be removed.
+    change_result erase(std::string_view path, std::uint64_t version);
+
+    //! Replaces all, as after a complete list at `revision`: objects that are
+    //! not listed are removed. Order within the list does not matter.
+    change_result replace_all(absl::Span<object_text const> objects,
+                              std::uint64_t revision);
+
+    //! All settings in force; `revision` is the highest version included.
+    decision::fleet_settings const& in_force() const { return settings_; }
+
+    //! True once `settings/ranks` is in force.
+    bool is_complete() const { return versions_.count(object_path{}) > 0; }
+
+    //! Version in force of one object; 0 when there is none.
+    std::uint64_t version_of(object_path const& path) const;
+
+    //! Problems of all objects that are held back.
+    problem_list held_problems() const;
+
+private:
+    struct held_change
+    {
+        std::uint64_t version = 0;
+        std::optional<settings_object> object; //!< empty: removal or malformed
+        bool is_removal = false;
+        problem_list problems;
+    };
+    struct owner
+    {
+        std::string name;
+        object_path path;
+    };
+    //! Kind of id and hash; ids of different kinds may be equal.
+    using id_key = std::pair<int, std::uint64_t>;
+
+    bool is_stale(std::string const& path, std::uint64_t version);
+    void submit(std::string const& path, held_change change,
+                change_result& result);
+    void wake(object_path const& changed, change_result& result);
+    void hold(std::string const& path, held_change change);
+    void release(std::string const& path);
+    bool try_apply(held_change const& change, object_path const& path,
+                   problem_list& problems);
+    void check_references(settings_object const&, problem_list&) const;
+    void check_reference(settings_object const&, reference const&,
+                         problem_list&) const;
+    void check_dependents(object_path const&, object_value const* replacement,
+                          problem_list&) const;
+    void check_ids(settings_object const&, problem_list&) const;
+    void remove_from_indexes(object_path const&);
+    void add_to_indexes(settings_object const&);
+    void store_value(settings_object const&);
+    void drop_value(object_path const&);
+    bool exists(object_path const&) const;
+    std::vector<std::pair<id_key, std::string>>
+    ids_of(object_path const&, object_value const&) const;
+
+    hash_function hash_;
+    decision::fleet_settings settings_;
+    std::map<object_path, std::uint64_t> versions_;
+    std::map<object_path, std::vector<reference>> references_;
+    std::map<object_path, std::set<object_path>> dependents_;
+    std::map<id_key, owner> owners_;
+    std::map<std::string, std::uint64_t> latest_; //!< also of removed objects
+    std::map<std::string, held_change> held_;
+    std::map<std::string, std::set<std::string>> blocked_; //!< by path
+};
+
+} // namespace buckthornvale::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/include/buckthornvale/settings/process/process_settings.hpp
@@ -0,0 +1,95 @@
+#ifndef BUCKTHORNVALE_SETTINGS_PROCESS_PROCESS_SETTINGS_HPP
+#define BUCKTHORNVALE_SETTINGS_PROCESS_PROCESS_SETTINGS_HPP
+
+#include <buckthornvale/settings/schema/key.hpp>
+#include <buckthornvale/settings/schema/problem.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace buckthornvale::settings
+{
+
+//! HTTP front end of one daemon.
+struct http_settings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; //!< 0 lets the system choose
+    std::uint32_t threads = 128;
+};
+
+//! Peer link of one daemon.
+struct peer_settings
+{
+    std::string address = "127.0.0.1";
+    std::uint16_t port = 0; //!< 0 lets the system choose
+};
+
+//! Where the platform's object API is.
+struct platform_settings
+{
+    std::string address; //!< IP address and port
+};
+
+//! Log of one daemon.
+struct log_settings
+{
+    std::string level = "info";
+};
+
+//! Graceful shutdown of one daemon.
+struct shutdown_settings
+{
+    //! From the notice until the process ends; in-flight requests finish.
+    decision::duration notice = std::chrono::seconds(30);
+};
+
+//! Limits that protect one daemon.
+struct limit_settings
+{
+    std::uint32_t body_bytes = 1U << 20U;
+    std::uint32_t header_bytes = 16U << 10U;
+    std::uint32_t upstream_calls = 128;
+    std::uint32_t connections_per_caller = 64;
+    decision::duration idle = std::chrono::seconds(30);
+    decision::duration request_read = std::chrono::seconds(5);
+};
+
+//! Settings of one daemon process, from its own file.
+struct process_settings
+{
+    std::string vm;
+    std::string failure_domain;
+    std::string region;
+    http_settings http;
+    peer_settings peer;
+    platform_settings platform;
+    log_settings log;
+    shutdown_settings shutdown;
+    limit_settings limits;
+};
+
+//! Either the settings or the problems for which the file is refused.
+struct process_result
+{
+    std::optional<process_settings> settings;
+    problem_list problems;
+};
+
+//! Parses and checks a process settings file; `file` is for messages.
+process_result parse_process(std::string_view file, std::string_view toml_text);
+
+// The tables that validate and document the process settings.
+
+key_table<process_settings> process_keys();
+key_table<http_settings> http_keys();
+key_table<peer_settings> peer_keys();
+key_table<platform_settings> platform_keys();
+key_table<log_settings> log_keys();
+key_table<shutdown_settings> shutdown_keys();
+key_table<limit_settings> limit_keys();
+
+} // namespace buckthornvale::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/fleet/stage_order.hpp
@@ -0,0 +1,21 @@
+#ifndef BUCKTHORNVALE_SETTINGS_FLEET_STAGE_ORDER_HPP
+#define BUCKTHORNVALE_SETTINGS_FLEET_STAGE_ORDER_HPP
+
+#include <buckthornvale/decision/core/settings_model.hpp>
+#include <buckthornvale/settings/schema/detail/read.hpp>
+
+#include <vector>
+
+namespace buckthornvale::settings
+{
+
+//! Sorts stages topologically and keeps the written order where it can.
+//! Adds problems for unknown stages in `after` and for cycles; `lines` are
+//! the lines of each stage's `after`.
+void order_stages(detail::reading& into,
+                  std::vector<decision::stage_settings>& stages,
+                  std::vector<std::uint32_t> const& lines);
+
+} // namespace buckthornvale::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/schema/detail/read.cpp
@@ -0,0 +1,295 @@
+#include <buckthornvale/decision/core/text.hpp>
+#include <buckthornvale/settings/schema/detail/read.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornvale::settings::detail
+{
+
+namespace
+{
+
+using decision::as_absl;
+
+void refuse_type(reading& into, toml::node const& node, value_rule const& rule,
+                 std::string_view expected)
+{
+    into.add(problem_kind::wrong_type, line_of(&node), rule.key,
+             absl::StrCat("the value is not ", as_absl(expected)));
+}
+
+std::string describe(value_rule const& rule)
+{
+    auto const name = name_of(rule.value_unit);
+    return absl::StrFormat("%.15g to %.15g%s%s", rule.range.minimum,
+                           rule.range.maximum, name.empty() ? "" : " ",
+                           as_absl(name));
+}
+
+// Comparisons are written so that NaN fails.
+bool check_range(reading& into, toml::node const& node, value_rule const& rule,
+                 double value)
+{
+    if (value >= rule.range.minimum && value <= rule.range.maximum)
+        return true;
+    into.add(problem_kind::out_of_range, line_of(&node), rule.key,
+             absl::StrFormat("%.15g is outside the range", value),
+             absl::StrCat("choose a value from ", describe(rule)));
+    return false;
+}
+
+bool check_form(reading& into, toml::node const& node, value_rule const& rule,
+                std::string_view value)
+{
+    if (has_form(value, rule.form))
+        return true;
+    into.add(problem_kind::out_of_range, line_of(&node), rule.key,
+             absl::StrCat("'", as_absl(value), "' does not have the form"),
+             absl::StrCat("write this: ", as_absl(description_of(rule.form))));
+    return false;
+}
+
+std::optional<double> read_number(reading& into, toml::node const& node,
+                                  value_rule const& rule)
+{
+    if (!node.is_number())
+    {
+        refuse_type(into, node, rule, "a number");
+        return std::nullopt;
+    }
+    auto const value = node.value<double>();
+    if (!value || !check_range(into, node, rule, *value))
+        return std::nullopt;
+    return value;
+}
+
+std::optional<std::string> read_text(reading& into, toml::node const& node,
+                                     value_rule const& rule)
+{
+    auto value = node.value_exact<std::string>();
+    if (!value)
+    {
+        refuse_type(into, node, rule, "a string");
+        return std::nullopt;
+    }
+    if (!check_form(into, node, rule, *value))
+        return std::nullopt;
+    return value;
+}
+
+template <class Integer>
+void read_integer(reading& into, toml::node const& node, value_rule const& rule,
+                  Integer& out)
+{
+    auto const value = node.value_exact<std::int64_t>();
+    if (!value)
+        return refuse_type(into, node, rule, "an integer");
+    if (check_range(into, node, rule, static_cast<double>(*value)))
+        out = static_cast<Integer>(*value);
+}
+
+decision::duration to_duration(double value, unit value_unit)
+{
+    constexpr double milliseconds_per_second = 1000.;
+    auto const seconds = value_unit == unit::milliseconds
+                             ? value / milliseconds_per_second
+                             : value;
+    // Rounded: 0.3 ms times 1e6 is not a whole number of nanoseconds.
+    return decision::duration(std::llround(seconds * 1e9));
+}
+
+template <class Element, class Read>
+void read_list(reading& into, toml::node const& node, value_rule const& rule,
+               std::vector<Element>& out, Read read_element)
+{
+    auto const* array = node.as_array();
+    if (!array)
+        return refuse_type(into, node, rule, "an array");
+    std::vector<Element> values;
+    for (std::size_t i = 0; i < array->size(); ++i)
+    {
+        auto element_rule = rule;
+        element_rule.key = absl::StrCat(rule.key, "[", i, "]");
+        read_element(*array->get(i), element_rule, values);
+    }
+    out = std::move(values);
+}
+
+} // namespace
+
+std::uint32_t line_of(toml::node const* node)
+{
+    return node ? node->source().begin.line : 0;
+}
+
+void reading::add(problem_kind kind, std::uint32_t line, std::string key,
+                  std::string message, std::string remedy)
+{
+    if (remedy.empty())
+        remedy = std::string(traits_of(kind).remedy);
+    problems_.push_back({kind,
+                         path_,
+                         line,
+                         std::move(key),
+                         std::move(message),
+                         std::move(remedy),
+                         {}});
+}
+
+std::optional<toml::table> parse_toml(reading& into, std::string_view text)
+{
+    try
+    {
+        return toml::parse(text);
+    }
+    catch (toml::parse_error const& error)
+    {
+        into.add(problem_kind::malformed_toml, error.source().begin.line, "",
+                 std::string(error.description()));
+        return std::nullopt;
+    }
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          bool& out)
+{
+    auto const value = node.value_exact<bool>();
+    if (!value)
+        return refuse_type(into, node, rule, "true or false");
+    out = *value;
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          double& out)
+{
+    if (auto const value = read_number(into, node, rule))
+        out = *value;
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          std::uint16_t& out)
+{
+    read_integer(into, node, rule, out);
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          std::uint32_t& out)
+{
+    read_integer(into, node, rule, out);
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          decision::duration& out)
+{
+    if (auto const value = read_number(into, node, rule))
+        out = to_duration(*value, rule.value_unit);
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          std::string& out)
+{
+    if (auto value = read_text(into, node, rule))
+        out = std::move(*value);
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          decision::runner_kind& out)
+{
+    if (auto const value = read_text(into, node, rule))
+    {
+        out = *value == "engine" ? decision::runner_kind::engine
+                                 : decision::runner_kind::service;
+    }
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          std::vector<std::string>& out)
+{
+    read_list(into, node, rule, out,
+              [&](auto const& element, auto const& element_rule, auto& values)
+              {
+                  if (auto value = read_text(into, element, element_rule))
+                      values.push_back(std::move(*value));
+              });
+}
+
+void read(reading& into, toml::node const& node, value_rule const& rule,
+          std::vector<decision::duration>& out)
+{
+    read_list(into, node, rule, out,
+              [&](auto const& element, auto const& element_rule, auto& values)
+              {
+                  if (auto const value =
+                          read_number(into, element, element_rule))
+                      values.push_back(to_duration(*value, rule.value_unit));
+              });
+}
+
+void refuse_unknown(reading& into, toml::table const& table,
+                    std::string const& prefix,
+                    std::vector<std::string_view> const& known,
+                    absl::Span<std::string_view const> children)
+{
+    for (auto const& [name, node] : table)
+    {
+        std::string_view const text = name.str();
+        bool const is_known =
+            std::find(known.begin(), known.end(), text) != known.end() ||
+            std::find(children.begin(), children.end(), text) != children.end();
+        if (!is_known)
+        {
+            into.add(problem_kind::unknown_key, line_of(&node),
+                     prefix + std::string(text), "the key is unknown");
+        }
+    }
+}
+
+toml::table const* child_table(reading& into, toml::table const& table,
+                               std::string_view name)
+{
+    auto const* node = table.get(name);
+    if (!node)
+        return nullptr;
+    if (!node->is_table())
+    {
+        into.add(problem_kind::wrong_type, line_of(node), std::string(name),
+                 "the value is not a table",
+                 absl::StrCat("write it as [", as_absl(name), "]"));
+        return nullptr;
+    }
+    return node->as_table();
+}
+
+std::vector<toml::table const*>
+child_tables(reading& into, toml::table const& table, std::string_view name)
+{
+    std::vector<toml::table const*> entries;
+    auto const* node = table.get(name);
+    if (!node)
+        return entries;
+    auto const* array = node->as_array();
+    bool is_valid = array != nullptr;
+    for (std::size_t i = 0; is_valid && i < array->size(); ++i)
+    {
+        auto const* entry = array->get(i)->as_table();
+        is_valid = entry != nullptr;
+        entries.push_back(entry);
+    }
+    if (is_valid)
+        return entries;
+    into.add(problem_kind::wrong_type, line_of(node), std::string(name),
+             "the value is not an array of tables",
+             absl::StrCat("write each entry as [[", as_absl(name), "]]"));
+    return {};
+}
+
+std::string entry_prefix(std::string_view name, std::size_t index)
+{
+    return absl::StrCat(as_absl(name), "[", index, "].");
+}
+
+} // namespace buckthornvale::settings::detail
--- /dev/null
+++ b/packages/settings/tests/fleet/settings_set_test.cpp
@@ -0,0 +1,150 @@
+#include <buckthornvale/settings/fleet/assemble.hpp>
+#include <buckthornvale/settings/fleet/settings_set.hpp>
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::settings
+{
+namespace
+{
+
+std::string const ranks = "[urgent]\ntarget_ms=500\n[standard]\n"
+                          "target_ms=2000\n[background]\ntarget_ms=60000\n";
+std::string const pool = "kind='engine'\nmodels=['m']\n[[runners]]\n"
+                         "name='r1'\nhost='127.0.0.1'\nport=1\n"
+                         "failure_domain='f'\n";
+std::string const pipeline = "deadline_ms=3000\n[[stages]]\nname='a'\n"
+                             "pool='x'\nmodel='m'\n";
+std::string const organisation =
+    "pipelines=['p']\nkey_sha256='" + std::string(64, 'a') + "'\n";
+
+settings_set sample()
+{
+    settings_set set;
+    set.put("settings/ranks", 1, ranks);
+    set.put("settings/pools/x", 2, pool);
+    set.put("settings/pipelines/p", 3, pipeline);
+    return set;
+}
+
+// Guards against an operator's slip that takes working settings out of force.
+TEST(settings_set, keeps_the_valid_value_when_a_new_one_is_invalid)
+{
+    auto set = sample();
+    auto const result = set.put("settings/pools/x", 4, "kind='nothing'");
+    EXPECT_TRUE(result.changed.empty());
+    ASSERT_EQ(result.problems.size(), 1U);
+    EXPECT_EQ(set.in_force().pools.at("x").runners.size(), 1U);
+    EXPECT_EQ(set.in_force().revision, 3U);
+    EXPECT_EQ(set.held_problems().size(), 1U);
+
+    set.put("settings/pools/x", 5, pool);
+    EXPECT_TRUE(set.held_problems().empty());
+    EXPECT_EQ(set.in_force().revision, 5U);
+}
+
+// Guards against a late message from a peer that takes a change back (I7).
+TEST(settings_set, ignores_versions_that_are_not_newer)
+{
+    auto set = sample();
+    EXPECT_TRUE(set.put("settings/pools/x", 2, "kind='service'").is_stale);
+    EXPECT_FALSE(set.erase("settings/pipelines/p", 6).is_stale);
+    EXPECT_TRUE(set.put("settings/pipelines/p", 5, pipeline).is_stale);
+    EXPECT_TRUE(set.in_force().pipelines.empty());
+    EXPECT_EQ(set.in_force().revision, 6U);
+}
+
+// Guards against settings that depend on the order in which a VM saw them.
+TEST(settings_set, takes_a_held_object_when_its_reference_arrives)
+{
+    settings_set set;
+    set.put("settings/organisations/o/limits", 5, organisation);
+    set.put("settings/pipelines/p", 3, pipeline);
+    EXPECT_TRUE(set.in_force().pipelines.empty());
+    auto const result = set.put("settings/pools/x", 2, pool);
+    EXPECT_EQ(result.changed.size(), 3U);
+    EXPECT_EQ(set.in_force().organisations.size(), 1U);
+    EXPECT_EQ(set.in_force().revision, 5U);
+}
+
+// Guards against removal of a pool that a pipeline still routes to.
+TEST(settings_set, removes_a_referenced_object_only_after_the_last_reference)
+{
+    auto set = sample();
+    auto const refused = set.erase("settings/pools/x", 4);
+    ASSERT_EQ(refused.problems.size(), 1U);
+    EXPECT_EQ(refused.problems[0].kind, problem_kind::still_referenced);
+    EXPECT_EQ(set.in_force().pools.size(), 1U);
+    EXPECT_EQ(set.erase("settings/pipelines/p", 5).changed.size(), 2U);
+    EXPECT_TRUE(set.in_force().pools.empty());
+}
+
+// Guards against a pool change that leaves a stage without its model.
+TEST(settings_set, refuses_a_pool_without_a_model_that_a_stage_names)
+{
+    auto set = sample();
+    auto const result =
+        set.put("settings/pools/x", 4, "kind='engine'\nmodels=['other']");
+    ASSERT_EQ(result.problems.size(), 1U);
+    EXPECT_EQ(result.problems[0].kind, problem_kind::still_referenced);
+    EXPECT_EQ(set.in_force().pools.at("x").models[0], "m");
+}
+
+// Guards against two things that share an id, which would mix their state.
+TEST(settings_set, refuses_colliding_ids_and_names_used_twice)
+{
+    settings_set set([](std::string_view text) -> std::uint64_t
+                     { return text.size(); });
+    set.put("settings/pools/x", 1, pool);
+    auto const same_hash = set.put("settings/pools/y", 2, "kind='engine'");
+    ASSERT_EQ(same_hash.problems.size(), 1U);
+    EXPECT_EQ(same_hash.problems[0].kind, problem_kind::hash_collision);
+    auto const same_runner = set.put("settings/pools/longer", 3, pool);
+    ASSERT_EQ(same_runner.problems.size(), 1U);
+    EXPECT_EQ(same_runner.problems[0].kind, problem_kind::duplicate_name);
+    // The runner moves once the first pool gives it up.
+    auto const moved = set.put("settings/pools/x", 4, "kind='engine'");
+    EXPECT_EQ(moved.changed.size(), 2U);
+}
+
+// Guards against objects that stay in force after a missed deletion.
+TEST(settings_set, replaces_all_and_removes_what_is_not_listed)
+{
+    auto set = sample();
+    std::vector<object_text> const listed = {
+        {"settings/ranks", 1, ranks},
+        {"settings/pools/z", 8, "kind='service'"}};
+    auto const result = set.replace_all(listed, 9);
+    EXPECT_TRUE(result.problems.empty());
+    EXPECT_EQ(result.changed.size(), 3U);
+    EXPECT_EQ(set.in_force().pools.size(), 1U);
+    EXPECT_TRUE(set.in_force().pipelines.empty());
+    EXPECT_TRUE(set.is_complete());
+    EXPECT_EQ(set.in_force().revision, 9U);
+}
+
+// Guards against a difference between what the operator's check accepts and
+// what the daemons accept.
+TEST(assemble, reports_dangling_references_and_missing_ranks)
+{
+    std::vector<object_text> const files = {
+        {"settings/pipelines/p", 0, pipeline}};
+    auto const result = assemble(files);
+    EXPECT_FALSE(result.settings);
+    ASSERT_EQ(result.problems.size(), 1U);
+    EXPECT_EQ(result.problems[0].kind, problem_kind::unknown_reference);
+    EXPECT_EQ(result.problems[0].line, 4U);
+
+    auto const empty = assemble({});
+    ASSERT_EQ(empty.problems.size(), 1U);
+    EXPECT_EQ(empty.problems[0].kind, problem_kind::missing_object);
+
+    std::vector<object_text> const whole = {
+        {"settings/pipelines/p", 0, pipeline},
+        {"settings/pools/x", 0, pool},
+        {"settings/ranks", 0, ranks}};
+    EXPECT_TRUE(assemble(whole).settings);
+}
+
+} // namespace
+} // namespace buckthornvale::settings
