--- a/packages/settings/src/fleet/settings_set.cpp
+++ b/packages/settings/src/fleet/settings_set.cpp
@@ -1,5 +1,7 @@
 #include <buckthornvale/settings/fleet/settings_set.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <deque>
 
@@ -347,13 +349,14 @@
         if (other.empty())
             continue;
         bool const is_same = other == name;
-        problems.push_back(make_problem(
-            is_same ? problem_kind::duplicate_name
-                    : problem_kind::hash_collision,
-            object.path, "name",
-            is_same ? "the name '" + name + "' is used in '" + other_path + "'"
-                    : "the ids of '" + name + "' and '" + other + "' are equal",
-            other_path));
+        auto message = is_same ? absl::StrCat("the name '", name,
+                                              "' is used in '", other_path, "'")
+                               : absl::StrCat("the ids of '", name, "' and '",
+                                              other, "' are equal");
+        problems.push_back(make_problem(is_same ? problem_kind::duplicate_name
+                                                : problem_kind::hash_collision,
+                                        object.path, "name", std::move(message),
+                                        other_path));
     }
 }
 
