decision: run requests through admission, claims and stages

Cause: the concerns decide parts; nothing yet takes a request from arrival to its one answer. Answers are matched by the attempt they name, so a crossed answer reaches its own request; a stage result is used once; non-repeatable stages are claimed before dispatch, released when they provably did not run, and listened to beyond the deadline so that late answers settle the claim.

--- a/packages/decision/include/buckthornvale/decision/core/error.hpp
+++ b/packages/decision/include/buckthornvale/decision/core/error.hpp
@@ -35,6 +35,8 @@
     stream_broken,
     deadline_exceeded,
     outcome_pending,
+    outcome_unknown,
+    unknown_key,
     caller_gone
 };
 
--- a/packages/decision/include/buckthornvale/decision/requests/attempt_messages.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/attempt_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_REQUESTS_ATTEMPT_MESSAGES_HPP
 #define BUCKTHORNVALE_DECISION_REQUESTS_ATTEMPT_MESSAGES_HPP
 
+#include <buckthornvale/decision/bookings/booking_types.hpp>
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/core/rank.hpp>
 #include <buckthornvale/decision/core/settings_model.hpp>
@@ -87,7 +88,7 @@
 //! Effect: ask a plain service for the outcome of a key.
 struct ask_service_outcome
 {
-    std::string organisation;
+    bookings::claim_id claim;    //!< returned with the answer
     std::string idempotency_key; //!< as sent to the service
     runner_id runner;
     std::string host;
@@ -104,8 +105,7 @@
 
 struct service_outcome_told
 {
-    std::string organisation;
-    std::string idempotency_key;
+    bookings::claim_id claim;
     service_outcome result = service_outcome::unavailable;
     std::string output;
 };
--- a/packages/decision/include/buckthornvale/decision/requests/caller_messages.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/caller_messages.hpp
@@ -91,6 +91,7 @@
     std::string organisation;
     std::string key_sha256;
     std::string idempotency_key;
+    std::optional<wall_time> issued_at; //!< as sent with the key
     wall_time received_at;
 };
 
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/requests/claim_registry.hpp
@@ -0,0 +1,66 @@
+#ifndef BUCKTHORNVALE_DECISION_REQUESTS_CLAIM_REGISTRY_HPP
+#define BUCKTHORNVALE_DECISION_REQUESTS_CLAIM_REGISTRY_HPP
+
+#include <buckthornvale/decision/bookings/booking_table.hpp>
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/requests/request_state.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <string>
+
+namespace buckthornvale::decision::requests
+{
+
+//! The stage that a claim belongs to.
+struct claimed_stage
+{
+    request_id request;
+    stage_index stage = 0;
+};
+
+//! Names claims of stages toward the booking table, which knows one claim for
+//! each id: a request with two non-repeatable stages has two claims.
+class claim_registry
+{
+public:
+    explicit claim_registry(std::uint64_t incarnation)
+        : incarnation_(incarnation)
+    {
+    }
+
+    //! Gives the claim of a stage a new id.
+    request_id add(request_id request, stage_index stage);
+
+    //! The stage of a claim; empty for an unknown id.
+    std::optional<claimed_stage> find(request_id claim) const;
+
+    //! The claim of a stage; empty when it has none.
+    std::optional<request_id> claim_of(request_id request,
+                                       stage_index stage) const;
+
+    void remove(request_id claim);
+
+private:
+    std::uint64_t incarnation_;
+    std::uint64_t last_counter_ = 0;
+    absl::flat_hash_map<request_id, claimed_stage> stages_;
+    absl::flat_hash_map<request_id,
+                        absl::flat_hash_map<stage_index, request_id>>
+        claims_;
+};
+
+//! The claim that stage `n` of a request needs. The first non-repeatable
+//! stage is claimed under the caller's key, so that the outcome can be asked
+//! by it; further ones under the key with the stage's name.
+bookings::claim_request claim_request_of(request_state const& request,
+                                         stage_index n, time_point now,
+                                         bool askable);
+
+//! Digest of all that a repeat with the same key has to repeat.
+bookings::body_digest body_digest_of(caller_request const& call);
+
+} // namespace buckthornvale::decision::requests
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/requests/effect.hpp
@@ -0,0 +1,25 @@
+#ifndef BUCKTHORNVALE_DECISION_REQUESTS_EFFECT_HPP
+#define BUCKTHORNVALE_DECISION_REQUESTS_EFFECT_HPP
+
+#include <buckthornvale/decision/requests/attempt_messages.hpp>
+#include <buckthornvale/decision/requests/caller_messages.hpp>
+#include <buckthornvale/decision/requests/count_messages.hpp>
+
+#include <variant>
+#include <vector>
+
+namespace buckthornvale::decision::requests
+{
+
+//! What the requests concern asks its shells to do.
+using effect =
+    std::variant<send_answer, send_token, start_attempt, cancel_attempt,
+                 ask_service_outcome, request_counted, stage_counted,
+                 event_counted, state_logged>;
+
+//! Effects in the order in which they were decided.
+using effect_list = std::vector<effect>;
+
+} // namespace buckthornvale::decision::requests
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/requests/executor.hpp
@@ -0,0 +1,133 @@
+#ifndef BUCKTHORNVALE_DECISION_REQUESTS_EXECUTOR_HPP
+#define BUCKTHORNVALE_DECISION_REQUESTS_EXECUTOR_HPP
+
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/isolation/crash_isolation.hpp>
+#include <buckthornvale/decision/requests/attempt_messages.hpp>
+#include <buckthornvale/decision/requests/attempt_table.hpp>
+#include <buckthornvale/decision/requests/effect.hpp>
+#include <buckthornvale/decision/requests/request_state.hpp>
+#include <buckthornvale/decision/requests/runner_directory.hpp>
+#include <buckthornvale/decision/retry/deadline_split.hpp>
+#include <buckthornvale/decision/retry/hedge_policy.hpp>
+#include <buckthornvale/decision/retry/retry_budget.hpp>
+#include <buckthornvale/decision/retry/retry_policy.hpp>
+#include <buckthornvale/decision/routing/router.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace buckthornvale::decision::requests
+{
+
+//! Asked right before the first attempt of a non-repeatable stage.
+class once_guard
+{
+public:
+    virtual ~once_guard() = default;
+
+    //! Returns false when the stage must not start: its claim is lost.
+    virtual bool dispatch(request_state const& request, stage_index n,
+                          time_point now) = 0;
+};
+
+//! The concerns that the executor consults; all outlive it.
+struct executor_parts
+{
+    once_guard& once;
+    routing::router& router;
+    isolation::crash_isolation& isolation;
+    retry::retry_budget& budget;
+    retry::deadline_split& split;
+    retry::hedge_policy& hedges;
+    runner_directory const& runners;
+};
+
+//! A stage of a request completed, or the request failed in a stage.
+struct stage_result
+{
+    request_id request;
+    stage_index stage = 0;
+    bool completed = false;
+    error failure; //!< when not completed: the request cannot go on
+    duration took{};
+};
+
+//! Runs the stages of dispatched requests: picks runners, starts, retries,
+//! hedges and cancels attempts, and joins their answers to their stages. An
+//! answer is used only by the attempt that it names, whatever call it came on.
+class executor
+{
+public:
+    executor(executor_parts parts, failure_domain_id local_domain,
+             std::uint64_t incarnation);
+
+    //! Starts every stage whose inputs are there and which finds a runner.
+    void advance(request_state& request, time_point now, effect_list& out);
+
+    //! Appends a token to its stage; the returned result is set when the
+    //! stream broke and cannot go on.
+    void token(request_state& request, attempt_token const& event,
+               time_point now, effect_list& out,
+               std::vector<stage_result>& results);
+
+    //! Takes in the end of a call. Results may belong to another request than
+    //! the call when answers crossed.
+    void ended(request_table& requests, attempt_ended const& event,
+               time_point now, effect_list& out,
+               std::vector<stage_result>& results);
+
+    //! Ends attempts past their budget, starts due hedges.
+    void tick(request_table& requests, time_point now, effect_list& out,
+              std::vector<stage_result>& results);
+
+    //! Cancels all attempts of a request. With `keep_once`, attempts of
+    //! non-repeatable stages go on so that their outcome becomes known.
+    void cancel(request_state& request, bool keep_once, time_point now,
+                effect_list& out);
+
+    //! The request of an attempt in flight; null when there is none.
+    attempt_state const* find(attempt_id id) { return attempts_.find(id); }
+
+    std::size_t attempts_in_flight() const { return attempts_.size(); }
+
+private:
+    bool start(request_state& request, stage_index n, bool hedge,
+               time_point now, effect_list& out);
+    start_attempt make_effect(request_state const& request,
+                              attempt_state const& attempt,
+                              duration budget) const;
+    duration budget_for(request_state const& request, stage_index n,
+                        time_point now) const;
+    std::optional<runner_id> choose(request_state const& request, stage_index n,
+                                    routing::route_query& query,
+                                    time_point now);
+    retry::hedge_query hedge_query_of(request_state const& request,
+                                      stage_index n,
+                                      attempt_state const& first) const;
+    void complete(request_state& request, attempt_state const& attempt,
+                  attempt_ended const& event, time_point now, effect_list& out,
+                  std::vector<stage_result>& results);
+    void fail(request_state& request, attempt_state const& attempt,
+              attempt_ended const& event, time_point now, effect_list& out,
+              std::vector<stage_result>& results);
+    error failure_of(attempt_ended const& event) const;
+    bool resumes_streams(runner_id id) const;
+    error retry_refusal(request_state const& request, stage_index n,
+                        attempt_ended const& event, time_point now);
+    void close(request_state& request, attempt_state const& attempt,
+               routing::attempt_result how, duration took, time_point now);
+    void abandon(request_state& request, attempt_id id, time_point now,
+                 effect_list& out);
+    void start_due_hedges(request_state& request, time_point now,
+                          effect_list& out);
+
+    executor_parts parts_;
+    failure_domain_id local_domain_;
+    attempt_table attempts_;
+};
+
+} // namespace buckthornvale::decision::requests
+
+#endif
--- a/packages/decision/src/core/error.cpp
+++ b/packages/decision/src/core/error.cpp
@@ -76,6 +76,15 @@
     {error_kind::outcome_pending, "outcome_pending", 202,
      "the request with this key is still running or not settled yet",
      "ask for the outcome again after retry_after_ms"},
+    {error_kind::outcome_unknown, "outcome_unknown", 504,
+     "the work of this key was started and its outcome is not known; it is "
+     "not run again",
+     "ask for the outcome by key later, or check with the service's owner "
+     "before a new key is issued"},
+    {error_kind::unknown_key, "unknown_key", 404,
+     "no claim of this key was found",
+     "check the key and issued_at_ms; a request with this key did not run "
+     "here"},
     {error_kind::caller_gone, "caller_gone", 499,
      "the caller closed the connection",
      "repeat with the same key if the answer is still needed"},
--- /dev/null
+++ b/packages/decision/src/requests/executor.cpp
@@ -0,0 +1,493 @@
+#include <buckthornvale/decision/requests/executor.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::requests
+{
+
+namespace
+{
+
+constexpr double median_share = 0.5;
+
+// How long an answer that was given to another call is waited for once the
+// own call has ended.
+constexpr duration crossed_answer_wait = std::chrono::milliseconds(500);
+
+// A non-repeatable attempt is listened to beyond the caller's deadline, so
+// that a late answer still settles its claim.
+constexpr duration outcome_wait = std::chrono::seconds(30);
+
+// Budget below which an attempt is not worth starting.
+constexpr duration min_budget = std::chrono::milliseconds(1);
+
+routing::attempt_result routing_result(attempt_outcome value)
+{
+    switch (value)
+    {
+    case attempt_outcome::completed:
+        return routing::attempt_result::completed;
+    case attempt_outcome::not_started:
+        return routing::attempt_result::not_started;
+    case attempt_outcome::timed_out:
+        return routing::attempt_result::timed_out;
+    case attempt_outcome::cancelled:
+        return routing::attempt_result::cancelled;
+    case attempt_outcome::rejected:
+    case attempt_outcome::connection_lost:
+        break;
+    }
+    return routing::attempt_result::failed;
+}
+
+template <class Container, class Value>
+void erase_value(Container& values, Value const& value)
+{
+    values.erase(std::remove(values.begin(), values.end(), value),
+                 values.end());
+}
+
+} // namespace
+
+executor::executor(executor_parts parts, failure_domain_id local_domain,
+                   std::uint64_t incarnation)
+    : parts_(parts), local_domain_(local_domain), attempts_(incarnation)
+{
+}
+
+void executor::advance(request_state& request, time_point now, effect_list& out)
+{
+    for (stage_index n = 0; n < request.stages.size(); ++n)
+    {
+        if (is_startable(request, n))
+            start(request, n, false, now, out);
+    }
+}
+
+duration executor::budget_for(request_state const& request, stage_index n,
+                              time_point now) const
+{
+    if (!request.graph->at(n).repeatable)
+        return request.deadline - now;
+    return parts_.split.budget(request.graph->path_from(n), request.deadline,
+                               now);
+}
+
+std::optional<runner_id> executor::choose(request_state const& request,
+                                          stage_index n,
+                                          routing::route_query& query,
+                                          time_point now)
+{
+    auto const& settings = request.graph->at(n);
+    query.pool = request.graph->pool_of(n);
+    query.local_domain = local_domain_;
+    query.prefix_blocks = request.prefix_blocks;
+    query.model = settings.model.empty() ? 0 : stable_hash(settings.model);
+    query.adapter =
+        settings.adapter.empty() ? 0 : stable_hash(settings.adapter);
+    query.expected_work = settings.expected;
+    query.exclude = request.stages[n].tried;
+    query.repeatable = settings.repeatable;
+    auto const runner = parts_.router.choose(query, now);
+    if (!runner || parts_.runners.find(*runner) == nullptr ||
+        !parts_.isolation.may_share(*runner, request.content, now))
+    {
+        return std::nullopt;
+    }
+    return runner;
+}
+
+bool executor::start(request_state& request, stage_index n, bool hedge,
+                     time_point now, effect_list& out)
+{
+    auto& stage = request.stages[n];
+    auto const& settings = request.graph->at(n);
+    duration const budget = budget_for(request, n, now);
+    auto const verdict = parts_.isolation.check(request.content, now);
+    if (budget < min_budget || verdict == isolation::verdict::refused)
+        return false;
+    routing::route_query query;
+    query.alone = verdict == isolation::verdict::run_alone;
+    auto const runner = choose(request, n, query, now);
+    if (!runner)
+        return false;
+    if (!settings.repeatable && stage.attempt_count == 0 &&
+        !parts_.once.dispatch(request, n, now))
+    {
+        return false;
+    }
+
+    auto& attempt = attempts_.add(request.id, n, *runner, now, budget);
+    attempt.hedge = hedge;
+    attempt.alone = query.alone;
+    if (!settings.repeatable)
+        attempt.expires = request.deadline + outcome_wait;
+    parts_.router.sent(*runner, attempt.id, query, now);
+    if (query.alone)
+        parts_.router.set_reserved(*runner, true, now);
+    parts_.isolation.started(*runner, request.content, now);
+    if (stage.attempt_count == 0)
+    {
+        stage.first_started = now;
+        parts_.budget.first_attempt();
+    }
+    stage.phase = stage_phase::running;
+    stage.attempts.push_back(attempt.id);
+    stage.tried.push_back(*runner);
+    ++stage.attempt_count;
+    ++stage.possible_runs;
+    out.push_back(make_effect(request, attempt, budget));
+    out.push_back(event_counted{counter::attempt_started, 1.});
+    return true;
+}
+
+start_attempt executor::make_effect(request_state const& request,
+                                    attempt_state const& attempt,
+                                    duration budget) const
+{
+    auto const& settings = request.graph->at(attempt.stage);
+    auto const& stage = request.stages[attempt.stage];
+    auto const& runner = *parts_.runners.find(attempt.runner);
+    start_attempt call;
+    call.attempt = attempt.id;
+    call.request = request.id;
+    call.runner = attempt.runner;
+    call.host = runner.host;
+    call.port = runner.port;
+    call.kind = runner.kind;
+    call.stage = settings.name;
+    call.model = settings.model;
+    call.adapter = settings.adapter;
+    call.input = request.input;
+    for (auto k : request.graph->inputs_of(attempt.stage))
+    {
+        call.results.push_back(
+            {request.graph->at(k).name, request.stages[k].output});
+    }
+    call.budget = budget;
+    call.priority = request.call.work_rank;
+    call.stream = settings.stream;
+    call.resume_from = stage.tokens.next_index();
+    if (!settings.repeatable)
+        call.idempotency_key = service_key_of(request, attempt.stage);
+    return call;
+}
+
+void executor::token(request_state& request, attempt_token const& event,
+                     time_point now, effect_list& out,
+                     std::vector<stage_result>& results)
+{
+    auto const* const attempt = attempts_.find(event.answered);
+    if (attempt == nullptr || attempt->request != request.id)
+        return;
+    auto const owner = *attempt;
+    auto& stage = request.stages[owner.stage];
+    // Only the first attempt in flight feeds the stream; a hedge waits.
+    if (stage.attempts.empty() || stage.attempts.front() != owner.id)
+        return;
+    switch (stage.tokens.add(event.index, event.text))
+    {
+    case token_verdict::next:
+        if (request.call.stream && !request.answered &&
+            owner.stage == request.graph->last())
+        {
+            out.push_back(send_token{request.id, event.index, event.text});
+        }
+        return;
+    case token_verdict::duplicate:
+        return;
+    case token_verdict::gap:
+        break;
+    }
+    out.push_back(event_counted{counter::stream_broken, 1.});
+    out.push_back(cancel_attempt{owner.id, owner.runner});
+    attempt_ended broken;
+    broken.call = owner.id;
+    broken.answered = owner.id;
+    broken.result = attempt_outcome::connection_lost;
+    broken.detail = "a token of the stream is missing";
+    broken.took = now - owner.started;
+    fail(request, owner, broken, now, out, results);
+}
+
+void executor::ended(request_table& requests, attempt_ended const& event,
+                     time_point now, effect_list& out,
+                     std::vector<stage_result>& results)
+{
+    auto* const call = attempts_.find(event.call);
+    bool const own = event.answered == event.call;
+    if (call != nullptr && (own || event.result != attempt_outcome::completed))
+    {
+        auto const attempt = *call;
+        auto const it = requests.find(attempt.request);
+        if (it == requests.end())
+            return;
+        if (event.result == attempt_outcome::completed)
+            complete(it->second, attempt, event, now, out, results);
+        else
+            fail(it->second, attempt, event, now, out, results);
+        return;
+    }
+    if (event.result != attempt_outcome::completed || own)
+    {
+        out.push_back(event_counted{counter::answer_late, 1.});
+        return;
+    }
+    out.push_back(event_counted{counter::answer_crossed, 1.});
+    if (call != nullptr)
+    {
+        call->call_open = false;
+        call->crossed_until = now + crossed_answer_wait;
+    }
+    auto const* const owner = attempts_.find(event.answered);
+    if (owner == nullptr)
+    {
+        out.push_back(event_counted{counter::answer_late, 1.});
+        return;
+    }
+    auto const attempt = *owner;
+    auto const it = requests.find(attempt.request);
+    if (it != requests.end())
+        complete(it->second, attempt, event, now, out, results);
+}
+
+void executor::complete(request_state& request, attempt_state const& attempt,
+                        attempt_ended const& event, time_point now,
+                        effect_list& out, std::vector<stage_result>& results)
+{
+    auto const& settings = request.graph->at(attempt.stage);
+    auto& stage = request.stages[attempt.stage];
+    bool const feeds =
+        !stage.attempts.empty() && stage.attempts.front() == attempt.id;
+    if (settings.stream && !(feeds && stage.tokens.complete(event.token_count)))
+    {
+        auto broken = event;
+        broken.result = attempt_outcome::connection_lost;
+        broken.detail = "the stream ended before its last token";
+        out.push_back(event_counted{counter::stream_broken, 1.});
+        fail(request, attempt, broken, now, out, results);
+        return;
+    }
+    duration const took = now - attempt.started;
+    close(request, attempt, routing::attempt_result::completed, took, now);
+    parts_.split.record(request.graph->path_from(attempt.stage).front().key,
+                        took);
+    out.push_back(stage_counted{request.call.pipeline, settings.name,
+                                request.call.work_rank, took, false});
+    while (!stage.attempts.empty())
+        abandon(request, stage.attempts.back(), now, out);
+
+    stage.output = std::make_shared<stage_output const>(
+        settings.stream ? stage_output{stage.tokens.text(), true}
+                        : stage_output{event.output, false});
+    stage.phase = stage_phase::done;
+    stage.took = now - stage.first_started;
+    if (auto const* const runner = parts_.runners.find(attempt.runner))
+        stage.runner = runner->name;
+    results.push_back({request.id, attempt.stage, true, {}, took});
+}
+
+void executor::fail(request_state& request, attempt_state const& attempt,
+                    attempt_ended const& event, time_point now,
+                    effect_list& out, std::vector<stage_result>& results)
+{
+    auto const n = attempt.stage;
+    auto& stage = request.stages[n];
+    auto const& settings = request.graph->at(n);
+    // A refused connection tells nothing about the content: it did not run.
+    if (event.runner_crashed && event.result != attempt_outcome::not_started)
+    {
+        parts_.isolation.crashed(attempt.runner, now);
+        out.push_back(event_counted{counter::runner_crash_seen, 1.});
+    }
+    close(request, attempt, routing_result(event.result), event.took, now);
+    if (event.result == attempt_outcome::not_started)
+        --stage.possible_runs;
+    else
+        out.push_back(stage_counted{request.call.pipeline, settings.name,
+                                    request.call.work_rank, event.took, true});
+    if (!stage.attempts.empty())
+        return;
+    stage.phase = stage_phase::waiting;
+    if (request.answered)
+    {
+        stage.phase = stage_phase::unneeded;
+        results.push_back({request.id, n, false, failure_of(event), {}});
+        return;
+    }
+    if (auto refusal = retry_refusal(request, n, event, now))
+    {
+        results.push_back({request.id, n, false, std::move(refusal), {}});
+        return;
+    }
+    if (!resumes_streams(attempt.runner))
+        stage.tokens = {};
+    if (stage.tokens.next_index() > 0)
+        out.push_back(event_counted{counter::stream_resumed, 1.});
+    out.push_back(event_counted{counter::attempt_retried, 1.});
+    start(request, n, false, now, out);
+}
+
+error executor::failure_of(attempt_ended const& event) const
+{
+    switch (event.result)
+    {
+    case attempt_outcome::not_started:
+        return {error_kind::no_runner, event.detail};
+    case attempt_outcome::timed_out:
+        return {error_kind::deadline_exceeded, event.detail};
+    default:
+        return {error_kind::runner_failed, event.detail};
+    }
+}
+
+bool executor::resumes_streams(runner_id id) const
+{
+    auto const* const runner = parts_.runners.find(id);
+    return runner != nullptr && runner->resumes_streams;
+}
+
+error executor::retry_refusal(request_state const& request, stage_index n,
+                              attempt_ended const& event, time_point now)
+{
+    auto const& stage = request.stages[n];
+    auto const& settings = request.graph->at(n);
+    if (parts_.isolation.check(request.content, now) ==
+        isolation::verdict::refused)
+    {
+        return {error_kind::isolated, {}};
+    }
+    // Tokens that the caller has seen cannot be taken back, so its stream can
+    // only go on from where it broke.
+    if (request.call.stream && stage.tokens.next_index() > 0 &&
+        !resumes_streams(stage.tried.back()))
+    {
+        return {error_kind::stream_broken, event.detail};
+    }
+    retry::failed_attempt failed;
+    failed.repeatable = settings.repeatable;
+    failed.may_have_run = event.result != attempt_outcome::not_started;
+    failed.attempts = stage.attempt_count;
+    failed.deadline = request.deadline;
+    failed.expected = parts_.split.quantile(request.graph->path_from(n).front(),
+                                            median_share);
+    auto const verdict = retry::decide_retry(failed, parts_.budget, now);
+    return verdict == retry::retry_verdict::retry ? error{} : failure_of(event);
+}
+
+void executor::close(request_state& request, attempt_state const& attempt,
+                     routing::attempt_result how, duration took, time_point now)
+{
+    parts_.router.finished(attempt.id, how, took, now);
+    if (attempt.alone)
+        parts_.router.set_reserved(attempt.runner, false, now);
+    if (how == routing::attempt_result::completed)
+        parts_.isolation.finished(attempt.runner, request.content, now);
+    else
+        parts_.isolation.abandoned(attempt.runner, request.content, now);
+    erase_value(request.stages[attempt.stage].attempts, attempt.id);
+    attempts_.remove(attempt.id);
+}
+
+void executor::abandon(request_state& request, attempt_id id, time_point now,
+                       effect_list& out)
+{
+    auto const* const found = attempts_.find(id);
+    if (found == nullptr)
+        return;
+    auto const attempt = *found;
+    out.push_back(cancel_attempt{attempt.id, attempt.runner});
+    out.push_back(stage_counted{
+        request.call.pipeline, request.graph->at(attempt.stage).name,
+        request.call.work_rank, now - attempt.started, true});
+    close(request, attempt, routing::attempt_result::cancelled,
+          now - attempt.started, now);
+}
+
+void executor::cancel(request_state& request, bool keep_once, time_point now,
+                      effect_list& out)
+{
+    for (stage_index n = 0; n < request.stages.size(); ++n)
+    {
+        auto& stage = request.stages[n];
+        bool const once = !request.graph->at(n).repeatable;
+        if (once && keep_once && !stage.attempts.empty())
+            continue;
+        while (!stage.attempts.empty())
+            abandon(request, stage.attempts.back(), now, out);
+        if (stage.phase != stage_phase::done)
+            stage.phase = stage_phase::unneeded;
+    }
+}
+
+void executor::tick(request_table& requests, time_point now, effect_list& out,
+                    std::vector<stage_result>& results)
+{
+    std::vector<attempt_id> expired;
+    attempts_.expired(now, expired);
+    for (auto id : expired)
+    {
+        auto const* const found = attempts_.find(id);
+        if (found == nullptr)
+            continue;
+        auto const attempt = *found;
+        auto const it = requests.find(attempt.request);
+        if (it == requests.end())
+            continue;
+        attempt_ended event;
+        event.call = id;
+        event.answered = id;
+        event.result = attempt.call_open ? attempt_outcome::timed_out
+                                         : attempt_outcome::connection_lost;
+        event.detail = attempt.call_open ? "no answer within the stage's budget"
+                                         : "the runner's answer never came";
+        event.took = now - attempt.started;
+        out.push_back(cancel_attempt{id, attempt.runner});
+        fail(it->second, attempt, event, now, out, results);
+    }
+    for (auto& [id, request] : requests)
+    {
+        if (request.phase != request_phase::running || request.answered)
+            continue;
+        advance(request, now, out);
+        start_due_hedges(request, now, out);
+    }
+}
+
+retry::hedge_query executor::hedge_query_of(request_state const& request,
+                                            stage_index n,
+                                            attempt_state const& first) const
+{
+    auto const& settings = request.graph->at(n);
+    retry::hedge_query query;
+    query.stage = request.graph->path_from(n).front();
+    query.repeatable = settings.repeatable;
+    query.marked = settings.hedge;
+    query.hedged = request.stages[n].attempts.size() > 1;
+    query.started = first.started;
+    query.deadline = first.expires;
+    return query;
+}
+
+void executor::start_due_hedges(request_state& request, time_point now,
+                                effect_list& out)
+{
+    for (stage_index n = 0; n < request.stages.size(); ++n)
+    {
+        auto const& stage = request.stages[n];
+        if (stage.attempts.size() != 1 || request.graph->at(n).stream)
+            continue;
+        auto const* const first = attempts_.find(stage.attempts.front());
+        if (first == nullptr)
+            continue;
+        auto const query = hedge_query_of(request, n, *first);
+        if (!parts_.hedges.may_hedge(query, parts_.split, parts_.budget, now))
+            continue;
+        if (start(request, n, true, now, out))
+            out.push_back(event_counted{counter::attempt_hedged, 1.});
+        else
+            parts_.budget.give_back();
+    }
+}
+
+} // namespace buckthornvale::decision::requests
--- /dev/null
+++ b/packages/decision/src/requests/request_flow.cpp
@@ -0,0 +1,368 @@
+#include <buckthornvale/decision/requests/answers.hpp>
+#include <buckthornvale/decision/requests/request_flow.hpp>
+#include <buckthornvale/decision/requests/request_rules.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace buckthornvale::decision::requests
+{
+
+namespace
+{
+
+constexpr double median_share = 0.5;
+
+bool all_done(request_state const& request)
+{
+    return std::all_of(request.stages.begin(), request.stages.end(),
+                       [](stage_state const& it) {
+                           return it.phase == stage_phase::done ||
+                                  it.phase == stage_phase::unneeded;
+                       });
+}
+
+} // namespace
+
+request_flow::request_flow(flow_parts parts, failure_domain_id local_domain,
+                           std::uint64_t incarnation)
+    : parts_(parts),
+      executor_({*this, parts.router, parts.isolation, parts.budget,
+                 parts.split, parts.hedges, parts.settings.runners()},
+                local_domain, incarnation),
+      claims_(incarnation)
+{
+}
+
+void request_flow::received(request_received const& event, time_point now,
+                            flow_output out)
+{
+    wall_ = event.received_at;
+    if (!parts_.settings.ready())
+        return refuse(event, {error_kind::not_ready, {}}, {}, out);
+    auto const& call = event.call;
+    if (auto failure = check_request(parts_.settings.settings(), call))
+        return refuse(event, std::move(failure), {}, out);
+    auto const organisation = organisation_id::of(call.organisation);
+    auto const content = isolation::fingerprint_of(
+        pipeline_id::of(call.pipeline), organisation, call.input);
+    if (parts_.isolation.check(content, now) == isolation::verdict::refused)
+        return refuse(event, {error_kind::isolated, {}}, {}, out);
+
+    auto state = make_state(event, now, content);
+    std::vector<admission::stage_demand> demands;
+    for (stage_index n = 0; n < state.graph->size(); ++n)
+    {
+        auto const& stage = state.graph->path_from(n).front();
+        demands.push_back({state.graph->pool_of(n),
+                           parts_.split.quantile(stage, median_share)});
+    }
+    admission::admission_request request;
+    request.request = event.request;
+    request.organisation = organisation;
+    request.work_rank = call.work_rank;
+    request.deadline = state.deadline;
+    request.stages = demands;
+    request.expected_total =
+        parts_.split.needed(state.graph->longest_path(), median_share);
+    auto const decision = parts_.admission.admit(request, now);
+    if (decision.outcome == admission::verdict::refused)
+        return refuse(event, {decision.reason, {}}, decision.retry_after, out);
+    auto& kept =
+        requests_.emplace(event.request, std::move(state)).first->second;
+    if (decision.outcome == admission::verdict::dispatch)
+        begin_claims(kept, now, out);
+    poll_admission(now, out);
+}
+
+request_state request_flow::make_state(request_received const& event,
+                                       time_point now,
+                                       isolation::fingerprint content) const
+{
+    request_state state;
+    state.id = event.request;
+    state.call = event.call;
+    state.input = std::make_shared<std::string const>(event.call.input);
+    state.graph = parts_.settings.graph(event.call.pipeline);
+    state.arrived = now;
+    state.deadline = now + event.call.deadline;
+    state.received_at = event.received_at;
+    state.content = content;
+    state.prefix_blocks = prefix_blocks_of(event.call.input);
+    state.stages.resize(state.graph->size());
+    return state;
+}
+
+void request_flow::refuse(request_received const& event, error reason,
+                          duration retry_after, flow_output out)
+{
+    auto const& call = event.call;
+    out.requests.push_back(request_counted{call.pipeline,
+                                           call.organisation,
+                                           call.work_rank,
+                                           outcome::not_run,
+                                           reason.kind,
+                                           false,
+                                           {}});
+    out.requests.push_back(send_answer{
+        event.request, not_run_answer(std::move(reason), retry_after)});
+}
+
+void request_flow::poll_admission(time_point now, flow_output out)
+{
+    std::vector<request_id> dispatch;
+    std::vector<request_id> expired;
+    parts_.admission.poll(now, dispatch, expired);
+    for (auto id : expired)
+    {
+        auto const it = requests_.find(id);
+        if (it != requests_.end())
+            conclude(it->second, {error_kind::deadline_unreachable, {}}, {},
+                     now, out);
+    }
+    for (auto id : dispatch)
+    {
+        auto const it = requests_.find(id);
+        if (it != requests_.end())
+            begin_claims(it->second, now, out);
+    }
+}
+
+void request_flow::begin_claims(request_state& request, time_point now,
+                                flow_output out)
+{
+    if (!request.graph->needs_claim())
+        return begin_run(request, now, out);
+    request.phase = request_phase::claiming;
+    std::vector<bookings::claim_request> wanted;
+    for (stage_index n = 0; n < request.graph->size(); ++n)
+    {
+        if (request.graph->at(n).repeatable)
+            continue;
+        bool const askable = parts_.settings.runners().outcome_source(
+                                 request.graph->pool_of(n)) != nullptr;
+        auto claim = claim_request_of(request, n, now, askable);
+        claim.request = claims_.add(request.id, n);
+        wanted.push_back(std::move(claim));
+    }
+    request.claims_open = wanted.size();
+    for (auto const& it : wanted)
+        parts_.bookings.claim(it, now, wall_, decided_);
+    drain_claims(now, out);
+}
+
+void request_flow::begin_run(request_state& request, time_point now,
+                             flow_output out)
+{
+    request.phase = request_phase::running;
+    mark_needed_stages(request);
+    if (all_done(request))
+        return finish(request, completed_answer(request), now, out);
+    executor_.advance(request, now, out.requests);
+    drain_claims(now, out);
+}
+
+bool request_flow::dispatch(request_state const& request, stage_index n,
+                            time_point now)
+{
+    auto const claim = claims_.claim_of(request.id, n);
+    return claim && parts_.bookings.dispatched(*claim, now, decided_);
+}
+
+void request_flow::gone(caller_gone const& event, time_point now,
+                        flow_output out)
+{
+    auto const it = requests_.find(event.request);
+    if (it == requests_.end() || it->second.answered)
+        return;
+    conclude(it->second, {error_kind::caller_gone, {}}, {}, now, out);
+    poll_admission(now, out);
+}
+
+void request_flow::token(attempt_token const& event, time_point now,
+                         flow_output out)
+{
+    auto const* const attempt = executor_.find(event.answered);
+    if (attempt == nullptr)
+    {
+        out.requests.push_back(event_counted{counter::answer_late, 1.});
+        return;
+    }
+    auto const it = requests_.find(attempt->request);
+    if (it == requests_.end())
+        return;
+    std::vector<stage_result> results;
+    executor_.token(it->second, event, now, out.requests, results);
+    apply_results(results, now, out);
+}
+
+void request_flow::ended(attempt_ended const& event, time_point now,
+                         flow_output out)
+{
+    std::vector<stage_result> results;
+    executor_.ended(requests_, event, now, out.requests, results);
+    apply_results(results, now, out);
+    poll_admission(now, out);
+}
+
+void request_flow::tick(time_point now, wall_time wall, flow_output out)
+{
+    wall_ = wall;
+    std::vector<stage_result> results;
+    executor_.tick(requests_, now, out.requests, results);
+    apply_results(results, now, out);
+    std::vector<request_id> late;
+    for (auto const& [id, request] : requests_)
+    {
+        if (!request.answered && now >= request.deadline)
+            late.push_back(id);
+    }
+    for (auto id : late)
+        conclude(requests_.at(id), {error_kind::deadline_exceeded, {}}, {}, now,
+                 out);
+    poll_admission(now, out);
+}
+
+void request_flow::apply_results(std::vector<stage_result>& results,
+                                 time_point now, flow_output out)
+{
+    for (auto const& it : results)
+    {
+        auto const found = requests_.find(it.request);
+        if (found == requests_.end())
+            continue;
+        if (it.completed)
+            stage_done(found->second, it, now, out);
+        else
+            stage_failed(found->second, it, now, out);
+    }
+    drain_claims(now, out);
+}
+
+void request_flow::stage_done(request_state& request,
+                              stage_result const& result, time_point now,
+                              flow_output out)
+{
+    auto const n = result.stage;
+    parts_.admission.stage_finished(request.id, request.graph->pool_of(n),
+                                    result.took, now);
+    if (auto const claim = claims_.claim_of(request.id, n))
+    {
+        parts_.bookings.completed(*claim, request.stages[n].output->bytes, now,
+                                  decided_);
+        claims_.remove(*claim);
+    }
+    if (request.answered)
+        return erase_if_settled(request.id);
+    if (all_done(request))
+        return finish(request, completed_answer(request), now, out);
+    executor_.advance(request, now, out.requests);
+}
+
+void request_flow::stage_failed(request_state& request,
+                                stage_result const& result, time_point now,
+                                flow_output out)
+{
+    if (!request.answered)
+        return conclude(request, result.failure, {}, now, out);
+    settle_claims(request, now);
+    erase_if_settled(request.id);
+}
+
+void request_flow::conclude(request_state& request, error reason,
+                            duration retry_after, time_point now,
+                            flow_output out)
+{
+    executor_.cancel(request, true, now, out.requests);
+    finish(request, failed_answer(request, std::move(reason), retry_after), now,
+           out);
+}
+
+void request_flow::finish(request_state& request, answer body, time_point now,
+                          flow_output out)
+{
+    auto const id = request.id;
+    duration const took = now - request.arrived;
+    auto const& call = request.call;
+    auto const& rank =
+        parts_.settings.settings().ranks[index_of(call.work_rank)];
+    bool const completed = body.result_kind == outcome::completed;
+    out.requests.push_back(request_counted{
+        call.pipeline, call.organisation, call.work_rank, body.result_kind,
+        body.failure.kind, completed && took <= rank.target, took});
+    out.requests.push_back(send_answer{request.id, std::move(body)});
+    request.answered = true;
+    parts_.admission.finished(request.id, now);
+    settle_claims(request, now);
+    drain_claims(now, out);
+    erase_if_settled(id);
+}
+
+// Ends every claim whose attempts have all ended; the others wait for theirs.
+void request_flow::settle_claims(request_state& request, time_point now)
+{
+    for (stage_index n = 0; n < request.stages.size(); ++n)
+    {
+        auto const claim = claims_.claim_of(request.id, n);
+        auto const& stage = request.stages[n];
+        if (!claim || !stage.attempts.empty())
+            continue;
+        if (stage.possible_runs == 0)
+            parts_.bookings.not_run(*claim, now, decided_);
+        else
+            parts_.bookings.failed_unknown(*claim, now, decided_);
+        claims_.remove(*claim);
+    }
+}
+
+void request_flow::erase_if_settled(request_id id)
+{
+    auto const it = requests_.find(id);
+    if (it == requests_.end() || !it->second.answered)
+        return;
+    auto const& stages = it->second.stages;
+    bool const awaited = std::any_of(stages.begin(), stages.end(),
+                                     [](stage_state const& stage)
+                                     { return !stage.attempts.empty(); });
+    if (!awaited)
+        requests_.erase(it);
+}
+
+void request_flow::asked(outcome_asked const& event, time_point now,
+                         flow_output out)
+{
+    wall_ = event.received_at;
+    if (!parts_.settings.ready())
+    {
+        return answer_query(event.request,
+                            not_run_answer({error_kind::not_ready, {}}, {}),
+                            out);
+    }
+    if (auto failure = check_organisation(parts_.settings.settings(),
+                                          event.organisation, event.key_sha256))
+    {
+        return answer_query(event.request,
+                            not_run_answer(std::move(failure), {}), out);
+    }
+    bookings::claim_request query;
+    query.key.organisation = organisation_id::of(event.organisation);
+    query.key.key = event.idempotency_key;
+    query.key.issued_at = event.issued_at.value_or(event.received_at);
+    query.request = event.request;
+    query.time_left = std::chrono::seconds(1);
+    parts_.bookings.query(query, now, wall_, decided_);
+    drain_claims(now, out);
+}
+
+void request_flow::service_told(service_outcome_told const& event,
+                                time_point now, flow_output out)
+{
+    std::optional<std::string> result;
+    if (event.result == service_outcome::completed)
+        result = event.output;
+    parts_.bookings.service_answer(event.claim, std::move(result), now,
+                                   decided_);
+    drain_claims(now, out);
+}
+
+} // namespace buckthornvale::decision::requests
--- /dev/null
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -0,0 +1,203 @@
+#include <buckthornvale/decision/requests/answers.hpp>
+#include <buckthornvale/decision/requests/request_flow.hpp>
+
+#include <iterator>
+#include <type_traits>
+#include <utility>
+
+namespace buckthornvale::decision::requests
+{
+
+namespace
+{
+
+// Advice to callers whose earlier request with the same key still runs.
+constexpr duration pending_retry_after = std::chrono::seconds(1);
+
+template <class Decision>
+constexpr bool is_claim_decision =
+    std::is_same_v<Decision, bookings::claim_granted> ||
+    std::is_same_v<Decision, bookings::claim_duplicate> ||
+    std::is_same_v<Decision, bookings::claim_refused> ||
+    std::is_same_v<Decision, bookings::claim_unavailable> ||
+    std::is_same_v<Decision, bookings::claim_unsettled> ||
+    std::is_same_v<Decision, bookings::claim_absent>;
+
+error reason_of(bookings::claim_state state)
+{
+    bool const unknown = state == bookings::claim_state::unknown;
+    return {unknown ? error_kind::outcome_unknown : error_kind::outcome_pending,
+            {}};
+}
+
+} // namespace
+
+void request_flow::claims_decided(bookings::booking_effects& effects,
+                                  time_point now, flow_output out)
+{
+    std::move(effects.begin(), effects.end(), std::back_inserter(decided_));
+    effects.clear();
+    drain_claims(now, out);
+}
+
+void request_flow::drain_claims(time_point now, flow_output out)
+{
+    while (!decided_.empty())
+    {
+        auto const batch = std::exchange(decided_, {});
+        for (auto const& item : batch)
+        {
+            std::visit(
+                [&](auto const& it)
+                {
+                    using decision = std::decay_t<decltype(it)>;
+                    if constexpr (is_claim_decision<decision>)
+                        apply(it, now, out);
+                    else
+                        out.store.push_back(it);
+                },
+                item);
+        }
+    }
+}
+
+void request_flow::apply(bookings::claim_granted const& decision,
+                         time_point now, flow_output out)
+{
+    auto const claimed = claims_.find(decision.request);
+    if (!claimed)
+        return;
+    auto const it = requests_.find(claimed->request);
+    if (it == requests_.end() || it->second.answered)
+    {
+        parts_.bookings.not_run(decision.request, now, decided_);
+        claims_.remove(decision.request);
+        return;
+    }
+    if (--it->second.claims_open == 0)
+        begin_run(it->second, now, out);
+}
+
+void request_flow::apply(bookings::claim_duplicate const& decision,
+                         time_point now, flow_output out)
+{
+    auto const claimed = claims_.find(decision.request);
+    if (!claimed)
+    {
+        answer body = unsettled_answer(reason_of(decision.state), {},
+                                       pending_retry_after);
+        if (decision.state == bookings::claim_state::completed)
+        {
+            body.result_kind = outcome::completed;
+            body.failure = {};
+            body.result = std::make_shared<stage_output const>(
+                stage_output{decision.result.bytes, false});
+        }
+        answer_query(decision.request, std::move(body), out);
+        return;
+    }
+    claims_.remove(decision.request);
+    auto const it = requests_.find(claimed->request);
+    if (it == requests_.end() || it->second.answered)
+        return;
+    use_earlier_result(it->second, claimed->stage, decision, now, out);
+}
+
+void request_flow::use_earlier_result(request_state& request, stage_index n,
+                                      bookings::claim_duplicate const& decision,
+                                      time_point now, flow_output out)
+{
+    out.requests.push_back(event_counted{counter::booking_duplicate, 1.});
+    bool const completed = decision.state == bookings::claim_state::completed;
+    if (!completed || decision.result.truncated)
+    {
+        error reason = reason_of(decision.state);
+        if (completed)
+        {
+            reason = {error_kind::outcome_unknown,
+                      "it ran, but its result was too large to keep"};
+        }
+        executor_.cancel(request, true, now, out.requests);
+        finish(request,
+               unsettled_answer(std::move(reason), request.call.idempotency_key,
+                                pending_retry_after),
+               now, out);
+        return;
+    }
+    auto& stage = request.stages[n];
+    stage.output = std::make_shared<stage_output const>(
+        stage_output{decision.result.bytes, false});
+    stage.phase = stage_phase::done;
+    if (--request.claims_open == 0)
+        begin_run(request, now, out);
+}
+
+void request_flow::apply(bookings::claim_refused const& decision,
+                         time_point now, flow_output out)
+{
+    auto const claimed = claims_.find(decision.request);
+    if (!claimed)
+    {
+        return answer_query(decision.request,
+                            not_run_answer(decision.reason, {}), out);
+    }
+    claims_.remove(decision.request);
+    auto const it = requests_.find(claimed->request);
+    if (it != requests_.end() && !it->second.answered)
+        conclude(it->second, decision.reason, {}, now, out);
+}
+
+void request_flow::apply(bookings::claim_unavailable const& decision,
+                         time_point now, flow_output out)
+{
+    error const reason{error_kind::store_unavailable, {}};
+    auto const claimed = claims_.find(decision.request);
+    if (!claimed)
+    {
+        return answer_query(decision.request,
+                            unsettled_answer({error_kind::outcome_pending, {}},
+                                             {}, decision.retry_after),
+                            out);
+    }
+    claims_.remove(decision.request);
+    auto const it = requests_.find(claimed->request);
+    if (it != requests_.end() && !it->second.answered)
+        conclude(it->second, reason, decision.retry_after, now, out);
+}
+
+void request_flow::apply(bookings::claim_unsettled const& decision,
+                         time_point now, flow_output out)
+{
+    auto const claimed = claims_.find(decision.request);
+    if (!claimed)
+    {
+        return answer_query(decision.request,
+                            unsettled_answer({error_kind::outcome_pending, {}},
+                                             {}, pending_retry_after),
+                            out);
+    }
+    claims_.remove(decision.request);
+    auto const it = requests_.find(claimed->request);
+    if (it == requests_.end() || it->second.answered)
+        return;
+    executor_.cancel(it->second, true, now, out.requests);
+    finish(it->second,
+           unsettled_answer({error_kind::deadline_exceeded, {}},
+                            it->second.call.idempotency_key,
+                            pending_retry_after),
+           now, out);
+}
+
+void request_flow::apply(bookings::claim_absent const& decision, time_point,
+                         flow_output out)
+{
+    answer_query(decision.request,
+                 not_run_answer({error_kind::unknown_key, {}}, {}), out);
+}
+
+void request_flow::answer_query(request_id query, answer body, flow_output out)
+{
+    out.requests.push_back(send_answer{query, std::move(body)});
+}
+
+} // namespace buckthornvale::decision::requests
