--- a/packages/decision/include/buckthornvale/decision/bookings/booking_settings.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/booking_settings.hpp
@@ -41,6 +41,10 @@
     duration forward_timeout = std::chrono::milliseconds(1300);
     //! A store call without an answer for so long counts as lost.
     duration store_timeout = std::chrono::seconds(5);
+    //! How long this VM tries to commit a claim that a peer forwarded.
+    duration peer_claim_lifetime = std::chrono::seconds(10);
+    //! Wait before a result that could not be written is tried again.
+    duration retry_interval = std::chrono::seconds(1);
     //! Age at which a cached unfinished claim is read again.
     duration freshness = std::chrono::milliseconds(500);
     duration backoff_first = std::chrono::milliseconds(50);
@@ -54,6 +58,7 @@
 
     //! Bounds of memory. A claim above a bound is refused, not forgotten.
     std::size_t max_records = 4096;
+    std::size_t max_questions = 1024;
     std::size_t max_queue = 2048;  //!< updates waiting per shard
     std::size_t max_shards = 1024; //!< shards with state in memory
     std::size_t cache_bytes =
--- a/packages/decision/include/buckthornvale/decision/bookings/booking_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/booking_table.hpp
@@ -69,6 +69,11 @@
                            time_point now, wall_time wall,
                            booking_effects& out);
 
+    //! A forwarded update could not be sent: this VM commits what it waits
+    //! for from that peer. An update that was sent before may still arrive.
+    void peer_unreachable(vm_id peer, time_point now, wall_time wall,
+                          booking_effects& out);
+
     //! The granted request is about to send its attempt. Returns false when the
     //! claim is no longer its own; the attempt must not start then.
     bool dispatched(request_id request, time_point now, booking_effects& out);
@@ -122,12 +127,13 @@
     {
         stage current = stage::claiming;
         claim_request request;
-        shard_update update; //!< last update sent for it
+        shard_update update; //!< the last one sent
         time_point deadline{};
-        std::optional<vm_id> sent_to; //!< committer that was asked
+        std::optional<vm_id> sent_to; //!< peer that was asked to commit it
         time_point sent_at{};
-        bool outside = false; //!< a peer may hold the claim and write it
-        bool in_committer = false;
+        bool outside = false;      //!< a peer may hold the claim and write it
+        bool in_committer = false; //!< the local committer holds the update
+        std::uint32_t orphans = 0; //!< own old claims found in its place
         booking_result result;
     };
 
@@ -135,7 +141,6 @@
     {
         claim_request request;
         shard_update update;
-        time_point deadline{};
         std::optional<vm_id> sent_to;
         time_point sent_at{};
     };
@@ -147,33 +152,44 @@
         time_point asked{};
     };
 
-    shard_address address_of(claim_id id, wall_time issued_at) const;
     std::optional<error> check_key(booking_key const& key,
                                    wall_time wall) const;
-    std::optional<vm_id> committer_of(shard_address address) const;
+    shard_update make_update(update_kind kind, claim_request const& request,
+                             wall_time wall);
+    std::optional<vm_id> peer_committer(shard_address address) const;
     bool alive(claim_entry const& entry, wall_time wall) const;
 
     void answer_from_record(record const& held, claim_request const& request,
-                            booking_effects& out);
-    void answer_existing(claim_request const& request, claim_entry entry,
-                         time_point now, wall_time wall, booking_effects& out);
-    void ask(claim_request const& request, shard_update const& update,
-             time_point now, booking_effects& out);
+                            bool compare, booking_effects& out);
+    void answer_existing(claim_request const& request, bool compare,
+                         update_answer const& answer, time_point now,
+                         wall_time wall, booking_effects& out);
+    void ask(booking_key const& key, request_id request,
+             shard_update const& update, time_point now, booking_effects& out);
 
     void send(record& held, time_point now, booking_effects& out);
-    void send_query(query_record& held, time_point now, booking_effects& out);
     void commit_here(record& held, time_point now, booking_effects& out);
-    void settle(update_answer const& answer, bool from_peer, time_point now,
-                wall_time wall, booking_effects& out);
-    void settle_claim(record& held, update_answer const& answer, bool from_peer,
-                      time_point now, wall_time wall, booking_effects& out);
-    void settle_query(update_answer const& answer, time_point now,
-                      wall_time wall, booking_effects& out);
-    void take_done(time_point now, wall_time wall, booking_effects& out);
-    void release(update_answer const& answer, time_point now,
-                 booking_effects& out);
+    void submit(shard_update const& update, time_point expires, time_point now,
+                booking_effects& out);
     void change_stage(record& held, stage next, update_kind kind,
                       time_point now, booking_effects& out);
+
+    void take_done(time_point now, wall_time wall, booking_effects& out);
+    void settle(update_answer const& answer, std::optional<vm_id> peer,
+                time_point now, wall_time wall, booking_effects& out);
+    void settle_claim(record& held, update_answer const& answer,
+                      std::optional<vm_id> peer, time_point now, wall_time wall,
+                      booking_effects& out);
+    void settle_existing(record& held, update_answer const& answer,
+                         time_point now, wall_time wall, booking_effects& out);
+    void settle_unavailable(record& held, std::optional<vm_id> peer,
+                            time_point now, booking_effects& out);
+    void settle_query(query_record const& held, update_answer const& answer,
+                      time_point now, wall_time wall, booking_effects& out);
+    void release_orphan(claim_id id, std::uint64_t nonce, shard_address shard,
+                        time_point now, booking_effects& out);
+    void tick_records(time_point now, booking_effects& out);
+    void tick_queries(time_point now, booking_effects& out);
     void forget(claim_id id);
     record* find(request_id request);
 
@@ -187,7 +203,7 @@
     absl::flat_hash_map<request_id, claim_id> by_request_;
     absl::flat_hash_map<std::uint64_t, query_record> queries_; //!< by nonce
     absl::flat_hash_map<claim_id, question> questions_;
-    std::vector<committed_update> done_;
+    std::vector<committed_update> done_; //!< answers not yet handled
     booking_counters counters_;
 };
 
--- a/packages/decision/include/buckthornvale/decision/bookings/shard_committer.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_committer.hpp
@@ -43,9 +43,12 @@
 public:
     shard_committer(booking_settings const& settings, std::uint64_t seed);
 
-    //! Takes an update; each update gets one answer in `done`, then or later.
-    void submit(shard_update const& update, vm_id origin, time_point now,
-                booking_effects& out, std::vector<committed_update>& done);
+    //! Takes an update; each update gets one answer in `done`, then or later. A
+    //! claim that is not settled when it expires is answered as unavailable
+    //! when it is proven not written, otherwise as unsettled.
+    void submit(shard_update const& update, vm_id origin, time_point expires,
+                time_point now, booking_effects& out,
+                std::vector<committed_update>& done);
 
     //! Returns false when the token is not of this committer.
     bool store_answer(bookings::store_answer const& answer, time_point now,
@@ -53,7 +56,7 @@
                       std::vector<committed_update>& done);
 
     //! Starts due writes, retries, and expires claims past their deadline.
-    void tick(time_point now, wall_time wall, booking_effects& out,
+    void tick(time_point now, booking_effects& out,
               std::vector<committed_update>& done);
 
     //! Time until the shard is tried again after a failure.
@@ -77,6 +80,7 @@
         shard_update update;
         vm_id origin;
         time_point since{};
+        time_point expires{};
         //! Version that a write of unknown outcome was conditional on. Until
         //! another version is seen, that write may still take effect.
         std::optional<std::uint64_t> unsettled_at;
@@ -106,6 +110,9 @@
     bool needs_fresh(shard_state const& state, time_point now) const;
     void start_read(shard_address address, shard_state& state, phase next,
                     time_point now, booking_effects& out);
+    //! Applies one waiting update; returns true when the document must be
+    //! written because of it.
+    bool take(shard_state& state, item& it, bool modified, answers& done);
     void start_write(shard_address address, shard_state& state, time_point now,
                      booking_effects& out, answers& done);
     void read_done(shard_state& state, bookings::store_answer const& answer,
@@ -119,7 +126,7 @@
     void fail(shard_state& state, time_point now, answers& done);
     void refuse_unwritten(shard_state& state, update_verdict verdict,
                           answers& done);
-    void expire(shard_state& state, wall_time wall, answers& done);
+    void expire(shard_state& state, time_point now, answers& done);
     void evict(time_point now);
 
     booking_settings settings_;
--- a/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
@@ -50,6 +50,7 @@
 struct update_answer
 {
     update_kind kind = update_kind::claim;
+    shard_address shard;
     claim_id id;
     std::uint64_t nonce = 0;
     update_verdict verdict = update_verdict::unavailable;
--- /dev/null
+++ b/packages/decision/src/bookings/booking_table.cpp
@@ -0,0 +1,674 @@
+#include <buckthornvale/decision/bookings/booking_table.hpp>
+#include <buckthornvale/decision/fleet/rendezvous.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornvale::decision::bookings
+{
+
+namespace
+{
+
+// The committer's seed differs from that of the nonces.
+constexpr std::uint64_t committer_stream = 0x9e3779b97f4a7c15;
+
+// Old claims of this process that one claim removes before it gives up.
+constexpr std::uint32_t max_orphans = 3;
+
+} // namespace
+
+booking_table::booking_table(booking_settings const& settings,
+                             std::uint64_t seed)
+    : settings_(settings), random_(seed),
+      committer_(settings, seed ^ committer_stream), cleaner_(settings)
+{
+}
+
+std::optional<error> booking_table::check_key(booking_key const& key,
+                                              wall_time wall) const
+{
+    if (key.key.empty())
+        return error{error_kind::missing_idempotency_key, {}};
+    if (wall - key.issued_at > settings_.horizon ||
+        key.issued_at - wall > settings_.future_tolerance ||
+        key.issued_at.time_since_epoch().count() < 0)
+        return error{error_kind::key_expired, {}};
+    return std::nullopt;
+}
+
+shard_update booking_table::make_update(update_kind kind,
+                                        claim_request const& request,
+                                        wall_time wall)
+{
+    shard_update update;
+    update.kind = kind;
+    update.id = id_of(request.key);
+    auto const issued = request.key.issued_at.time_since_epoch();
+    update.shard.window =
+        static_cast<std::uint64_t>(issued.count() / settings_.window.count());
+    update.shard.shard =
+        static_cast<std::uint32_t>(update.id.low % settings_.shards);
+    update.body = request.body;
+    update.owner = settings_.self;
+    update.incarnation = settings_.incarnation;
+    update.nonce = random_();
+    update.deadline = wall + std::chrono::duration_cast<wall_time::duration>(
+                                 request.time_left);
+    return update;
+}
+
+std::optional<vm_id> booking_table::peer_committer(shard_address address) const
+{
+    auto const owner = fleet::rendezvous_owner(path_of(address), live_ids_);
+    if (!owner || *owner == settings_.self)
+        return std::nullopt;
+    return owner;
+}
+
+void booking_table::claim(claim_request const& request, time_point now,
+                          wall_time wall, booking_effects& out)
+{
+    if (auto const wrong = check_key(request.key, wall))
+    {
+        ++counters_.refused;
+        out.push_back(claim_refused{request.request, *wrong});
+        return;
+    }
+    auto const id = id_of(request.key);
+    auto const held = records_.find(id);
+    if (held != records_.end())
+    {
+        answer_from_record(held->second, request, true, out);
+        return;
+    }
+    if (records_.size() >= settings_.max_records)
+    {
+        ++counters_.refused;
+        out.push_back(
+            claim_refused{request.request, {error_kind::overloaded, {}}});
+        return;
+    }
+    auto& created = records_[id];
+    created.request = request;
+    created.update = make_update(update_kind::claim, request, wall);
+    created.deadline = now + request.time_left;
+    by_request_[request.request] = id;
+    send(created, now, out);
+    take_done(now, wall, out);
+}
+
+void booking_table::query(claim_request const& request, time_point now,
+                          wall_time wall, booking_effects& out)
+{
+    if (auto const wrong = check_key(request.key, wall))
+    {
+        out.push_back(claim_refused{request.request, *wrong});
+        return;
+    }
+    auto const held = records_.find(id_of(request.key));
+    if (held != records_.end())
+    {
+        answer_from_record(held->second, request, false, out);
+        return;
+    }
+    if (queries_.size() >= settings_.max_records)
+    {
+        out.push_back(
+            claim_refused{request.request, {error_kind::overloaded, {}}});
+        return;
+    }
+    query_record created;
+    created.request = request;
+    created.update = make_update(update_kind::query, request, wall);
+    created.sent_at = now;
+    created.sent_to = peer_committer(created.update.shard);
+    auto const update = created.update;
+    auto const sent_to = created.sent_to;
+    queries_.emplace(update.nonce, std::move(created));
+    if (sent_to)
+        out.push_back(forward_claim{*sent_to, update});
+    else
+        submit(update, now + request.time_left, now, out);
+    take_done(now, wall, out);
+}
+
+void booking_table::answer_from_record(record const& held,
+                                       claim_request const& request,
+                                       bool compare, booking_effects& out)
+{
+    bool const other_time = held.request.key.issued_at != request.key.issued_at;
+    if (compare && (held.request.body != request.body || other_time))
+    {
+        ++counters_.refused;
+        out.push_back(
+            claim_refused{request.request, {error_kind::key_reused, {}}});
+        return;
+    }
+    ++counters_.duplicates;
+    claim_duplicate answer{request.request, claim_state::claimed, {}};
+    if (held.current == stage::completed)
+    {
+        answer.state = claim_state::completed;
+        answer.result = held.result;
+    }
+    else if (held.current == stage::dispatched)
+    {
+        answer.state = claim_state::dispatched;
+    }
+    else if (held.current == stage::unknown)
+    {
+        answer.state = claim_state::unknown;
+    }
+    out.push_back(std::move(answer));
+}
+
+bool booking_table::alive(claim_entry const& entry, wall_time wall) const
+{
+    if (entry.deadline <= wall)
+        return false;
+    return std::any_of(live_.begin(), live_.end(),
+                       [&](live_vm const& it) {
+                           return it.vm == entry.owner &&
+                                  it.incarnation == entry.incarnation;
+                       });
+}
+
+void booking_table::answer_existing(claim_request const& request, bool compare,
+                                    update_answer const& answer, time_point now,
+                                    wall_time wall, booking_effects& out)
+{
+    auto const& entry = answer.entry;
+    if (compare && entry.body != request.body)
+    {
+        ++counters_.refused;
+        out.push_back(
+            claim_refused{request.request, {error_kind::key_reused, {}}});
+        return;
+    }
+    ++counters_.duplicates;
+    claim_duplicate duplicate{request.request, entry.state, entry.result};
+    bool const finished = entry.state == claim_state::completed;
+    if (!finished && !alive(entry, wall))
+        duplicate.state = claim_state::unknown;
+    out.push_back(duplicate);
+    if (duplicate.state != claim_state::unknown)
+        return;
+    ++counters_.unknown;
+    if (!request.askable)
+        return;
+    shard_update update;
+    update.shard = answer.shard;
+    update.id = answer.id;
+    update.body = entry.body;
+    update.owner = entry.owner;
+    update.incarnation = entry.incarnation;
+    update.nonce = entry.nonce;
+    update.deadline = entry.deadline;
+    ask(request.key, request.request, update, now, out);
+}
+
+void booking_table::ask(booking_key const& key, request_id request,
+                        shard_update const& update, time_point now,
+                        booking_effects& out)
+{
+    auto const known = questions_.find(update.id);
+    if (known != questions_.end() &&
+        now - known->second.asked < settings_.ask_interval)
+        return;
+    if (known == questions_.end() &&
+        questions_.size() >= settings_.max_questions)
+        return;
+    questions_[update.id] = {key, update, now};
+    ++counters_.asked;
+    out.push_back(ask_service{request, update.id, key});
+}
+
+void booking_table::submit(shard_update const& update, time_point expires,
+                           time_point now, booking_effects& out)
+{
+    committer_.submit(update, settings_.self, expires, now, out, done_);
+}
+
+void booking_table::send(record& held, time_point now, booking_effects& out)
+{
+    held.sent_at = now;
+    held.sent_to = peer_committer(held.update.shard);
+    if (!held.sent_to)
+    {
+        commit_here(held, now, out);
+        return;
+    }
+    held.outside = true;
+    ++counters_.forwarded;
+    out.push_back(forward_claim{*held.sent_to, held.update});
+}
+
+void booking_table::commit_here(record& held, time_point now,
+                                booking_effects& out)
+{
+    held.sent_to.reset();
+    held.sent_at = now;
+    held.in_committer = true;
+    submit(held.update, held.deadline, now, out);
+}
+
+void booking_table::change_stage(record& held, stage next, update_kind kind,
+                                 time_point now, booking_effects& out)
+{
+    held.current = next;
+    held.update.kind = kind;
+    held.update.result = held.result;
+    held.in_committer = false;
+    send(held, now, out);
+}
+
+void booking_table::take_done(time_point now, wall_time wall,
+                              booking_effects& out)
+{
+    while (!done_.empty())
+    {
+        std::vector<committed_update> taken;
+        taken.swap(done_);
+        for (auto& it : taken)
+        {
+            if (it.origin == settings_.self)
+                settle(it.answer, std::nullopt, now, wall, out);
+            else
+                out.push_back(answer_peer{it.origin, std::move(it.answer)});
+        }
+    }
+}
+
+void booking_table::store_answer(bookings::store_answer const& answer,
+                                 time_point now, wall_time wall,
+                                 booking_effects& out)
+{
+    if (cleaner_.store_answer(answer, now, out))
+        return;
+    committer_.store_answer(answer, now, out, done_);
+    take_done(now, wall, out);
+}
+
+void booking_table::peer_claim(vm_id from, shard_update const& update,
+                               time_point now, wall_time wall,
+                               booking_effects& out)
+{
+    auto const kept = settings_.horizon + settings_.deletion_margin;
+    auto const oldest = (wall.time_since_epoch() - kept) / settings_.window;
+    bool const old =
+        oldest > 0 && update.shard.window < static_cast<std::uint64_t>(oldest);
+    bool const other_shard =
+        update.shard.shard != update.id.low % settings_.shards;
+    bool const other_owner =
+        update.kind == update_kind::claim && update.owner != from;
+    if (old || other_shard || other_owner)
+    {
+        update_answer answer;
+        answer.kind = update.kind;
+        answer.shard = update.shard;
+        answer.id = update.id;
+        answer.nonce = update.nonce;
+        answer.verdict = update_verdict::refused;
+        answer.reason =
+            old ? error_kind::key_expired : error_kind::malformed_request;
+        out.push_back(answer_peer{from, std::move(answer)});
+        return;
+    }
+    committer_.submit(update, from, now + settings_.peer_claim_lifetime, now,
+                      out, done_);
+    take_done(now, wall, out);
+}
+
+void booking_table::peer_claim_answer(vm_id from, update_answer const& answer,
+                                      time_point now, wall_time wall,
+                                      booking_effects& out)
+{
+    settle(answer, from, now, wall, out);
+    take_done(now, wall, out);
+}
+
+void booking_table::peer_unreachable(vm_id peer, time_point now, wall_time wall,
+                                     booking_effects& out)
+{
+    for (auto& it : records_)
+    {
+        if (it.second.sent_to == peer)
+            commit_here(it.second, now, out);
+    }
+    for (auto& it : queries_)
+    {
+        auto& held = it.second;
+        if (held.sent_to != peer)
+            continue;
+        held.sent_to.reset();
+        submit(held.update, now + held.request.time_left, now, out);
+    }
+    take_done(now, wall, out);
+}
+
+void booking_table::settle(update_answer const& answer,
+                           std::optional<vm_id> peer, time_point now,
+                           wall_time wall, booking_effects& out)
+{
+    if (answer.kind == update_kind::dispatched)
+        return;
+    if (answer.kind == update_kind::query)
+    {
+        auto const query = queries_.find(answer.nonce);
+        if (query == queries_.end())
+            return;
+        if (peer && answer.verdict == update_verdict::unavailable)
+        {
+            // The peer could not reach the store; this VM may.
+            query->second.sent_to.reset();
+            submit(query->second.update, now + query->second.request.time_left,
+                   now, out);
+            return;
+        }
+        auto const held = std::move(query->second);
+        queries_.erase(query);
+        settle_query(held, answer, now, wall, out);
+        return;
+    }
+    auto const it = records_.find(answer.id);
+    if (it == records_.end() || it->second.update.nonce != answer.nonce)
+    {
+        // A claim that nobody waits for any more and that was never granted.
+        bool const stray = answer.kind == update_kind::claim &&
+                           answer.verdict == update_verdict::applied;
+        if (stray)
+            release_orphan(answer.id, answer.nonce, answer.shard, now, out);
+        return;
+    }
+    auto& held = it->second;
+    if (answer.kind != held.update.kind)
+        return;
+    if (!peer)
+        held.in_committer = false;
+    if (held.current == stage::claiming)
+    {
+        settle_claim(held, answer, peer, now, wall, out);
+        return;
+    }
+    bool const written = answer.verdict == update_verdict::applied ||
+                         answer.verdict == update_verdict::existing;
+    bool const final_state = held.current == stage::completed ||
+                             held.current == stage::unknown ||
+                             held.current == stage::releasing;
+    if (written && final_state)
+        forget(answer.id);
+}
+
+void booking_table::settle_claim(record& held, update_answer const& answer,
+                                 std::optional<vm_id> peer, time_point now,
+                                 wall_time wall, booking_effects& out)
+{
+    auto const request = held.request.request;
+    switch (answer.verdict)
+    {
+    case update_verdict::applied:
+        held.current = stage::granted;
+        ++counters_.granted;
+        out.push_back(claim_granted{request});
+        return;
+    case update_verdict::existing:
+        settle_existing(held, answer, now, wall, out);
+        return;
+    case update_verdict::refused:
+        ++counters_.refused;
+        out.push_back(claim_refused{request, {answer.reason, {}}});
+        forget(answer.id);
+        return;
+    case update_verdict::unsettled:
+        if (peer)
+        {
+            held.sent_to.reset();
+            return;
+        }
+        ++counters_.unsettled;
+        out.push_back(claim_unsettled{request});
+        forget(answer.id);
+        return;
+    default:
+        settle_unavailable(held, peer, now, out);
+        return;
+    }
+}
+
+void booking_table::settle_existing(record& held, update_answer const& answer,
+                                    time_point now, wall_time wall,
+                                    booking_effects& out)
+{
+    auto const& entry = answer.entry;
+    bool const unfinished = entry.state == claim_state::claimed ||
+                            entry.state == claim_state::dispatched;
+    bool const own = entry.owner == settings_.self &&
+                     entry.incarnation == settings_.incarnation;
+    if (own && unfinished && held.orphans < max_orphans)
+    {
+        // Records stay until the store has their last state, so a claim of
+        // this process without a record was never dispatched.
+        ++held.orphans;
+        release_orphan(answer.id, entry.nonce, answer.shard, now, out);
+        send(held, now, out);
+        return;
+    }
+    auto const request = held.request;
+    forget(answer.id);
+    answer_existing(request, true, answer, now, wall, out);
+}
+
+void booking_table::settle_unavailable(record& held, std::optional<vm_id> peer,
+                                       time_point now, booking_effects& out)
+{
+    if (peer)
+    {
+        held.outside = false;
+        // The peer could not reach the store; this VM may.
+        if (!held.in_committer)
+            commit_here(held, now, out);
+        return;
+    }
+    // A peer that did not answer may still write the claim.
+    if (held.outside)
+        return;
+    ++counters_.unavailable;
+    out.push_back(claim_unavailable{
+        held.request.request, committer_.retry_after(held.update.shard, now)});
+    forget(held.update.id);
+}
+
+void booking_table::settle_query(query_record const& held,
+                                 update_answer const& answer, time_point now,
+                                 wall_time wall, booking_effects& out)
+{
+    auto const request = held.request.request;
+    if (answer.verdict == update_verdict::existing)
+        answer_existing(held.request, false, answer, now, wall, out);
+    else if (answer.verdict == update_verdict::absent)
+        out.push_back(claim_absent{request});
+    else if (answer.verdict == update_verdict::refused)
+        out.push_back(claim_refused{request, {answer.reason, {}}});
+    else
+        out.push_back(claim_unavailable{
+            request, committer_.retry_after(held.update.shard, now)});
+}
+
+void booking_table::release_orphan(claim_id id, std::uint64_t nonce,
+                                   shard_address shard, time_point now,
+                                   booking_effects& out)
+{
+    shard_update update;
+    update.kind = update_kind::release;
+    update.shard = shard;
+    update.id = id;
+    update.owner = settings_.self;
+    update.incarnation = settings_.incarnation;
+    update.nonce = nonce;
+    auto const peer = peer_committer(shard);
+    if (peer)
+        out.push_back(forward_claim{*peer, update});
+    else
+        submit(update, now + settings_.peer_claim_lifetime, now, out);
+}
+
+bool booking_table::dispatched(request_id request, time_point now,
+                               booking_effects& out)
+{
+    auto* held = find(request);
+    if (held == nullptr || held->current != stage::granted)
+        return false;
+    held->current = stage::dispatched;
+    // The note changes no decision, so it only goes with other updates of a
+    // shard that this VM commits, and causes no write or message.
+    if (peer_committer(held->update.shard))
+        return true;
+    auto update = held->update;
+    update.kind = update_kind::dispatched;
+    submit(update, held->deadline, now, out);
+    return true;
+}
+
+void booking_table::completed(request_id request, std::string result,
+                              time_point now, booking_effects& out)
+{
+    auto* held = find(request);
+    if (held == nullptr ||
+        (held->current != stage::dispatched && held->current != stage::unknown))
+        return;
+    held->result = make_result(std::move(result));
+    change_stage(*held, stage::completed, update_kind::completed, now, out);
+}
+
+void booking_table::failed_unknown(request_id request, time_point now,
+                                   booking_effects& out)
+{
+    auto* held = find(request);
+    if (held == nullptr || held->current != stage::dispatched)
+        return;
+    ++counters_.unknown;
+    change_stage(*held, stage::unknown, update_kind::unknown, now, out);
+    if (held->request.askable)
+        ask(held->request.key, request, held->update, now, out);
+}
+
+void booking_table::not_run(request_id request, time_point now,
+                            booking_effects& out)
+{
+    auto* held = find(request);
+    if (held == nullptr ||
+        (held->current != stage::granted && held->current != stage::dispatched))
+        return;
+    change_stage(*held, stage::releasing, update_kind::release, now, out);
+}
+
+void booking_table::service_answer(claim_id id,
+                                   std::optional<std::string> result,
+                                   time_point now, booking_effects& out)
+{
+    auto const it = questions_.find(id);
+    if (it == questions_.end())
+        return;
+    auto update = it->second.update;
+    questions_.erase(it);
+    if (!result)
+        return;
+    auto const held = records_.find(id);
+    if (held != records_.end() && held->second.current == stage::unknown)
+    {
+        held->second.result = make_result(*std::move(result));
+        change_stage(held->second, stage::completed, update_kind::completed,
+                     now, out);
+        return;
+    }
+    update.kind = update_kind::completed;
+    update.result = make_result(*std::move(result));
+    submit(update, now + settings_.peer_claim_lifetime, now, out);
+}
+
+void booking_table::tick(time_point now, wall_time wall, booking_effects& out)
+{
+    committer_.tick(now, out, done_);
+    take_done(now, wall, out);
+    tick_records(now, out);
+    tick_queries(now, out);
+    take_done(now, wall, out);
+    cleaner_.tick(now, wall, live_ids_, out);
+    for (auto it = questions_.begin(); it != questions_.end();)
+    {
+        auto const current = it++;
+        if (now - current->second.asked > settings_.horizon)
+            questions_.erase(current);
+    }
+}
+
+void booking_table::tick_records(time_point now, booking_effects& out)
+{
+    std::vector<claim_id> expired;
+    for (auto& it : records_)
+    {
+        auto& held = it.second;
+        bool const claiming = held.current == stage::claiming;
+        if (claiming && now >= held.deadline)
+        {
+            expired.push_back(it.first);
+            continue;
+        }
+        if (held.current == stage::granted ||
+            held.current == stage::dispatched || held.in_committer)
+            continue;
+        auto const waited = now - held.sent_at;
+        if (held.sent_to && waited >= settings_.forward_timeout)
+        {
+            ++counters_.forward_timeouts;
+            commit_here(held, now, out);
+        }
+        else if (!held.sent_to && waited >= settings_.retry_interval)
+        {
+            commit_here(held, now, out);
+        }
+    }
+    for (auto id : expired)
+    {
+        ++counters_.unsettled;
+        out.push_back(claim_unsettled{records_[id].request.request});
+        forget(id);
+    }
+}
+
+void booking_table::tick_queries(time_point now, booking_effects& out)
+{
+    for (auto& it : queries_)
+    {
+        auto& held = it.second;
+        if (!held.sent_to || now - held.sent_at < settings_.forward_timeout)
+            continue;
+        held.sent_to.reset();
+        submit(held.update, now + held.request.time_left, now, out);
+    }
+}
+
+void booking_table::set_live_vms(absl::Span<live_vm const> vms)
+{
+    live_.assign(vms.begin(), vms.end());
+    live_ids_.clear();
+    for (auto const& it : live_)
+        live_ids_.push_back(it.vm);
+}
+
+void booking_table::forget(claim_id id)
+{
+    auto const it = records_.find(id);
+    by_request_.erase(it->second.request.request);
+    records_.erase(it);
+}
+
+booking_table::record* booking_table::find(request_id request)
+{
+    auto const it = by_request_.find(request);
+    return it == by_request_.end() ? nullptr
+                                   : &records_.find(it->second)->second;
+}
+
+} // namespace buckthornvale::decision::bookings
--- /dev/null
+++ b/packages/decision/src/bookings/shard_committer.cpp
@@ -0,0 +1,489 @@
+#include <buckthornvale/decision/bookings/shard_committer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornvale::decision::bookings
+{
+
+namespace
+{
+
+// Tokens of the cleaner are odd, those of the committer even.
+constexpr store_token token_step = 2;
+
+constexpr int max_backoff_doublings = 10;
+
+update_answer answer_of(shard_update const& update, update_verdict verdict)
+{
+    update_answer answer;
+    answer.kind = update.kind;
+    answer.shard = update.shard;
+    answer.id = update.id;
+    answer.nonce = update.nonce;
+    answer.verdict = verdict;
+    return answer;
+}
+
+bool reads_only(update_kind kind)
+{
+    return kind == update_kind::claim || kind == update_kind::query;
+}
+
+bool finishes(update_kind kind)
+{
+    return kind == update_kind::completed || kind == update_kind::unknown ||
+           kind == update_kind::release;
+}
+
+} // namespace
+
+shard_committer::shard_committer(booking_settings const& settings,
+                                 std::uint64_t seed)
+    : settings_(settings), random_(seed)
+{
+}
+
+void shard_committer::submit(shard_update const& update, vm_id origin,
+                             time_point expires, time_point now,
+                             booking_effects& out, answers& done)
+{
+    auto const known = shards_.contains(update.shard);
+    if (!known && shards_.size() >= settings_.max_shards)
+        evict(now);
+    if (!known && shards_.size() >= settings_.max_shards)
+    {
+        done.push_back(
+            {origin, answer_of(update, update_verdict::unavailable)});
+        return;
+    }
+    auto& state = shards_[update.shard];
+    state.used = now;
+    bool const failing = state.failures > 0 && now < state.retry_at;
+    bool const full = state.queue.size() >= settings_.max_queue;
+    if (full || (failing && reads_only(update.kind)))
+    {
+        done.push_back(
+            {origin, answer_of(update, update_verdict::unavailable)});
+        return;
+    }
+    // A final state replaces the note that the attempt was sent.
+    if (finishes(update.kind))
+    {
+        auto const superseded = [&](item const& it)
+        {
+            return it.update.kind == update_kind::dispatched &&
+                   it.update.nonce == update.nonce;
+        };
+        state.queue.erase(
+            std::remove_if(state.queue.begin(), state.queue.end(), superseded),
+            state.queue.end());
+    }
+    state.queue.push_back({update, origin, now, expires, std::nullopt});
+    run(update.shard, state, now, out, done);
+}
+
+bool shard_committer::due(shard_state const& state, time_point now) const
+{
+    if (state.queue.empty() || now < state.retry_at)
+        return false;
+    for (auto const& it : state.queue)
+    {
+        auto const age = now - it.since;
+        if (it.update.kind == update_kind::query)
+            return true;
+        if (now < state.not_before)
+            continue;
+        if (it.update.kind == update_kind::claim)
+        {
+            if (age >= settings_.batch_delay)
+                return true;
+        }
+        else if (finishes(it.update.kind) && age >= settings_.completion_delay)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool shard_committer::needs_fresh(shard_state const& state,
+                                  time_point now) const
+{
+    if (!state.document)
+        return true;
+    if (now - state.validated < settings_.freshness)
+        return false;
+    for (auto const& it : state.queue)
+    {
+        if (!reads_only(it.update.kind))
+            continue;
+        auto const* entry = state.document->find(it.update.id);
+        if (entry == nullptr)
+        {
+            // An absent claim is only proven absent by a read or a write.
+            if (it.update.kind == update_kind::query)
+                return true;
+            continue;
+        }
+        if (entry->state != claim_state::completed)
+            return true;
+    }
+    return false;
+}
+
+void shard_committer::run(shard_address address, shard_state& state,
+                          time_point now, booking_effects& out, answers& done)
+{
+    if (now < state.retry_at)
+        return;
+    if (state.current == phase::verifying && state.token == 0)
+    {
+        start_read(address, state, phase::verifying, now, out);
+        return;
+    }
+    if (state.current != phase::idle || !due(state, now))
+        return;
+    if (needs_fresh(state, now))
+        start_read(address, state, phase::reading, now, out);
+    else
+        start_write(address, state, now, out, done);
+}
+
+void shard_committer::start_read(shard_address address, shard_state& state,
+                                 phase next, time_point now,
+                                 booking_effects& out)
+{
+    next_token_ += token_step;
+    state.current = next;
+    state.token = next_token_;
+    state.call_started = now;
+    calls_[state.token] = address;
+    ++counters_.reads;
+    out.push_back(read_object{state.token, path_of(address)});
+}
+
+bool shard_committer::take(shard_state& state, item& it, bool modified,
+                           answers& done)
+{
+    auto const change = state.document->apply(
+        it.update, settings_.max_claim_bytes, settings_.max_value_bytes);
+    auto const* entry = state.document->find(it.update.id);
+    bool const reads = reads_only(it.update.kind);
+    // The document may be an old one of the cache. Only a write shows that the
+    // store does not have the claim that an update is about.
+    bool const not_found =
+        !reads && (entry == nullptr || entry->nonce != it.update.nonce);
+    // A write of unknown outcome is made void by moving the version.
+    bool const must_write =
+        change.modified || not_found || it.unsettled_at.has_value();
+    auto const same_id = [&](item const& other)
+    { return other.update.id == it.update.id; };
+    bool const overlaps =
+        std::any_of(state.batch.begin(), state.batch.end(), same_id);
+    if (not_found)
+    {
+        state.batch.push_back(std::move(it));
+        return true;
+    }
+    auto answer = answer_of(it.update, change.verdict);
+    answer.reason = change.reason;
+    switch (change.verdict)
+    {
+    case update_verdict::applied:
+        // Without a change of its own it may still rest on one of the batch.
+        if (must_write || modified)
+        {
+            state.batch.push_back(std::move(it));
+            return must_write;
+        }
+        break;
+    case update_verdict::existing:
+        // What the batch adds is not in the store yet.
+        if (overlaps)
+        {
+            state.queue.push_back(std::move(it));
+            return false;
+        }
+        answer.entry = *entry;
+        break;
+    default:
+        if (it.unsettled_at)
+        {
+            state.queue.push_back(std::move(it));
+            return true;
+        }
+        break;
+    }
+    done.push_back({it.origin, std::move(answer)});
+    return false;
+}
+
+void shard_committer::start_write(shard_address address, shard_state& state,
+                                  time_point now, booking_effects& out,
+                                  answers& done)
+{
+    std::vector<item> waiting;
+    waiting.swap(state.queue);
+    bool modified = false;
+    // Only queries are answered while the pace forbids a write.
+    bool const may_write = now >= state.not_before;
+    for (auto& it : waiting)
+    {
+        if (may_write || it.update.kind == update_kind::query)
+            modified = take(state, it, modified, done) || modified;
+        else
+            state.queue.push_back(std::move(it));
+    }
+    if (!modified)
+        return;
+    next_token_ += token_step;
+    state.current = phase::writing;
+    state.token = next_token_;
+    state.call_started = now;
+    state.not_before =
+        now + from_seconds(settings_.shards / settings_.writes_per_second);
+    calls_[state.token] = address;
+    write_object write{state.token, path_of(address), state.version,
+                       state.document->encode()};
+    ++counters_.writes;
+    counters_.written_updates += state.batch.size();
+    counters_.written_bytes += write.value.size();
+    out.push_back(std::move(write));
+}
+
+bool shard_committer::store_answer(bookings::store_answer const& answer,
+                                   time_point now, booking_effects& out,
+                                   answers& done)
+{
+    if (answer.token % token_step != 0)
+        return false;
+    auto const call = calls_.find(answer.token);
+    if (call == calls_.end())
+        return true;
+    auto const address = call->second;
+    calls_.erase(call);
+    auto& state = shards_[address];
+    if (state.token != answer.token)
+        return true;
+    state.token = 0;
+    if (state.current == phase::writing)
+        write_done(state, answer, now, done);
+    else
+        read_done(state, answer, now, done);
+    run(address, state, now, out, done);
+    return true;
+}
+
+bool shard_committer::adopt(shard_state& state, std::uint64_t version,
+                            std::string const& value, bool absent,
+                            time_point now, answers& done)
+{
+    state.document.reset();
+    if (absent)
+    {
+        state.document.emplace();
+        version = 0;
+    }
+    else
+    {
+        auto decoded = shard_document::decode(value);
+        if (!decoded.ok())
+        {
+            ++counters_.damaged;
+            fail(state, now, done);
+            return false;
+        }
+        state.document = *std::move(decoded);
+    }
+    state.version = version;
+    state.validated = now;
+    // A write conditional on another version can no longer take effect.
+    for (auto& it : state.queue)
+    {
+        if (it.unsettled_at && *it.unsettled_at != version)
+            it.unsettled_at.reset();
+    }
+    state.failures = 0;
+    return true;
+}
+
+void shard_committer::requeue_batch(shard_state& state)
+{
+    state.queue.insert(state.queue.begin(),
+                       std::make_move_iterator(state.batch.begin()),
+                       std::make_move_iterator(state.batch.end()));
+    state.batch.clear();
+}
+
+void shard_committer::read_done(shard_state& state,
+                                bookings::store_answer const& answer,
+                                time_point now, answers& done)
+{
+    bool const verifying = state.current == phase::verifying;
+    bool const absent = answer.status == store_status::absent;
+    if (!absent && answer.status != store_status::ok)
+    {
+        // Without an answer a lost write stays lost: it is read again later.
+        fail(state, now, done);
+        state.current = verifying ? phase::verifying : phase::idle;
+        return;
+    }
+    if (verifying)
+        requeue_batch(state);
+    state.current = phase::idle;
+    adopt(state, answer.version, answer.value, absent, now, done);
+}
+
+void shard_committer::write_done(shard_state& state,
+                                 bookings::store_answer const& answer,
+                                 time_point now, answers& done)
+{
+    state.current = phase::idle;
+    switch (answer.status)
+    {
+    case store_status::ok:
+        state.version = answer.version;
+        state.validated = now;
+        state.failures = 0;
+        for (auto const& it : state.batch)
+        {
+            done.push_back(
+                {it.origin, answer_of(it.update, update_verdict::applied)});
+        }
+        state.batch.clear();
+        // Writes of unknown outcome were conditional on an older version.
+        for (auto& it : state.queue)
+            it.unsettled_at.reset();
+        return;
+    case store_status::conflict:
+        ++counters_.conflicts;
+        requeue_batch(state);
+        adopt(state, answer.version, answer.value, answer.version == 0, now,
+              done);
+        return;
+    case store_status::unavailable:
+        requeue_batch(state);
+        state.document.reset();
+        fail(state, now, done);
+        return;
+    default:
+        ++counters_.unknown_writes;
+        for (auto& it : state.batch)
+            it.unsettled_at = state.version;
+        state.document.reset();
+        state.current = phase::verifying;
+        return;
+    }
+}
+
+void shard_committer::fail(shard_state& state, time_point now, answers& done)
+{
+    auto const doublings = std::min(state.failures, max_backoff_doublings);
+    auto const wait = std::min(settings_.backoff_first * (1 << doublings),
+                               settings_.backoff_last);
+    auto const part = std::max<std::int64_t>(1, wait.count() / 2);
+    ++state.failures;
+    state.retry_at = now + duration(part + random_() % part);
+    refuse_unwritten(state, update_verdict::unavailable, done);
+}
+
+void shard_committer::refuse_unwritten(shard_state& state,
+                                       update_verdict verdict, answers& done)
+{
+    std::vector<item> kept;
+    for (auto& it : state.queue)
+    {
+        if (reads_only(it.update.kind) && !it.unsettled_at)
+            done.push_back({it.origin, answer_of(it.update, verdict)});
+        else
+            kept.push_back(std::move(it));
+    }
+    state.queue = std::move(kept);
+}
+
+void shard_committer::expire(shard_state& state, time_point now, answers& done)
+{
+    std::vector<item> kept;
+    for (auto& it : state.queue)
+    {
+        if (it.update.kind != update_kind::claim || it.expires > now)
+        {
+            kept.push_back(std::move(it));
+            continue;
+        }
+        auto const verdict = it.unsettled_at ? update_verdict::unsettled
+                                             : update_verdict::unavailable;
+        done.push_back({it.origin, answer_of(it.update, verdict)});
+        if (!it.unsettled_at)
+            continue;
+        // The claim may be in the store and will not be run: remove it.
+        it.update.kind = update_kind::release;
+        kept.push_back(std::move(it));
+    }
+    state.queue = std::move(kept);
+}
+
+void shard_committer::tick(time_point now, booking_effects& out, answers& done)
+{
+    for (auto& it : shards_)
+    {
+        auto& state = it.second;
+        if (state.token != 0 &&
+            now - state.call_started >= settings_.store_timeout)
+        {
+            calls_.erase(state.token);
+            bookings::store_answer lost;
+            lost.token = std::exchange(state.token, 0);
+            if (state.current == phase::writing)
+                write_done(state, lost, now, done);
+            else
+                read_done(state, lost, now, done);
+        }
+        expire(state, now, done);
+        run(it.first, state, now, out, done);
+    }
+    evict(now);
+}
+
+duration shard_committer::retry_after(shard_address address,
+                                      time_point now) const
+{
+    auto const it = shards_.find(address);
+    if (it == shards_.end())
+        return settings_.backoff_first;
+    return std::max(it->second.retry_at - now, settings_.backoff_first);
+}
+
+std::size_t shard_committer::cached_bytes() const
+{
+    std::size_t sum = 0;
+    for (auto const& it : shards_)
+        sum += it.second.document ? it.second.document->bytes() : 0;
+    return sum;
+}
+
+void shard_committer::evict(time_point now)
+{
+    auto bytes = cached_bytes();
+    while (bytes > settings_.cache_bytes ||
+           shards_.size() >= settings_.max_shards)
+    {
+        auto oldest = shards_.end();
+        for (auto it = shards_.begin(); it != shards_.end(); ++it)
+        {
+            auto const& state = it->second;
+            bool const idle = state.current == phase::idle &&
+                              state.queue.empty() && now >= state.not_before;
+            if (idle &&
+                (oldest == shards_.end() || state.used < oldest->second.used))
+                oldest = it;
+        }
+        if (oldest == shards_.end())
+            return;
+        bytes -= oldest->second.document ? oldest->second.document->bytes() : 0;
+        shards_.erase(oldest);
+    }
+}
+
+} // namespace buckthornvale::decision::bookings
--- /dev/null
+++ b/packages/decision/src/fleet/summary_aggregator.cpp
@@ -0,0 +1,275 @@
+#include <buckthornvale/decision/fleet/summary_aggregator.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornvale::decision::fleet
+{
+
+namespace
+{
+
+template <class Load, class Id>
+Load const* find_load(std::vector<Load> const& loads, Load const& like, Id id)
+{
+    auto const it =
+        std::find_if(loads.begin(), loads.end(),
+                     [&](Load const& held) { return held.*id == like.*id; });
+    return it == loads.end() ? nullptr : &*it;
+}
+
+// Replaces the entries that a message lists; entries that became zero go.
+template <class Load, class Id>
+void merge(std::vector<Load>& held, std::vector<Load> const& news, Id id)
+{
+    for (auto const& it : news)
+    {
+        auto const same = [&](Load const& other)
+        { return other.*id == it.*id; };
+        held.erase(std::remove_if(held.begin(), held.end(), same), held.end());
+        held.push_back(it);
+    }
+}
+
+bool empty(pool_load const& load)
+{
+    auto const zero = [](double value) { return value == 0.; };
+    return std::all_of(load.in_flight.begin(), load.in_flight.end(), zero) &&
+           std::all_of(load.demand.begin(), load.demand.end(), zero);
+}
+
+bool empty(organisation_load const& load)
+{
+    return load.requests_per_second == 0. && load.concurrent == 0.;
+}
+
+template <class Load>
+void erase_empty(std::vector<Load>& loads)
+{
+    loads.erase(std::remove_if(loads.begin(), loads.end(),
+                               [](Load const& it) { return empty(it); }),
+                loads.end());
+}
+
+} // namespace
+
+summary_aggregator::summary_aggregator(summary_settings const& settings)
+    : settings_(settings)
+{
+}
+
+void summary_aggregator::set_links(absl::Span<topology_link const> links,
+                                   time_point now)
+{
+    std::vector<link_state> kept;
+    for (auto const& it : links)
+    {
+        auto const held = std::find_if(links_.begin(), links_.end(),
+                                       [&](link_state const& other) {
+                                           return other.link.vm == it.vm &&
+                                                  other.link.role == it.role;
+                                       });
+        if (held != links_.end())
+        {
+            kept.push_back(*held);
+            continue;
+        }
+        link_state created;
+        created.link = it;
+        created.heard = now;
+        kept.push_back(std::move(created));
+    }
+    links_ = std::move(kept);
+}
+
+void summary_aggregator::set_local(load_summary summary)
+{
+    // Sorts and bounds it like any other sum.
+    load_summary bounded;
+    bounded.vms = 0;
+    add(bounded, summary);
+    local_ = std::move(bounded);
+    local_.vms = 1;
+}
+
+void summary_aggregator::receive(vm_id from, summary_message const& message,
+                                 time_point now)
+{
+    auto const it = std::find_if(links_.begin(), links_.end(),
+                                 [&](link_state const& held)
+                                 { return held.link.vm == from; });
+    if (it == links_.end())
+        return;
+    auto& held = *it;
+    bool const wants_fleet = held.link.role == link_role::parent;
+    // While views of the topology differ, a sum of the fleet must not be
+    // counted as that of a subtree.
+    if (message.fleet != wants_fleet)
+        return;
+    bool const next =
+        held.in_sequence && message.sequence == held.last_sequence + 1;
+    held.in_sequence = message.full || next;
+    held.last_sequence = message.sequence;
+    if (!held.in_sequence)
+        return;
+    held.received = true;
+    held.heard = now;
+    if (message.full)
+    {
+        held.contribution = message.load;
+        return;
+    }
+    auto& load = held.contribution;
+    load.vms = message.load.vms;
+    load.settings_revision = message.load.settings_revision;
+    load.marks = message.load.marks;
+    merge(load.pools, message.load.pools, &pool_load::pool);
+    merge(load.organisations, message.load.organisations,
+          &organisation_load::organisation);
+    erase_empty(load.pools);
+    erase_empty(load.organisations);
+}
+
+bool summary_aggregator::fresh(link_state const& held, time_point now) const
+{
+    return held.received &&
+           now - held.heard < settings_.period * settings_.stale_periods;
+}
+
+load_summary summary_aggregator::subtree(time_point now) const
+{
+    auto sum = local_;
+    for (auto const& it : links_)
+    {
+        if (it.link.role == link_role::child && fresh(it, now))
+            add(sum, it.contribution);
+    }
+    return sum;
+}
+
+load_summary summary_aggregator::fleet(time_point now) const
+{
+    for (auto const& it : links_)
+    {
+        if (it.link.role == link_role::parent && fresh(it, now))
+            return it.contribution;
+    }
+    auto sum = subtree(now);
+    for (auto const& it : links_)
+    {
+        if (it.link.role == link_role::peer && fresh(it, now))
+            add(sum, it.contribution);
+    }
+    return sum;
+}
+
+std::uint32_t summary_aggregator::vms_known(time_point now) const
+{
+    return fleet(now).vms;
+}
+
+bool summary_aggregator::stale(time_point now) const
+{
+    return std::any_of(links_.begin(), links_.end(),
+                       [&](link_state const& it) { return !fresh(it, now); });
+}
+
+load_summary summary_aggregator::for_link(link_state const& held,
+                                          time_point now) const
+{
+    return held.link.role == link_role::child ? fleet(now) : subtree(now);
+}
+
+bool summary_aggregator::differs(double before, double after) const
+{
+    if ((before == 0.) != (after == 0.))
+        return true;
+    auto const change = std::abs(after - before);
+    return change > settings_.change_floor &&
+           change > settings_.change_fraction * std::abs(before);
+}
+
+summary_message summary_aggregator::difference(link_state& held,
+                                               load_summary const& load)
+{
+    summary_message message;
+    message.sequence = held.next_sequence++;
+    message.fleet = held.link.role == link_role::child;
+    message.full = held.until_full == 0;
+    if (message.full)
+    {
+        held.until_full = settings_.full_periods;
+        message.load = load;
+        held.sent = load;
+    }
+    --held.until_full;
+    if (message.full)
+        return message;
+    message.load.vms = load.vms;
+    message.load.settings_revision = load.settings_revision;
+    message.load.marks = load.marks;
+    auto const pool_differs = [&](pool_load const& a, pool_load const& b)
+    {
+        bool changed = false;
+        for (std::size_t i = 0; i < rank_count; ++i)
+        {
+            changed = changed || differs(a.in_flight[i], b.in_flight[i]) ||
+                      differs(a.demand[i], b.demand[i]);
+        }
+        return changed;
+    };
+    auto const organisation_differs =
+        [&](organisation_load const& a, organisation_load const& b)
+    {
+        return differs(a.requests_per_second, b.requests_per_second) ||
+               differs(a.concurrent, b.concurrent);
+    };
+    auto const select = [](auto const& sent, auto const& present, auto id,
+                           auto const& different, auto& listed)
+    {
+        for (auto const& it : present)
+        {
+            auto const* old = find_load(sent, it, id);
+            if (old == nullptr || different(*old, it))
+                listed.push_back(it);
+        }
+        for (auto const& it : sent)
+        {
+            if (find_load(present, it, id) != nullptr)
+                continue;
+            auto gone = it;
+            gone = {};
+            gone.*id = it.*id;
+            listed.push_back(gone);
+        }
+    };
+    select(held.sent.pools, load.pools, &pool_load::pool, pool_differs,
+           message.load.pools);
+    select(held.sent.organisations, load.organisations,
+           &organisation_load::organisation, organisation_differs,
+           message.load.organisations);
+    merge(held.sent.pools, message.load.pools, &pool_load::pool);
+    merge(held.sent.organisations, message.load.organisations,
+          &organisation_load::organisation);
+    erase_empty(held.sent.pools);
+    erase_empty(held.sent.organisations);
+    return message;
+}
+
+void summary_aggregator::tick(time_point now,
+                              std::vector<outgoing_summary>& out)
+{
+    if (!started_)
+        next_ = now;
+    started_ = true;
+    if (now < next_)
+        return;
+    next_ = std::max(next_ + settings_.period, now);
+    for (auto& it : links_)
+    {
+        auto const load = for_link(it, now);
+        out.push_back({it.link.vm, difference(it, load)});
+    }
+}
+
+} // namespace buckthornvale::decision::fleet
