bench: add the policy bench

Cause: admission policies need figures side by side. Change: policy_bench drives seven controllers in virtual time against a queueing model of runners; baselines and two bench-only overload gates.

--- /dev/null
+++ b/bench/policy/simulation.hpp
@@ -0,0 +1,64 @@
+#ifndef BUCKTHORNVALE_BENCH_POLICY_SIMULATION_HPP
+#define BUCKTHORNVALE_BENCH_POLICY_SIMULATION_HPP
+
+#include "model.hpp"
+#include "scenario.hpp"
+#include <buckthornvale/decision/admission/admission_types.hpp>
+
+#include <string>
+#include <vector>
+
+namespace buckthornvale::bench
+{
+
+//! Overload control in front of the controllers.
+enum class gate_kind
+{
+    none,
+    level, //!< DAGOR-like
+    ageing //!< CoDel-like
+};
+
+//! One policy of the comparison.
+struct policy
+{
+    std::string name;
+    decision::admission::ordering order =
+        decision::admission::ordering::combined;
+    gate_kind gate = gate_kind::none;
+};
+
+struct bench_options
+{
+    std::uint64_t seed = 1;
+    double speed_spread = 4.0;
+    bool runner_priority = false; //!< runners serve by rank, else by arrival
+    double runner_queueing = 0.1; //!< seconds, as in admission_settings
+};
+
+//! Fate of one request that arrived in the measured time.
+struct outcome
+{
+    std::size_t caller = 0;
+    rank work_rank = rank::standard;
+    bool started = false; //!< else not run
+    bool in_time = false;
+    double latency = 0.0; //!< seconds, when in time
+};
+
+struct run_result
+{
+    std::vector<outcome> outcomes;
+    std::array<double, stage_kind_count> stage_work{}; //!< slot seconds
+    double wasted_work = 0.0; //!< of requests that missed their deadline
+    //! Slot seconds on the model pool of requests in time.
+    std::array<double, rank_count> model_work{};
+    double seconds = 0.0; //!< measured
+};
+
+run_result run(deployment const& shape, scenario const& load,
+               policy const& rule, bench_options const& options);
+
+} // namespace buckthornvale::bench
+
+#endif
