admission: let ranks and organisations within their part burst

Cause: guaranteed parts divided over seven VMs are a few slots each, so a rank within its guarantee still queued behind its own bursts; requests left the queue with a margin too small for the spread of stage times. Change: a rank whose fleet demand is within its guarantee may hold twice its part; organisations below the fair level of an overloaded rank need not wait for the bound; a queued request expires at four mean deviations.

--- a/packages/decision/include/buckthornvale/decision/admission/capacity_share.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/capacity_share.hpp
@@ -20,6 +20,15 @@
     double slots = 0.0;
 };
 
+//! How capacity is divided at present.
+struct capacity_division
+{
+    std::vector<pool_share> shares; //!< of this VM, in the order of the pools
+    //! Fair cost per second and weight of an organisation over the fleet, by
+    //! rank; infinite when the rank's demand can be served in full.
+    std::array<double, rank_count> fair_level{};
+};
+
 //! Divides each pool between the VMs by their demand.
 //!
 //! The fleet's demand for a pool is first given to the ranks: each gets up to
@@ -28,9 +37,7 @@
 //! heavy organisations counts only up to their fair part of a rank that cannot
 //! be served in full, so that a VM does not gain by a heavy caller. Each stale
 //! VM keeps one part of the fleet's size.
-//!
-//! Returns one share for each of `pools`, in their order.
-std::vector<pool_share>
+capacity_division
 divide_pools(absl::Span<pool_capacity const> pools, demand_summary const& own,
              peer_view const& peers, rank_table const& ranks,
              absl::FunctionRef<double(organisation_id)> weight_of);
--- a/packages/decision/include/buckthornvale/decision/admission/ordering_policy.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/ordering_policy.hpp
@@ -30,6 +30,7 @@
     bool organisation_fair = false; //!< virtual token counters
     bool deadline_checks = false;   //!< early refusal and expiry
     bool least_slack = false;       //!< order within a queue; else arrival
+    bool light_first = false;       //!< light organisations need not wait
 };
 
 //! Order in which waiting requests are dispatched. Stateless.
--- a/packages/decision/include/buckthornvale/decision/admission/residence_estimate.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/residence_estimate.hpp
@@ -17,8 +17,9 @@
 public:
     void add(duration expected, duration measured, time_point now);
 
-    //! Time that most requests with this expectation need.
-    duration predict(duration expected, time_point now) const;
+    //! Time that most requests with this expectation need: the mean and
+    //! `margin` mean absolute deviations.
+    duration predict(duration expected, double margin, time_point now) const;
 
 private:
     double confidence(time_point now) const;
--- a/packages/decision/src/admission/admission_state.cpp
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace buckthornvale::decision::admission::detail
 {
@@ -21,6 +22,16 @@
 //! Slots assumed for the cost of work on a pool whose capacity is unknown.
 constexpr double unknown_slots = 1.0;
 
+//! Mean absolute deviations that are added to the mean residence. A request
+//! that can start at once is refused only when it is unlikely to be in time.
+//! One that waited leaves the queue earlier: under overload others can use
+//! the slots, and work on a request that then fails is wasted.
+constexpr double start_margin = 1.0;
+constexpr double queue_margin = 4.0;
+
+//! Part of the fair level up to which an organisation counts as light.
+constexpr double light_part = 0.8;
+
 constexpr duration no_runner_retry = std::chrono::seconds(1);
 constexpr duration queue_full_retry = std::chrono::seconds(1);
 
@@ -81,12 +92,13 @@
     std::vector<pool_capacity> capacities;
     for (auto const& it : pools)
         capacities.push_back({it.id(), it.fleet_slots().value_or(0.0)});
-    auto const shares =
+    auto const division =
         divide_pools(capacities, demand.summary(pools, organisations, now),
                      peers, ranks.ranks(),
                      [&](organisation_id id) { return limits_of(id).weight; });
     for (std::size_t i = 0; i < pools.size(); ++i)
-        pools[i].set_share(shares[i]);
+        pools[i].set_share(division.shares[i]);
+    fair_level = division.fair_level;
 }
 
 admission_decision
@@ -117,6 +129,16 @@
         return refuse(error_kind::deadline_passed, {});
     if (!traits.deadline_checks)
         return {verdict::dispatch, error_kind::none, {}};
+    auto const& estimate =
+        paths[request.path].residence[index_of(request.work_rank)];
+    if (may_dispatch_now(request))
+    {
+        auto const needed =
+            estimate.predict(request.expected_total, start_margin, now);
+        return now + needed <= request.deadline
+                   ? admission_decision{verdict::dispatch, {}, {}}
+                   : refuse(error_kind::deadline_unreachable, {});
+    }
     auto const wait = predicted_wait(request, record, now);
     if (now + wait > request.expires)
         return refuse(error_kind::deadline_unreachable, wait);
@@ -170,10 +192,11 @@
         limits_of(request.organisation).weight,
         record.cost_rate[r] + out.cost / to_seconds(settings.demand_memory),
         peers.organisation(request.organisation).cost_rate[r]));
+    out.light = is_light(out, record);
     out.expires = request.deadline;
     if (traits.deadline_checks)
-        out.expires -=
-            paths[out.path].residence[r].predict(request.expected_total, now);
+        out.expires -= paths[out.path].residence[r].predict(
+            request.expected_total, queue_margin, now);
     out.position.sequence = ++arrivals;
     if (traits.least_slack)
         out.position.key = out.expires.time_since_epoch().count();
@@ -194,21 +217,34 @@
     }
 }
 
-pool_access admission_state::access(std::uint32_t path, rank r) const
+pool_access admission_state::access(std::uint32_t path, rank r,
+                                    bool light) const
 {
     auto out = pool_access::guaranteed;
     for (auto const pool : paths[path].pools)
         out =
             std::min(out, ranks.access(pools[pool], r, settings.runner_queueing,
-                                       traits.rank_shares));
+                                       traits.rank_shares, light));
     return out;
 }
 
+bool admission_state::is_light(kept_request const& request,
+                               organisation_record const& record) const
+{
+    auto const i = index_of(request.work_rank);
+    auto const level = fair_level[i];
+    if (!traits.light_first || !std::isfinite(level))
+        return false;
+    auto const rate = record.cost_rate[i] +
+                      peers.organisation(request.organisation).cost_rate[i];
+    return rate <= light_part * level * limits_of(request.organisation).weight;
+}
+
 // A request starts without passing through the queue only when it cannot
 // overtake one that poll() would dispatch.
 bool admission_state::may_dispatch_now(kept_request const& request) const
 {
-    auto const allowed = access(request.path, request.work_rank);
+    auto const allowed = access(request.path, request.work_rank, request.light);
     if (allowed == pool_access::blocked)
         return false;
     if (expiries.empty())
@@ -221,8 +257,6 @@
                                          organisation_record const& record,
                                          time_point now) const
 {
-    if (may_dispatch_now(request))
-        return {};
     auto const r = request.work_rank;
     auto const i = index_of(r);
     // Fair service lets the organisation pass others; what it then has to
@@ -326,10 +360,6 @@
             auto& queue = paths[path].queues[i];
             if (queue.empty())
                 continue;
-            candidate it;
-            it.access = access(path, r);
-            if (it.access == pool_access::blocked)
-                continue;
             auto const counter_of = [&](organisation_id id)
             {
                 auto const* const record = organisations.find(id);
@@ -337,6 +367,10 @@
             };
             auto const [flow, id] = queue.front(counter_of);
             auto& request = *requests.find(id)->second;
+            candidate it;
+            it.access = access(path, r, request.light);
+            if (it.access == pool_access::blocked)
+                continue;
             it.work_rank = r;
             it.sequence = request.position.sequence;
             it.latest_start = request.expires;
@@ -361,7 +395,7 @@
         return now >= request.deadline;
     auto const& estimate =
         paths[request.path].residence[index_of(request.work_rank)];
-    return now + estimate.predict(request.expected_total, now) >
+    return now + estimate.predict(request.expected_total, queue_margin, now) >
            request.deadline;
 }
 
--- a/packages/decision/src/admission/admission_state.hpp
+++ b/packages/decision/src/admission/admission_state.hpp
@@ -43,6 +43,7 @@
     std::uint32_t path = 0;
     float weight = 1.0F;
     bool running = false;
+    bool light = false; //!< its organisation is below its fair part
     queue_position position;
     time_point deadline;
     time_point expires;    //!< from the queue
@@ -88,7 +89,9 @@
                      time_point now);
 
     // Queue.
-    pool_access access(std::uint32_t path, rank r) const;
+    pool_access access(std::uint32_t path, rank r, bool light) const;
+    bool is_light(kept_request const& request,
+                  organisation_record const& record) const;
     bool may_dispatch_now(kept_request const& request) const;
     duration predicted_wait(kept_request const& request,
                             organisation_record const& record,
@@ -122,6 +125,7 @@
     std::array<std::size_t, rank_count> queued{};
     std::array<double, rank_count> queued_weight{};
     std::uint64_t arrivals = 0;
+    std::array<double, rank_count> fair_level{};
     time_point refreshed;
     bool changed = true; //!< capacity, ranks or fleet since the last refresh
 };
--- a/packages/decision/src/admission/capacity_share.cpp
+++ b/packages/decision/src/admission/capacity_share.cpp
@@ -19,6 +19,11 @@
 //! reaches the peers.
 constexpr double even_part = 0.5;
 
+//! A rank whose demand is within its guaranteed share may hold this many times
+//! its part: demand limits it on average, and at one VM it comes in bursts of
+//! several requests.
+constexpr double burst_factor = 2.0;
+
 //! A rank served to this degree counts as served in full.
 constexpr double served_in_full = 0.999;
 
@@ -103,9 +108,10 @@
     return out;
 }
 
-//! Caps the demand of heavy organisations in one rank at their fair part.
-void cap_heavy(fleet_demand& demand, std::size_t r, double served,
-               absl::FunctionRef<double(organisation_id)> weight_of)
+//! Caps the demand of heavy organisations in one rank at their fair part;
+//! returns the fair level.
+double cap_heavy(fleet_demand& demand, std::size_t r, double served,
+                 absl::FunctionRef<double(organisation_id)> weight_of)
 {
     // Ordered, so that sums and with them decisions are reproducible.
     std::map<organisation_id, double> heavy;
@@ -123,7 +129,7 @@
     auto const rest = std::max(0.0, total - listed);
     auto const for_heavy = served * total - rest;
     if (for_heavy <= 0.0)
-        return;
+        return std::numeric_limits<double>::infinity();
     std::vector<weighted_demand> demands;
     demands.reserve(heavy.size());
     for (auto const& [id, rate] : heavy)
@@ -143,6 +149,7 @@
         if (offered > 0.0)
             demand.scale(vm, r, std::max(0.0, 1.0 - excess / offered));
     }
+    return level;
 }
 
 pool_share own_share(fleet_demand& demand, std::size_t pool, double slots,
@@ -160,8 +167,9 @@
     {
         auto const part = total[r] > 0.0 ? own[r] / total[r] : even;
         out.slots += given[r] * part;
-        out.guaranteed[r] =
-            ranks[r].guaranteed_share * slots * std::max(part, even);
+        auto const guaranteed = ranks[r].guaranteed_share * slots;
+        out.guaranteed[r] = guaranteed * std::max(part, even) *
+                            (total[r] < guaranteed ? burst_factor : 1.0);
         own_sum += own[r];
         all_sum += total[r];
         spare -= given[r];
@@ -174,7 +182,7 @@
 
 } // namespace
 
-std::vector<pool_share>
+capacity_division
 divide_pools(absl::Span<pool_capacity const> pools, demand_summary const& own,
              peer_view const& peers, rank_table const& ranks,
              absl::FunctionRef<double(organisation_id)> weight_of)
@@ -183,15 +191,16 @@
     auto const reachable = static_cast<double>(demand.vm_count()) /
                            static_cast<double>(peers.fleet_size());
     auto const served = served_parts(demand, pools, reachable, ranks);
+    capacity_division out;
+    out.fair_level.fill(std::numeric_limits<double>::infinity());
     for (std::size_t r = 0; r < rank_count; ++r)
     {
         if (served[r] < served_in_full)
-            cap_heavy(demand, r, served[r], weight_of);
+            out.fair_level[r] = cap_heavy(demand, r, served[r], weight_of);
     }
-    std::vector<pool_share> out;
-    out.reserve(pools.size());
+    out.shares.reserve(pools.size());
     for (std::size_t pool = 0; pool < pools.size(); ++pool)
-        out.push_back(
+        out.shares.push_back(
             own_share(demand, pool, pools[pool].slots * reachable, ranks));
     return out;
 }
--- a/packages/decision/src/admission/ordering_policy.cpp
+++ b/packages/decision/src/admission/ordering_policy.cpp
@@ -71,7 +71,10 @@
 class combined_policy : public ordering_policy
 {
 public:
-    policy_traits traits() const override { return {true, true, true, true}; }
+    policy_traits traits() const override
+    {
+        return {true, true, true, true, true};
+    }
 
     bool before(candidate const& a, candidate const& b) const override
     {
--- a/packages/decision/src/admission/rank_scheduler.cpp
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+//! Light organisations together may hold this many times the rank's part.
+//! Their demand is below their fair parts, so the excess is a burst.
+constexpr double light_factor = 2.0;
+
 //! A rank without a guaranteed share still gets a finite counter.
 constexpr double smallest_share = 1e-3;
 
@@ -17,13 +21,16 @@
 } // namespace
 
 pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
-                                   duration runner_queueing, bool shares) const
+                                   duration runner_queueing, bool shares,
+                                   bool light) const
 {
     if (!pool.fleet_slots())
         return pool_access::guaranteed;
     if (*pool.fleet_slots() <= 0.0)
         return pool_access::blocked;
-    if (shares && pool.backlog(r) < pool.guaranteed_bound(r, runner_queueing))
+    auto const part = light ? light_factor : 1.0;
+    if (shares &&
+        pool.backlog(r) < part * pool.guaranteed_bound(r, runner_queueing))
         return pool_access::guaranteed;
     return pool.total_backlog() < pool.bound(runner_queueing)
                ? pool_access::lent
--- a/packages/decision/src/admission/residence_estimate.cpp
+++ b/packages/decision/src/admission/residence_estimate.cpp
@@ -13,11 +13,6 @@
 //! Weight of one sample: about the last 30 requests.
 constexpr double gain = 1.0 / 32.0;
 
-//! Mean absolute deviations added to the mean, as for a retransmission
-//! timeout but with less margin: a request that is refused wrongly costs as
-//! much as one that fails late.
-constexpr double margin = 2.0;
-
 constexpr duration memory = std::chrono::seconds(5);
 
 } // namespace
@@ -36,7 +31,8 @@
     updated_ = now;
 }
 
-duration residence_estimate::predict(duration expected, time_point now) const
+duration residence_estimate::predict(duration expected, double margin,
+                                     time_point now) const
 {
     auto const keep = confidence(now);
     auto const factor = 1.0 + keep * (ratio_ - 1.0 + margin * deviation_);
