--- a/bench/policy/report.cpp
+++ b/bench/policy/report.cpp
@@ -71,6 +71,8 @@
     std::vector<double> demand(load.callers.size());
     std::vector<double> served(load.callers.size());
     std::vector<double> slowdowns;
+    std::vector<double> waits;
+    std::vector<double> services;
     for (auto const& it : result.outcomes)
     {
         auto const r = index_of(it.work_rank);
@@ -79,6 +81,11 @@
         in_time[r] += it.in_time ? 1.0 : 0.0;
         demand[it.caller] += work;
         served[it.caller] += it.in_time ? work : 0.0;
+        if (load.callers[it.caller].small && it.in_time)
+        {
+            waits.push_back(it.waited / work);
+            services.push_back(it.served / work);
+        }
         if (load.callers[it.caller].small)
             slowdowns.push_back(it.in_time
                                     ? it.latency / work
@@ -111,7 +118,14 @@
     out.small_p95 = quantile(slowdowns, 0.95);
     out.small_p95_against_normal =
         normal == nullptr ? 1.0 : ratio(out.small_p95, normal->small_p95);
-    out.wasted = all_work > 0.0 ? result.wasted_work / all_work : 0.0;
+    out.small_p95_wait = quantile(waits, 0.95);
+    out.small_p95_service = quantile(services, 0.95);
+    for (std::size_t r = 0; r < rank_count; ++r)
+    {
+        out.wasted_by_rank[r] =
+            all_work > 0.0 ? result.wasted_work[r] / all_work : 0.0;
+        out.wasted += out.wasted_by_rank[r];
+    }
     out.spread_ratio = ratio(served[0], served[1]);
     return out;
 }
@@ -184,7 +198,10 @@
         {"jain", it.jain},
         {"small_p95_slowdown", it.small_p95},
         {"small_p95_against_normal", it.small_p95_against_normal},
+        {"small_p95_wait", it.small_p95_wait},
+        {"small_p95_service", it.small_p95_service},
         {"wasted", it.wasted},
+        {"wasted_by_rank", it.wasted_by_rank},
         {"spread_ratio", it.spread_ratio}};
     for (std::size_t k = 0; k < stage_kind_count; ++k)
         out["stage_cost_s"][std::string(stage_names[k])] = it.stage_cost[k];
--- a/bench/policy/report.hpp
+++ b/bench/policy/report.hpp
@@ -25,7 +25,11 @@
     double jain = 0.0; //!< over callers, of service over max-min fair service
     double small_p95 = 0.0; //!< latency over expected time; small callers
     double small_p95_against_normal = 0.0;
-    double wasted = 0.0;       //!< part of all stage work
+    //! Parts of the slowdown of small callers, 95th percentiles.
+    double small_p95_wait = 0.0;    //!< at admission
+    double small_p95_service = 0.0; //!< on runners, without their queues
+    double wasted = 0.0;            //!< part of all stage work
+    std::array<double, rank_count> wasted_by_rank{};
     double spread_ratio = 0.0; //!< caller 0's service over caller 1's
     std::array<double, stage_kind_count> stage_cost{}; //!< per request in time
 };
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -55,6 +55,7 @@
     bool started = false;
     bool in_time = false;
     double latency = 0.0;
+    double waited = 0.0;
 };
 
 class simulation
@@ -200,6 +201,7 @@
         if (auto* const gate = gates_[arrivals_[n].vm].get())
             gate->started(now_ - arrivals_[n].at, now_);
         requests_[n].started = true;
+        requests_[n].waited = now_ - arrivals_[n].at;
         begin_stage(n);
     }
 
@@ -341,12 +343,14 @@
             auto const& request = requests_[n];
             result_.outcomes.push_back({arrivals_[n].caller,
                                         arrivals_[n].work_rank, request.started,
-                                        request.in_time, request.latency});
+                                        request.in_time, request.latency,
+                                        request.waited, request.work});
             if (request.in_time)
                 result_.model_work[index_of(arrivals_[n].work_rank)] +=
                     request.model_work;
             else
-                result_.wasted_work += request.work;
+                result_.wasted_work[index_of(arrivals_[n].work_rank)] +=
+                    request.work;
         }
         result_.seconds = load_.length - load_.event_at;
         return std::move(result_);
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -44,13 +44,16 @@
     bool started = false; //!< else not run
     bool in_time = false;
     double latency = 0.0; //!< seconds, when in time
+    double waited = 0.0;  //!< seconds, at admission
+    double served = 0.0;  //!< slot seconds, all stages
 };
 
 struct run_result
 {
     std::vector<outcome> outcomes;
     std::array<double, stage_kind_count> stage_work{}; //!< slot seconds
-    double wasted_work = 0.0; //!< of requests that missed their deadline
+    //! Slot seconds of requests that missed their deadline.
+    std::array<double, rank_count> wasted_work{};
     //! Slot seconds on the model pool of requests in time.
     std::array<double, rank_count> model_work{};
     double seconds = 0.0; //!< measured
