admission: bound the part of its slack that a request may wait

Cause: with least slack first, an overloaded queue starts every request as late as the estimate allows, so each underestimate fails after its work. Change: a request leaves the queue after half its slack at arrival; a part of the bound for organisations above their fair level (off by default).

--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -19,6 +19,9 @@
 DEFINE_double(runner_queueing, 0.1,
               "queueing at the runners that the backlog bound allows, seconds");
 
+DEFINE_double(queue_slack_part, 0.5, "see admission_settings");
+DEFINE_double(heavy_part, 1.0, "see admission_settings");
+
 namespace
 {
 
@@ -53,6 +56,8 @@
     options.speed_spread = FLAGS_speed_spread;
     options.runner_priority = FLAGS_runner_priority;
     options.runner_queueing = FLAGS_runner_queueing;
+    options.queue_slack_part = FLAGS_queue_slack_part;
+    options.heavy_part = FLAGS_heavy_part;
     auto const policies = make_policies();
     nlohmann::json document;
     for (auto const& shape :
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -32,8 +32,10 @@
 {
     std::uint64_t seed = 1;
     double speed_spread = 4.0;
-    bool runner_priority = false; //!< runners serve by rank, else by arrival
-    double runner_queueing = 0.1; //!< seconds, as in admission_settings
+    bool runner_priority = false;  //!< runners serve by rank, else by arrival
+    double queue_slack_part = 0.5; //!< as in admission_settings
+    double heavy_part = 1.0;       //!< as in admission_settings
+    double runner_queueing = 0.1;  //!< seconds, as in admission_settings
 };
 
 //! Fate of one request that arrived in the measured time.
--- a/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
@@ -77,6 +77,16 @@
     //! admission, where it can be reordered, to the runners.
     duration runner_queueing = std::chrono::milliseconds(100);
 
+    //! Part of the slack with which a request arrives that it may spend in the
+    //! queue. Under overload every request is started about this late, so the
+    //! rest is what the stages may take longer than expected.
+    double queue_slack_part = 0.5;
+
+    //! Part of the bounds that organisations above their fair level may fill
+    //! in a rank that cannot be served in full. Below 1 it keeps runners free
+    //! for the other organisations, at the cost of throughput.
+    double heavy_part = 1.0;
+
     //! Requests that wait per rank; bounds memory, deadlines bound the wait.
     std::size_t queue_capacity = 4096;
 
--- a/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
@@ -29,11 +29,11 @@
     rank_table const& ranks() const { return ranks_; }
 
     //! Access to one pool. Without shares every rank competes for the bound.
-    //! `light` says that the organisation is below its fair part of a rank
-    //! that cannot be served in full; it need not wait for what heavy ones
-    //! hold.
+    //! `part` scales the bounds for the organisation: above 1 when it need not
+    //! wait for what others hold, below 1 when it leaves room for them.
     pool_access access(pool_backlog const& pool, rank r,
-                       duration runner_queueing, bool shares, bool light) const;
+                       duration runner_queueing, bool shares,
+                       double part) const;
 
     //! Slots that a rank can expect of this VM's part of a pool: what ranks
     //! above use and ranks below use within their guarantee is taken off.
--- a/packages/decision/src/admission/admission_state.cpp
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -32,6 +32,10 @@
 //! Part of the fair level up to which an organisation counts as light.
 constexpr double light_part = 0.8;
 
+//! Light organisations together may hold this many times the rank's part.
+//! Their demand is below their fair parts, so the excess is a burst.
+constexpr double light_factor = 2.0;
+
 constexpr duration no_runner_retry = std::chrono::seconds(1);
 constexpr duration queue_full_retry = std::chrono::seconds(1);
 
@@ -192,11 +196,18 @@
         limits_of(request.organisation).weight,
         record.cost_rate[r] + out.cost / to_seconds(settings.demand_memory),
         peers.organisation(request.organisation).cost_rate[r]));
-    out.light = is_light(out, record);
+    out.bound_part = bound_part(out, record);
     out.expires = request.deadline;
     if (traits.deadline_checks)
-        out.expires -= paths[out.path].residence[r].predict(
-            request.expected_total, queue_margin, now);
+    {
+        auto const slack = request.deadline - now - request.expected_total;
+        auto const wait =
+            from_seconds(to_seconds(slack) * settings.queue_slack_part);
+        out.expires = std::min(
+            out.deadline - paths[out.path].residence[r].predict(
+                               request.expected_total, queue_margin, now),
+            now + wait);
+    }
     out.position.sequence = ++arrivals;
     if (traits.least_slack)
         out.position.key = out.expires.time_since_epoch().count();
@@ -218,33 +229,37 @@
 }
 
 pool_access admission_state::access(std::uint32_t path, rank r,
-                                    bool light) const
+                                    double part) const
 {
     auto out = pool_access::guaranteed;
     for (auto const pool : paths[path].pools)
         out =
             std::min(out, ranks.access(pools[pool], r, settings.runner_queueing,
-                                       traits.rank_shares, light));
+                                       traits.rank_shares, part));
     return out;
 }
 
-bool admission_state::is_light(kept_request const& request,
-                               organisation_record const& record) const
+double admission_state::bound_part(kept_request const& request,
+                                   organisation_record const& record) const
 {
     auto const i = index_of(request.work_rank);
     auto const level = fair_level[i];
     if (!traits.light_first || !std::isfinite(level))
-        return false;
+        return 1.0;
     auto const rate = record.cost_rate[i] +
                       peers.organisation(request.organisation).cost_rate[i];
-    return rate <= light_part * level * limits_of(request.organisation).weight;
+    auto const fair = level * limits_of(request.organisation).weight;
+    if (rate <= light_part * fair)
+        return light_factor;
+    return rate > fair ? settings.heavy_part : 1.0;
 }
 
 // A request starts without passing through the queue only when it cannot
 // overtake one that poll() would dispatch.
 bool admission_state::may_dispatch_now(kept_request const& request) const
 {
-    auto const allowed = access(request.path, request.work_rank, request.light);
+    auto const allowed =
+        access(request.path, request.work_rank, request.bound_part);
     if (allowed == pool_access::blocked)
         return false;
     if (expiries.empty())
@@ -368,7 +383,7 @@
             auto const [flow, id] = queue.front(counter_of);
             auto& request = *requests.find(id)->second;
             candidate it;
-            it.access = access(path, r, request.light);
+            it.access = access(path, r, request.bound_part);
             if (it.access == pool_access::blocked)
                 continue;
             it.work_rank = r;
--- a/packages/decision/src/admission/admission_state.hpp
+++ b/packages/decision/src/admission/admission_state.hpp
@@ -43,7 +43,7 @@
     std::uint32_t path = 0;
     float weight = 1.0F;
     bool running = false;
-    bool light = false; //!< its organisation is below its fair part
+    double bound_part = 1.0; //!< of the bounds, for its organisation
     queue_position position;
     time_point deadline;
     time_point expires;    //!< from the queue
@@ -89,9 +89,9 @@
                      time_point now);
 
     // Queue.
-    pool_access access(std::uint32_t path, rank r, bool light) const;
-    bool is_light(kept_request const& request,
-                  organisation_record const& record) const;
+    pool_access access(std::uint32_t path, rank r, double part) const;
+    double bound_part(kept_request const& request,
+                      organisation_record const& record) const;
     bool may_dispatch_now(kept_request const& request) const;
     duration predicted_wait(kept_request const& request,
                             organisation_record const& record,
--- a/packages/decision/src/admission/rank_scheduler.cpp
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-//! Light organisations together may hold this many times the rank's part.
-//! Their demand is below their fair parts, so the excess is a burst.
-constexpr double light_factor = 2.0;
-
 //! A rank without a guaranteed share still gets a finite counter.
 constexpr double smallest_share = 1e-3;
 
@@ -22,17 +18,17 @@
 
 pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
                                    duration runner_queueing, bool shares,
-                                   bool light) const
+                                   double part) const
 {
     if (!pool.fleet_slots())
         return pool_access::guaranteed;
     if (*pool.fleet_slots() <= 0.0)
         return pool_access::blocked;
-    auto const part = light ? light_factor : 1.0;
     if (shares &&
         pool.backlog(r) < part * pool.guaranteed_bound(r, runner_queueing))
         return pool_access::guaranteed;
-    return pool.total_backlog() < pool.bound(runner_queueing)
+    return pool.total_backlog() <
+                   std::min(part, 1.0) * pool.bound(runner_queueing)
                ? pool_access::lent
                : pool_access::blocked;
 }
