--- a/packages/decision/src/admission/rank_scheduler.cpp
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -17,15 +17,18 @@
 } // namespace
 
 pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
-                                   duration runner_queueing, bool shares) const
+                                   duration runner_queueing, bool shares,
+                                   double part) const
 {
     if (!pool.fleet_slots())
         return pool_access::guaranteed;
     if (*pool.fleet_slots() <= 0.0)
         return pool_access::blocked;
-    if (shares && pool.backlog(r) < pool.guaranteed_bound(r, runner_queueing))
+    if (shares &&
+        pool.backlog(r) < part * pool.guaranteed_bound(r, runner_queueing))
         return pool_access::guaranteed;
-    return pool.total_backlog() < pool.bound(runner_queueing)
+    return pool.total_backlog() <
+                   std::min(part, 1.0) * pool.bound(runner_queueing)
                ? pool_access::lent
                : pool_access::blocked;
 }
