decision: add the reducer over all events

Cause: shells need one place that takes events and gives effects as data. Change: reducer with one handler for each event; settings, claims, membership, summaries and isolation marks are passed between the concerns here. Conclusion: the daemon can be written around it.

--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/reducer/event.hpp
@@ -0,0 +1,75 @@
+#ifndef BUCKTHORNVALE_DECISION_REDUCER_EVENT_HPP
+#define BUCKTHORNVALE_DECISION_REDUCER_EVENT_HPP
+
+#include <buckthornvale/decision/bookings/booking_effects.hpp>
+#include <buckthornvale/decision/config/config_effects.hpp>
+#include <buckthornvale/decision/fleet/member.hpp>
+#include <buckthornvale/decision/reducer/peer_payload.hpp>
+#include <buckthornvale/decision/requests/attempt_messages.hpp>
+#include <buckthornvale/decision/requests/caller_messages.hpp>
+#include <buckthornvale/decision/requests/settings_view.hpp>
+
+#include <variant>
+#include <vector>
+
+namespace buckthornvale::decision
+{
+
+//! A watch answer said that its revision is no longer kept.
+struct watch_lost
+{
+    config::call_token token = 0;
+};
+
+//! A list or watch call gave no answer.
+struct settings_call_failed
+{
+    config::call_token token = 0;
+};
+
+//! The platform's list of VMs was read.
+struct vm_list_read
+{
+    std::vector<fleet::listed_vm> vms;
+};
+
+//! Something happened to the link to a peer.
+struct peer_link_changed
+{
+    vm_id peer;
+    fleet::link_event what = fleet::link_event::connected;
+    std::uint64_t incarnation = 0; //!< with `connected`
+};
+
+//! A peer's message arrived.
+struct peer_received
+{
+    vm_id from;
+    peer_payload payload;
+};
+
+//! The process was asked to shut down.
+struct drain_started
+{
+};
+
+//! Time passed; sent every few milliseconds.
+struct ticked
+{
+    wall_time wall;
+};
+
+//! Everything that the reducer reacts to.
+using event =
+    std::variant<requests::request_received, requests::caller_gone,
+                 requests::outcome_asked, requests::attempt_token,
+                 requests::attempt_ended, requests::service_outcome_told,
+                 requests::runner_reported, requests::runner_cache_changed,
+                 requests::settings_installed, bookings::store_answer,
+                 config::list_answer, config::watch_answer, watch_lost,
+                 settings_call_failed, vm_list_read, peer_link_changed,
+                 peer_received, drain_started, ticked>;
+
+} // namespace buckthornvale::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/reducer/peer_payload.hpp
@@ -0,0 +1,39 @@
+#ifndef BUCKTHORNVALE_DECISION_REDUCER_PEER_PAYLOAD_HPP
+#define BUCKTHORNVALE_DECISION_REDUCER_PEER_PAYLOAD_HPP
+
+#include <buckthornvale/decision/bookings/shard_update.hpp>
+#include <buckthornvale/decision/config/config_effects.hpp>
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/fleet/summary.hpp>
+
+#include <cstdint>
+#include <variant>
+
+namespace buckthornvale::decision
+{
+
+//! Probe of a peer. A `target` other than the receiver asks it to probe the
+//! target on the sender's behalf.
+struct peer_ping
+{
+    vm_id target;
+    std::uint64_t sequence = 0;
+};
+
+//! Answer to a probe; `target` is the VM that was found alive.
+struct peer_ack
+{
+    vm_id target;
+    std::uint64_t sequence = 0;
+};
+
+//! What the reducers of two VMs say to each other.
+using peer_payload =
+    std::variant<fleet::summary_message, peer_ping, peer_ack,
+                 config::settings_have, config::settings_pull,
+                 config::settings_push, bookings::shard_update,
+                 bookings::update_answer, fleet::isolation_mark>;
+
+} // namespace buckthornvale::decision
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -0,0 +1,169 @@
+#ifndef BUCKTHORNVALE_DECISION_REDUCER_REDUCER_HPP
+#define BUCKTHORNVALE_DECISION_REDUCER_REDUCER_HPP
+
+#include <buckthornvale/decision/admission/admission_controller.hpp>
+#include <buckthornvale/decision/bookings/booking_table.hpp>
+#include <buckthornvale/decision/config/settings_state.hpp>
+#include <buckthornvale/decision/fleet/failure_detector.hpp>
+#include <buckthornvale/decision/fleet/membership.hpp>
+#include <buckthornvale/decision/fleet/summary_aggregator.hpp>
+#include <buckthornvale/decision/isolation/crash_isolation.hpp>
+#include <buckthornvale/decision/reducer/effect.hpp>
+#include <buckthornvale/decision/reducer/event.hpp>
+#include <buckthornvale/decision/requests/request_flow.hpp>
+#include <buckthornvale/decision/requests/settings_view.hpp>
+#include <buckthornvale/decision/retry/deadline_split.hpp>
+#include <buckthornvale/decision/retry/hedge_policy.hpp>
+#include <buckthornvale/decision/retry/retry_budget.hpp>
+#include <buckthornvale/decision/routing/router.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision
+{
+
+//! Who this VM is, and the parameters of the concerns.
+struct reducer_settings
+{
+    std::string vm;
+    std::string failure_domain;
+    std::uint64_t incarnation = 0; //!< drawn at random at process start
+    std::uint64_t seed = 0;
+    admission::admission_settings admission;
+    routing::routing_settings routing;
+    bookings::booking_settings bookings;
+    config::config_settings config;
+    fleet::detector_settings detector;
+    fleet::summary_settings summaries;
+    isolation::isolation_settings isolation;
+};
+
+//! What a VM tells operators about itself.
+struct reducer_status
+{
+    std::uint64_t settings_revision = 0;
+    bool ready = false;
+    bool draining = false;
+    std::size_t requests_in_flight = 0;
+    std::size_t queued = 0;
+    std::vector<fleet::member> members;
+};
+
+//! All decisions of one VM: one reducer over all events, with effects as data.
+//! It has no clock, no socket and no thread; a run is repeated exactly by the
+//! same events at the same times.
+class reducer
+{
+public:
+    explicit reducer(reducer_settings const& settings);
+    reducer(reducer const&) = delete;
+    reducer& operator=(reducer const&) = delete;
+
+    //! Takes in one event and appends what is to be done.
+    void reduce(event const& value, time_point now, effects& out);
+
+    //! True when settings are in force and the VM is not draining.
+    bool ready() const;
+
+    //! True when a drain may end: nothing is in flight.
+    bool idle() const { return flow_.in_flight() == 0; }
+
+    reducer_status status() const;
+
+private:
+    void on(requests::request_received const&, time_point, effects&);
+    void on(requests::caller_gone const&, time_point, effects&);
+    void on(requests::outcome_asked const&, time_point, effects&);
+    void on(requests::attempt_token const&, time_point, effects&);
+    void on(requests::attempt_ended const&, time_point, effects&);
+    void on(requests::service_outcome_told const&, time_point, effects&);
+    void on(requests::runner_reported const&, time_point, effects&);
+    void on(requests::runner_cache_changed const&, time_point, effects&);
+    void on(requests::settings_installed const&, time_point, effects&);
+    void on(bookings::store_answer const&, time_point, effects&);
+    void on(config::list_answer const&, time_point, effects&);
+    void on(config::watch_answer const&, time_point, effects&);
+    void on(watch_lost const&, time_point, effects&);
+    void on(settings_call_failed const&, time_point, effects&);
+    void on(vm_list_read const&, time_point, effects&);
+    void on(peer_link_changed const&, time_point, effects&);
+    void on(peer_received const&, time_point, effects&);
+    void on(drain_started const&, time_point, effects&);
+    void on(ticked const&, time_point, effects&);
+
+    void from_peer(vm_id, fleet::summary_message const&, time_point, effects&);
+    void from_peer(vm_id, peer_ping const&, time_point, effects&);
+    void from_peer(vm_id, peer_ack const&, time_point, effects&);
+    void from_peer(vm_id, config::settings_have const&, time_point, effects&);
+    void from_peer(vm_id, config::settings_pull const&, time_point, effects&);
+    void from_peer(vm_id, config::settings_push const&, time_point, effects&);
+    void from_peer(vm_id, bookings::shard_update const&, time_point, effects&);
+    void from_peer(vm_id, bookings::update_answer const&, time_point, effects&);
+    void from_peer(vm_id, fleet::isolation_mark const&, time_point, effects&);
+
+    //! Effects of the requests concern go through this to `flush`.
+    requests::flow_output flow_output()
+    {
+        return {request_effects_, store_effects_};
+    }
+    void apply_claims(bookings::booking_effects& decided, time_point now);
+    void flush(effects& out);
+    void flush_store(effects& out);
+    void emit_config(effects& out);
+    void emit_changed(config::settings_changed const& changed, effects& out);
+    void emit_detector(time_point now, effects& out);
+    void install_pool(std::string const& name, time_point now);
+    void install_organisation(std::string const& name);
+    void update_leaving(runner_id runner, time_point now);
+    void update_capacity(time_point now);
+    void relink(time_point now, effects& out);
+    void share_summaries(time_point now, effects& out);
+    void share_marks(time_point now, effects& out);
+    fleet::load_summary local_summary(time_point now) const;
+    void ask_service(bookings::ask_service const& question, effects& out);
+    void log(std::string text);
+
+    //! Reasons for which a runner is leaving; any one is enough.
+    struct leaving_reasons
+    {
+        bool by_settings = false;
+        bool by_report = false;
+        bool by_list = false;
+    };
+
+    reducer_settings settings_;
+    vm_id self_;
+    wall_time wall_{};
+    bool draining_ = false;
+
+    config::settings_state config_;
+    requests::settings_view view_;
+    admission::admission_controller admission_;
+    routing::router router_;
+    isolation::crash_isolation isolation_;
+    retry::retry_budget retry_budget_;
+    retry::deadline_split deadline_split_;
+    retry::hedge_policy hedges_;
+    bookings::booking_table bookings_;
+    fleet::membership members_;
+    fleet::failure_detector detector_;
+    fleet::summary_aggregator summaries_;
+    requests::request_flow flow_;
+
+    absl::flat_hash_map<runner_id, leaving_reasons> leaving_;
+    std::vector<vm_id> linked_; //!< peers of the topology with an open link
+    std::vector<vm_id> topology_;
+    std::uint64_t linked_generation_ = 0;
+    requests::effect_list request_effects_; //!< reused between steps
+    bookings::booking_effects store_effects_;
+    config::config_effects config_effects_;
+    fleet::detector_effects detector_effects_;
+};
+
+} // namespace buckthornvale::decision
+
+#endif
--- a/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
@@ -9,6 +9,8 @@
 #include <buckthornvale/decision/requests/settings_view.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace buckthornvale::decision::requests
@@ -34,6 +36,13 @@
     bookings::booking_effects& store; //!< without the claim decisions
 };
 
+//! Where the outcome of a non-repeatable stage can be asked.
+struct outcome_source
+{
+    runner_entry runner;
+    std::string service_key; //!< key as the service saw it
+};
+
 //! Takes each request from its arrival to its one answer: checks, admission,
 //! claims, stages, deadline. Only this class decides which of the three
 //! outcomes a caller is told.
@@ -60,6 +69,10 @@
 
     std::size_t in_flight() const { return requests_.size(); }
 
+    //! The runner that can tell the outcome of a claim, by the id that the
+    //! claim was made with; empty when there is none.
+    std::optional<outcome_source> outcome_source_of(request_id claim) const;
+
 private:
     bool dispatch(request_state const& request, stage_index n,
                   time_point now) override;
--- /dev/null
+++ b/packages/decision/src/reducer/reducer_peers.cpp
@@ -0,0 +1,270 @@
+#include <buckthornvale/decision/reducer/reducer.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornvale::decision
+{
+
+namespace
+{
+
+admission::demand_summary demand_of(fleet::load_summary const& load)
+{
+    admission::demand_summary demand;
+    for (auto const& it : load.pools)
+    {
+        admission::pool_demand pool;
+        pool.pool = it.pool;
+        for (auto k : all_ranks)
+            pool.work_rate[index_of(k)] =
+                static_cast<float>(it.demand[index_of(k)]);
+        demand.pools.push_back(pool);
+    }
+    for (auto const& it : load.organisations)
+    {
+        admission::organisation_demand organisation;
+        organisation.organisation = it.organisation;
+        organisation.request_rate = static_cast<float>(it.requests_per_second);
+        organisation.in_flight = static_cast<float>(it.concurrent);
+        demand.heaviest.push_back(organisation);
+    }
+    return demand;
+}
+
+} // namespace
+
+void reducer::on(vm_list_read const& value, time_point now, effects& out)
+{
+    members_.platform_list(value.vms, now);
+    for (auto const& it : value.vms)
+    {
+        if (it.role != fleet::member_role::runner)
+            continue;
+        auto const runner = runner_id::of(it.name);
+        leaving_[runner].by_list = it.leaving;
+        update_leaving(runner, now);
+    }
+    relink(now, out);
+}
+
+void reducer::relink(time_point now, effects& out)
+{
+    if (members_.generation() == linked_generation_)
+        return;
+    linked_generation_ = members_.generation();
+    auto const live = members_.live_entries();
+    std::vector<fleet::topology_node> nodes;
+    std::vector<bookings::live_vm> committers;
+    for (auto const& it : live)
+    {
+        nodes.push_back({it.id, it.domain});
+        auto const incarnation =
+            it.id == self_ ? settings_.incarnation : it.incarnation;
+        committers.push_back({it.id, incarnation});
+    }
+    bookings_.set_live_vms(committers);
+    admission_.set_fleet(std::max<std::size_t>(nodes.size(), 1), now);
+    auto const links = fleet::strategy_for(nodes.size()).links(self_, nodes);
+    summaries_.set_links(links, now);
+    topology_.clear();
+    set_peer_targets targets;
+    for (auto const& it : live)
+    {
+        if (it.id == self_)
+            continue;
+        auto const link =
+            std::find_if(links.begin(), links.end(),
+                         [&](auto const& one) { return one.vm == it.id; });
+        bool const linked = link != links.end();
+        if (linked)
+            topology_.push_back(it.id);
+        targets.peers.push_back(
+            {it.id, it.listed.peer_address, linked, linked && link->dial});
+    }
+    detector_.set_peers(topology_, now);
+    out.push_back(std::move(targets));
+}
+
+void reducer::on(peer_link_changed const& value, time_point now, effects& out)
+{
+    auto const known = std::find(linked_.begin(), linked_.end(), value.peer);
+    if (value.what == fleet::link_event::connected)
+    {
+        if (known == linked_.end())
+            linked_.push_back(value.peer);
+        members_.hello(value.peer, value.incarnation, now);
+    }
+    else if (value.what != fleet::link_event::message && known != linked_.end())
+    {
+        linked_.erase(known);
+    }
+    if (value.what == fleet::link_event::goodbye)
+        members_.goodbye(value.peer, now);
+    config_.set_peers(linked_, now);
+    isolation_.set_links_up(!linked_.empty() || topology_.empty());
+    detector_.link(value.peer, value.what, now, detector_effects_);
+    emit_detector(now, out);
+    relink(now, out);
+}
+
+void reducer::emit_detector(time_point now, effects& out)
+{
+    auto const decided = std::exchange(detector_effects_, {});
+    for (auto const& it : decided)
+    {
+        if (auto const* const ping = std::get_if<fleet::send_ping>(&it))
+        {
+            out.push_back(
+                send_peer{ping->to, peer_ping{ping->target, ping->sequence}});
+        }
+        else if (auto const* const ack = std::get_if<fleet::send_ack>(&it))
+        {
+            out.push_back(
+                send_peer{ack->to, peer_ack{ack->target, ack->sequence}});
+        }
+        else if (auto const* const verdict =
+                     std::get_if<fleet::peer_verdict>(&it))
+        {
+            members_.observed(verdict->vm, verdict->state, now);
+            auto const* const peer = members_.find(verdict->vm);
+            auto const state = fleet::name_of(verdict->state);
+            auto const reason = fleet::name_of(verdict->reason);
+            log(absl::StrCat(
+                "peer ", peer != nullptr ? peer->listed.name : "unlisted",
+                " is ", std::string(state), ": ", std::string(reason)));
+            relink(now, out);
+        }
+    }
+}
+
+void reducer::on(peer_received const& value, time_point now, effects& out)
+{
+    detector_.link(value.from, fleet::link_event::message, now,
+                   detector_effects_);
+    std::visit([&](auto const& it) { from_peer(value.from, it, now, out); },
+               value.payload);
+    emit_detector(now, out);
+    emit_config(out);
+}
+
+void reducer::from_peer(vm_id from, fleet::summary_message const& value,
+                        time_point now, effects&)
+{
+    summaries_.receive(from, value, now);
+    for (auto const& it : value.load.marks)
+    {
+        isolation::mark mark;
+        mark.content = {it.high, it.low};
+        mark.state = it.isolated ? isolation::mark_state::isolated
+                                 : isolation::mark_state::suspect;
+        isolation_.apply_mark(mark, now);
+    }
+    admission_.peer_demand(from, demand_of(value.load), now);
+}
+
+void reducer::from_peer(vm_id from, peer_ping const& value, time_point now,
+                        effects&)
+{
+    detector_.ping(from, value.target, value.sequence, now, detector_effects_);
+}
+
+void reducer::from_peer(vm_id from, peer_ack const& value, time_point now,
+                        effects&)
+{
+    detector_.ack(from, value.target, value.sequence, now, detector_effects_);
+}
+
+void reducer::from_peer(vm_id from, config::settings_have const& value,
+                        time_point now, effects&)
+{
+    config_.peer_have(from, value, now, config_effects_);
+}
+
+void reducer::from_peer(vm_id from, config::settings_pull const& value,
+                        time_point now, effects&)
+{
+    config_.peer_pull(from, value, now, config_effects_);
+}
+
+void reducer::from_peer(vm_id from, config::settings_push const& value,
+                        time_point now, effects&)
+{
+    config_.peer_push(from, value, now, config_effects_);
+}
+
+void reducer::from_peer(vm_id from, bookings::shard_update const& value,
+                        time_point now, effects&)
+{
+    bookings::booking_effects decided;
+    bookings_.peer_claim(from, value, now, wall_, decided);
+    apply_claims(decided, now);
+}
+
+void reducer::from_peer(vm_id from, bookings::update_answer const& value,
+                        time_point now, effects&)
+{
+    bookings::booking_effects decided;
+    bookings_.peer_claim_answer(from, value, now, wall_, decided);
+    apply_claims(decided, now);
+}
+
+void reducer::from_peer(vm_id, fleet::isolation_mark const& value,
+                        time_point now, effects&)
+{
+    isolation::mark mark;
+    mark.content = {value.high, value.low};
+    mark.state = value.isolated ? isolation::mark_state::isolated
+                                : isolation::mark_state::suspect;
+    isolation_.apply_mark(mark, now);
+}
+
+void reducer::share_marks(time_point now, effects& out)
+{
+    std::vector<isolation::mark> marks;
+    isolation_.take_marks(now, marks);
+    for (auto const& it : marks)
+    {
+        for (auto peer : linked_)
+        {
+            out.push_back(send_peer{
+                peer, fleet::isolation_mark{
+                          it.content.high, it.content.low,
+                          it.state == isolation::mark_state::isolated}});
+        }
+    }
+}
+
+fleet::load_summary reducer::local_summary(time_point now) const
+{
+    auto const demand = admission_.local_demand(now);
+    fleet::load_summary load;
+    load.settings_revision = config_.revision();
+    for (auto const& it : demand.pools)
+    {
+        fleet::pool_load pool;
+        pool.pool = it.pool;
+        for (auto k : all_ranks)
+            pool.demand[index_of(k)] = it.work_rate[index_of(k)];
+        load.pools.push_back(pool);
+    }
+    for (auto const& it : demand.heaviest)
+    {
+        load.organisations.push_back(
+            {it.organisation, it.request_rate, it.in_flight});
+    }
+    return load;
+}
+
+void reducer::share_summaries(time_point now, effects& out)
+{
+    summaries_.set_local(local_summary(now));
+    std::vector<fleet::outgoing_summary> messages;
+    summaries_.tick(now, messages);
+    for (auto& it : messages)
+        out.push_back(send_peer{it.to, std::move(it.message)});
+}
+
+} // namespace buckthornvale::decision
--- a/packages/decision/src/requests/request_flow_claims.cpp
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -195,6 +195,22 @@
                  not_run_answer({error_kind::unknown_key, {}}, {}), out);
 }
 
+std::optional<outcome_source>
+request_flow::outcome_source_of(request_id claim) const
+{
+    auto const claimed = claims_.find(claim);
+    if (!claimed)
+        return std::nullopt;
+    auto const it = requests_.find(claimed->request);
+    if (it == requests_.end())
+        return std::nullopt;
+    auto const* const runner = parts_.settings.runners().outcome_source(
+        it->second.graph->pool_of(claimed->stage));
+    if (runner == nullptr)
+        return std::nullopt;
+    return outcome_source{*runner, service_key_of(it->second, claimed->stage)};
+}
+
 void request_flow::answer_query(request_id query, answer body, flow_output out)
 {
     out.requests.push_back(send_answer{query, std::move(body)});
