platform: add the object API client, the store budget and the prefix watch

Cause: every VM reaches the store through one client that must say what is proven about a write, and must stay within its part of the store's rate. Change: typed results (done, conflict, not sent, unavailable, rejected, unknown), one connection per call, a pure store_budget with reserves by purpose and jittered backoff, and a watch loop whose stop ends a long poll. The 14 contract cases run over HTTP against the stand-in and against the in-memory fake.

--- /dev/null
+++ b/packages/platform/include/buckthornvale/platform/objects/http_object_api.hpp
@@ -0,0 +1,64 @@
+#ifndef BUCKTHORNVALE_PLATFORM_OBJECTS_HTTP_OBJECT_API_HPP
+#define BUCKTHORNVALE_PLATFORM_OBJECTS_HTTP_OBJECT_API_HPP
+
+#include <buckthornvale/platform/objects/object_api.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+
+namespace httplib
+{
+class Client;
+class Result;
+} // namespace httplib
+
+namespace buckthornvale::platform
+{
+
+//! Time limits of the HTTP client.
+struct http_limits
+{
+    decision::duration connect = std::chrono::seconds(2);
+    decision::duration read = std::chrono::seconds(10);
+    decision::duration write = std::chrono::seconds(5);
+};
+
+//! Object API over HTTP. Each call has a connection of its own: on a reused
+//! one, a connection that the server has just closed could not be told from
+//! an answer that was lost after the write took effect.
+class http_object_api final : public object_api
+{
+public:
+    //! `address` is IP:port.
+    explicit http_object_api(std::string address, http_limits limits = {});
+    ~http_object_api() override;
+
+    read_result<object> get(std::string const& path) override;
+    write_result put(std::string const& path, std::uint64_t expected,
+                     std::string const& value) override;
+    write_result remove(std::string const& path,
+                        std::uint64_t expected) override;
+    read_result<object_page> list(std::string const& prefix,
+                                  std::string const& after,
+                                  std::size_t limit) override;
+    read_result<object_changes> watch(std::string const& prefix,
+                                      std::uint64_t from,
+                                      decision::duration timeout) override;
+    read_result<std::vector<platform_vm>> vms() override;
+    void cancel_watches() override;
+
+private:
+    std::unique_ptr<httplib::Client>
+    connect(decision::duration read_limit) const;
+
+    std::string address_;
+    http_limits limits_;
+    std::mutex mutex_;
+    std::set<httplib::Client*> watching_;
+};
+
+} // namespace buckthornvale::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/tests/objects/object_api_contract_test.cpp
@@ -0,0 +1,275 @@
+#include <buckthornvale/platform/objects/http_object_api.hpp>
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <future>
+#include <platform/memory_object_api.hpp>
+#include <platform/platform_server.hpp>
+
+namespace buckthornvale::platform
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace standin = standins::platform;
+
+// One implementation of the object API with access to its store and faults.
+struct subject
+{
+    virtual ~subject() = default;
+    virtual object_api& api() = 0;
+    virtual standin::object_store& store() = 0;
+    virtual standin::fault_gate& gate() = 0;
+    virtual standin::vm_list& vms() = 0;
+    virtual void refuse_connections() = 0;
+};
+
+struct http_subject final : subject
+{
+    object_api& api() override { return client; }
+    standin::object_store& store() override { return server.store(); }
+    standin::fault_gate& gate() override { return server.gate(); }
+    standin::vm_list& vms() override { return server.vms(); }
+    void refuse_connections() override { server.stop(); }
+
+    standin::platform_server server;
+    http_object_api client{"127.0.0.1:" + std::to_string(server.start(0))};
+};
+
+struct memory_subject final : subject
+{
+    object_api& api() override { return fake; }
+    standin::object_store& store() override { return objects; }
+    standin::fault_gate& gate() override { return faults; }
+    standin::vm_list& vms() override { return list; }
+    void refuse_connections() override { fake.set_refusing(true); }
+
+    standin::object_store objects;
+    standin::fault_gate faults;
+    standin::vm_list list;
+    standin::memory_object_api fake{objects, faults, list};
+};
+
+struct contract_case
+{
+    char const* name;
+    void (*run)(subject&);
+};
+
+// Guards against a write that overwrites another writer's value.
+void conditional_writes(subject& it)
+{
+    auto const created = it.api().put("settings/a", 0, "1");
+    ASSERT_EQ(created.status, call_status::done);
+    auto const lost = it.api().put("settings/a", 0, "2");
+    EXPECT_EQ(lost.status, call_status::conflict);
+    ASSERT_TRUE(lost.current);
+    EXPECT_EQ(lost.current->version, created.version);
+    EXPECT_EQ(lost.current->value, "1");
+    auto const changed = it.api().put("settings/a", created.version, "3");
+    EXPECT_GT(changed.version, created.version);
+    auto const read = it.api().get("settings/a");
+    EXPECT_EQ(read.value.value, "3");
+    EXPECT_EQ(read.value.version, changed.version);
+}
+
+// Guards against a conflict with a missing object that looks like success.
+void writes_to_missing_objects(subject& it)
+{
+    EXPECT_EQ(it.api().get("settings/a").status, call_status::not_found);
+    for (auto const& result :
+         {it.api().put("settings/a", 7, "1"), it.api().remove("settings/a", 7)})
+    {
+        EXPECT_EQ(result.status, call_status::conflict);
+        EXPECT_FALSE(result.current);
+    }
+}
+
+// Guards against a deletion that a watcher cannot order among writes.
+void deletions_have_versions(subject& it)
+{
+    auto const created = it.api().put("settings/a", 0, "1");
+    auto const removed = it.api().remove("settings/a", created.version);
+    ASSERT_EQ(removed.status, call_status::done);
+    auto const seen = it.api().watch("settings/", created.version, 10s);
+    ASSERT_EQ(seen.value.events.size(), 1U);
+    EXPECT_TRUE(seen.value.events[0].is_delete);
+    EXPECT_EQ(seen.value.events[0].changed.version, removed.version);
+}
+
+// Guards against paths or values that change on their way.
+void values_are_kept_byte_for_byte(subject& it)
+{
+    std::string const value = "a = \"\xC3\xA9 \\\" & + %20\"\r\n\t#";
+    it.api().put("settings/pools/a-b_c.d", 0, value);
+    EXPECT_EQ(it.api().get("settings/pools/a-b_c.d").value.value, value);
+}
+
+// Guards against a value above 1 MB that is taken for a store fault and
+// repeated.
+void too_large_values_are_rejected(subject& it)
+{
+    auto const result =
+        it.api().put("settings/a", 0, std::string((1U << 20U) + 1, 'x'));
+    EXPECT_EQ(result.status, call_status::rejected);
+    EXPECT_TRUE(is_not_applied(result.status));
+}
+
+// Guards against a page boundary that loses or repeats an object.
+void lists_come_in_pages(subject& it)
+{
+    for (auto const* path : {"settings/a", "settings/b", "settings/c", "x/y"})
+        it.api().put(path, 0, path);
+    auto const whole = list_all(it.api(), "settings/", 2);
+    ASSERT_TRUE(whole.is_done());
+    ASSERT_EQ(whole.value.items.size(), 3U);
+    EXPECT_EQ(whole.value.items[2].path, "settings/c");
+    EXPECT_EQ(whole.value.revision, it.store().revision());
+}
+
+// Guards against a watch that misses a change made before it was armed.
+void watches_resume_from_a_revision(subject& it)
+{
+    auto const first = it.api().put("settings/a", 0, "1");
+    it.api().put("other/b", 0, "2");
+    auto const third = it.api().put("settings/c", 0, "3");
+    auto const seen = it.api().watch("settings/", first.version, 10s);
+    ASSERT_EQ(seen.value.events.size(), 1U);
+    EXPECT_EQ(seen.value.events[0].changed.value, "3");
+    EXPECT_EQ(seen.value.revision, third.version);
+    auto const none = it.api().watch("settings/", third.version, 1ms);
+    EXPECT_TRUE(none.is_done());
+    EXPECT_TRUE(none.value.events.empty());
+}
+
+// Guards against a VM that keeps old settings after a compaction.
+void compacted_watches_are_told(subject& it)
+{
+    auto const first = it.api().put("settings/a", 0, "1");
+    it.store().compact();
+    EXPECT_EQ(it.api().watch("settings/", first.version, 10s).status,
+              call_status::compacted);
+}
+
+// Guards against a lost answer that is taken for a write without effect.
+void lost_answers_are_unknown(subject& it)
+{
+    it.gate().set_lost_answers(1);
+    auto const result = it.api().put("claims/1/2", 0, "nonce");
+    EXPECT_EQ(result.status, call_status::unknown);
+    EXPECT_FALSE(is_not_applied(result.status));
+    EXPECT_EQ(it.api().get("claims/1/2").value.value, "nonce");
+}
+
+// Guards against a refused connection that is taken for an unknown outcome,
+// and a caller told so (I3).
+void refused_connections_are_not_sent(subject& it)
+{
+    it.refuse_connections();
+    EXPECT_EQ(it.api().put("claims/1/2", 0, "nonce").status,
+              call_status::not_sent);
+    EXPECT_EQ(it.api().get("claims/1/2").status, call_status::not_sent);
+    EXPECT_FALSE(it.store().get("claims/1/2"));
+}
+
+// Guards against an outage or a spent budget whose writes count as unknown.
+void outages_and_budgets_are_unavailable(subject& it)
+{
+    it.gate().set_outage(true);
+    EXPECT_EQ(it.api().put("settings/a", 0, "1").status,
+              call_status::unavailable);
+    EXPECT_EQ(it.api().watch("settings/", 0, 10s).status,
+              call_status::unavailable);
+    it.gate().set_outage(false);
+    it.gate().set_budget({0., 1e-6});
+    EXPECT_EQ(it.api().put("settings/a", 0, "1").status,
+              call_status::unavailable);
+    EXPECT_EQ(it.api().get("settings/a").status, call_status::not_found);
+    EXPECT_EQ(it.gate().counts().refused_by_outage, 2U);
+    EXPECT_EQ(it.gate().counts().refused_by_budget, 1U);
+}
+
+// Guards against a shutdown that waits for a long poll.
+void waiting_watches_can_be_cancelled(subject& it)
+{
+    auto waiting = std::async(
+        std::launch::async,
+        [&] { return it.api().watch("settings/", 0, std::chrono::hours(1)); });
+    while (waiting.wait_for(1ms) != std::future_status::ready)
+        it.api().cancel_watches();
+    EXPECT_NE(waiting.get().status, call_status::done);
+}
+
+// Guards against an entry VM that is taken for a runner.
+void vms_have_roles_and_states(subject& it)
+{
+    auto const now = standin::vm_list::clock::now();
+    it.vms().put({"r-1", "runner", "10.0.0.1:1", "", "Sfax", "leaving"}, now);
+    it.vms().put({"v-1", "entry", "10.0.0.2:1", "10.0.0.2:2", "Sousse", "live"},
+                 now);
+    auto const vms = it.api().vms();
+    ASSERT_EQ(vms.value.size(), 2U);
+    EXPECT_EQ(vms.value[0].role, vm_role::runner);
+    EXPECT_TRUE(vms.value[0].is_leaving);
+    EXPECT_EQ(vms.value[1].role, vm_role::entry);
+    EXPECT_EQ(vms.value[1].peer_address, "10.0.0.2:2");
+    EXPECT_FALSE(vms.value[1].is_leaving);
+}
+
+// Guards against a stand-in whose list shows changes at once.
+void vm_lists_lag(subject& it)
+{
+    it.vms().set_lag(std::chrono::hours(1));
+    auto const now = standin::vm_list::clock::now();
+    it.vms().put({"v-1", "entry", "", "", "", "live"},
+                 now - std::chrono::hours(2));
+    it.vms().put({"v-2", "entry", "", "", "", "live"}, now);
+    EXPECT_EQ(it.api().vms().value.size(), 1U);
+}
+
+contract_case const cases[] = {
+    {"conditional_writes", &conditional_writes},
+    {"writes_to_missing_objects", &writes_to_missing_objects},
+    {"deletions_have_versions", &deletions_have_versions},
+    {"values_are_kept_byte_for_byte", &values_are_kept_byte_for_byte},
+    {"too_large_values_are_rejected", &too_large_values_are_rejected},
+    {"lists_come_in_pages", &lists_come_in_pages},
+    {"watches_resume_from_a_revision", &watches_resume_from_a_revision},
+    {"compacted_watches_are_told", &compacted_watches_are_told},
+    {"lost_answers_are_unknown", &lost_answers_are_unknown},
+    {"refused_connections_are_not_sent", &refused_connections_are_not_sent},
+    {"outages_and_budgets_are_unavailable",
+     &outages_and_budgets_are_unavailable},
+    {"waiting_watches_can_be_cancelled", &waiting_watches_can_be_cancelled},
+    {"vms_have_roles_and_states", &vms_have_roles_and_states},
+    {"vm_lists_lag", &vm_lists_lag},
+};
+
+std::ostream& operator<<(std::ostream& out, contract_case const& it)
+{
+    return out << it.name;
+}
+
+class object_api_contract : public testing::TestWithParam<contract_case>
+{
+};
+
+TEST_P(object_api_contract, holds_over_http)
+{
+    http_subject it;
+    GetParam().run(it);
+}
+
+TEST_P(object_api_contract, holds_for_the_fake)
+{
+    memory_subject it;
+    GetParam().run(it);
+}
+
+INSTANTIATE_TEST_SUITE_P(table, object_api_contract, testing::ValuesIn(cases),
+                         [](auto const& it) { return it.param.name; });
+
+} // namespace
+} // namespace buckthornvale::platform
