--- /dev/null
+++ b/packages/serving/src/http/json_text.cpp
@@ -0,0 +1,132 @@
+#include <buckthornvale/serving/http/json_text.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::serving::http
+{
+
+namespace
+{
+
+//! Walks over the structural characters of a document.
+class json_scanner
+{
+public:
+    explicit json_scanner(std::string_view text) : text_(text) {}
+
+    bool done() const { return position_ >= text_.size(); }
+    std::size_t position() const { return position_; }
+    std::size_t depth() const { return depth_; }
+    char current() const { return text_[position_]; }
+
+    //! Steps over one character, or over a whole string.
+    void step()
+    {
+        auto const c = text_[position_++];
+        if (c == '"')
+            skip_string();
+        else if (c == '{' || c == '[')
+            ++depth_;
+        else if ((c == '}' || c == ']') && depth_ > 0)
+            --depth_;
+    }
+
+private:
+    void skip_string()
+    {
+        while (!done() && text_[position_] != '"')
+            position_ += text_[position_] == '\\' ? 2 : 1;
+        position_ = std::min(position_ + 1, text_.size());
+    }
+
+    std::string_view text_;
+    std::size_t position_ = 0;
+    std::size_t depth_ = 0;
+};
+
+std::string_view trim(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    auto const first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+bool nested_too_deeply(std::string_view text)
+{
+    for (json_scanner it(text); !it.done(); it.step())
+    {
+        if (it.depth() > max_json_depth)
+            return true;
+    }
+    return false;
+}
+
+//! True when the written member name equals `name`, also with escapes.
+bool names_member(std::string_view written, std::string_view name)
+{
+    if (written.find('\\') == std::string_view::npos)
+        return written.size() == name.size() + 2 &&
+               written.substr(1, name.size()) == name;
+    auto const parsed = nlohmann::json::parse(written, nullptr, false);
+    return parsed.is_string() && parsed.get_ref<std::string const&>() == name;
+}
+
+} // namespace
+
+std::optional<nlohmann::json> parse_json(std::string_view text)
+{
+    if (nested_too_deeply(text))
+        return std::nullopt;
+    auto value = nlohmann::json::parse(text, nullptr, false);
+    if (value.is_discarded())
+        return std::nullopt;
+    return value;
+}
+
+std::string_view raw_member(std::string_view object, std::string_view name)
+{
+    std::string_view found;
+    std::string_view key;
+    std::size_t start = 0;
+    for (json_scanner it(object); !it.done();)
+    {
+        auto const c = it.current();
+        auto const at = it.position();
+        auto const depth = it.depth();
+        it.step();
+        if (depth == 1 && c == ':')
+        {
+            key = trim(object.substr(start, at - start));
+            start = at + 1;
+        }
+        else if (depth == 1 && (c == ',' || c == '}'))
+        {
+            if (names_member(key, name))
+                found = trim(object.substr(start, at - start));
+            start = at + 1;
+        }
+        else if (depth == 0 && c == '{')
+        {
+            start = at + 1;
+        }
+    }
+    return found;
+}
+
+std::string write_json(nlohmann::json const& value)
+{
+    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void append_raw_member(std::string& object, std::string_view name,
+                       std::string_view value)
+{
+    auto const empty = object == "{}";
+    object.pop_back();
+    object.append(empty ? "\"" : ",\"").append(name).append("\":");
+    object.append(value).append("}");
+}
+
+} // namespace buckthornvale::serving::http
