admission: round small parts of a bound to the nearest request

Cause: one request beyond each bound exceeds the small part of a VM by more than a large one, which favours organisations that come through many VMs. Change: a request fits when half of its work is within the bound; an overloaded rank keeps a quarter of an even part on a VM without demand.

--- a/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
@@ -28,10 +28,12 @@
     void set_ranks(rank_table const& ranks) { ranks_ = ranks; }
     rank_table const& ranks() const { return ranks_; }
 
-    //! Access to one pool. Without shares every rank competes for the bound.
+    //! Access of a request to one pool. Without shares every rank competes
+    //! for the bound. A request is within a bound when half of its work is,
+    //! so that small parts are not exceeded more than large ones.
     //! `part` scales the bounds for the organisation: above 1 when it need not
     //! wait for what others hold, below 1 when it leaves room for them.
-    pool_access access(pool_backlog const& pool, rank r,
+    pool_access access(pool_backlog const& pool, rank r, double work,
                        duration runner_queueing, bool shares,
                        double part) const;
 
--- a/packages/decision/src/admission/admission_state.cpp
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -78,11 +78,7 @@
     auto const next = static_cast<std::uint32_t>(paths.size());
     auto const [it, added] = path_indices.try_emplace(key, next);
     if (added)
-    {
-        std::sort(order.begin(), order.end());
-        order.erase(std::unique(order.begin(), order.end()), order.end());
-        paths.emplace_back().pools = order;
-    }
+        paths.emplace_back();
     return it->second;
 }
 
@@ -228,14 +224,14 @@
     }
 }
 
-pool_access admission_state::access(std::uint32_t path, rank r,
-                                    double part) const
+pool_access admission_state::access(kept_request const& request) const
 {
     auto out = pool_access::guaranteed;
-    for (auto const pool : paths[path].pools)
+    for (auto const& it : request.stages)
         out =
-            std::min(out, ranks.access(pools[pool], r, settings.runner_queueing,
-                                       traits.rank_shares, part));
+            std::min(out, ranks.access(pools[it.pool], request.work_rank,
+                                       it.committed, settings.runner_queueing,
+                                       traits.rank_shares, request.bound_part));
     return out;
 }
 
@@ -258,8 +254,7 @@
 // overtake one that poll() would dispatch.
 bool admission_state::may_dispatch_now(kept_request const& request) const
 {
-    auto const allowed =
-        access(request.path, request.work_rank, request.bound_part);
+    auto const allowed = access(request);
     if (allowed == pool_access::blocked)
         return false;
     if (expiries.empty())
@@ -383,7 +378,7 @@
             auto const [flow, id] = queue.front(counter_of);
             auto& request = *requests.find(id)->second;
             candidate it;
-            it.access = access(path, r, request.bound_part);
+            it.access = access(request);
             if (it.access == pool_access::blocked)
                 continue;
             it.work_rank = r;
--- a/packages/decision/src/admission/admission_state.hpp
+++ b/packages/decision/src/admission/admission_state.hpp
@@ -57,7 +57,6 @@
 //! paths follows the pipelines in force.
 struct path_state
 {
-    absl::InlinedVector<std::uint32_t, usual_stages> pools; //!< distinct
     std::array<admission_queue, rank_count> queues;
     std::array<residence_estimate, rank_count> residence;
 };
@@ -89,7 +88,7 @@
                      time_point now);
 
     // Queue.
-    pool_access access(std::uint32_t path, rank r, double part) const;
+    pool_access access(kept_request const& request) const;
     double bound_part(kept_request const& request,
                       organisation_record const& record) const;
     bool may_dispatch_now(kept_request const& request) const;
--- a/packages/decision/src/admission/capacity_share.cpp
+++ b/packages/decision/src/admission/capacity_share.cpp
@@ -24,6 +24,11 @@
 //! several requests.
 constexpr double burst_factor = 2.0;
 
+//! Least part of an overloaded rank's guaranteed slots that a VM keeps,
+//! relative to an even division. A VM with new demand can start with it; a
+//! larger one would give organisations more for coming through many VMs.
+constexpr double least_part = 0.25;
+
 //! A rank served to this degree counts as served in full.
 constexpr double served_in_full = 0.999;
 
@@ -168,8 +173,10 @@
         auto const part = total[r] > 0.0 ? own[r] / total[r] : even;
         out.slots += given[r] * part;
         auto const guaranteed = ranks[r].guaranteed_share * slots;
-        out.guaranteed[r] = guaranteed * std::max(part, even) *
-                            (total[r] < guaranteed ? burst_factor : 1.0);
+        bool const within = total[r] < guaranteed;
+        out.guaranteed[r] =
+            guaranteed * (within ? burst_factor * std::max(part, even)
+                                 : std::max(part, least_part * even));
         own_sum += own[r];
         all_sum += total[r];
         spare -= given[r];
--- a/packages/decision/src/admission/rank_scheduler.cpp
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -14,23 +14,31 @@
 //! A rank that uses less than this is not predicted to wait for ever.
 constexpr double smallest_slots = 1e-2;
 
+//! Some work always fits into an empty part, or else a part smaller than one
+//! request would stop its rank.
+bool fits(double backlog, double work, double bound)
+{
+    if (bound <= 0.0)
+        return false;
+    return backlog <= 0.0 || backlog + 0.5 * work <= bound;
+}
+
 } // namespace
 
 pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
-                                   duration runner_queueing, bool shares,
-                                   double part) const
+                                   double work, duration runner_queueing,
+                                   bool shares, double part) const
 {
     if (!pool.fleet_slots())
         return pool_access::guaranteed;
     if (*pool.fleet_slots() <= 0.0)
         return pool_access::blocked;
-    if (shares &&
-        pool.backlog(r) < part * pool.guaranteed_bound(r, runner_queueing))
+    auto const guaranteed = part * pool.guaranteed_bound(r, runner_queueing);
+    if (shares && fits(pool.backlog(r), work, guaranteed))
         return pool_access::guaranteed;
-    return pool.total_backlog() <
-                   std::min(part, 1.0) * pool.bound(runner_queueing)
-               ? pool_access::lent
-               : pool_access::blocked;
+    auto const bound = std::min(part, 1.0) * pool.bound(runner_queueing);
+    return fits(pool.total_backlog(), work, bound) ? pool_access::lent
+                                                   : pool_access::blocked;
 }
 
 double rank_scheduler::expected_slots(pool_backlog const& pool, rank r,
