--- /dev/null
+++ b/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
@@ -0,0 +1,67 @@
+#ifndef BUCKTHORNVALE_DAEMON_STORE_GATEWAY_HPP
+#define BUCKTHORNVALE_DAEMON_STORE_GATEWAY_HPP
+
+#include <buckthornvale/daemon/event_queue.hpp>
+#include <buckthornvale/decision/reducer/effect.hpp>
+#include <buckthornvale/platform/budget/shared_store_budget.hpp>
+#include <buckthornvale/platform/objects/object_api.hpp>
+
+#include <asio/thread_pool.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace buckthornvale::daemon
+{
+
+//! Executes the reducer's store calls within this VM's budget and posts their
+//! answers. Claims have threads of their own, so that a waiting watch does not
+//! hold them up.
+class store_gateway
+{
+public:
+    store_gateway(platform::object_api& api,
+                  platform::shared_store_budget& budget, event_queue& events);
+    //! Ends waiting calls; answers that come later are dropped.
+    ~store_gateway();
+
+    void execute(decision::bookings::read_object call);
+    void execute(decision::bookings::write_object call);
+    void execute(decision::bookings::delete_object call);
+    void execute(decision::config::list_objects call);
+    void execute(decision::config::watch_objects call);
+
+    //! Reads the platform's list of VMs every `period` until the end.
+    void start_vm_list(decision::duration period);
+
+    //! Writes the status object of this VM when the budget lets it.
+    void offer_status(std::string const& path, std::string value);
+
+private:
+    bool permitted(platform::call_purpose purpose,
+                   platform::call_direction direction);
+    void report(platform::call_purpose purpose, platform::call_status status);
+    void finish_write(decision::bookings::store_token token,
+                      platform::write_result const& result);
+    void read_vm_list();
+    void write_status(std::string const& path, std::string const& value);
+    bool wait(decision::duration length);
+
+    platform::object_api& api_;
+    platform::shared_store_budget& budget_;
+    event_queue& events_;
+    std::uint64_t status_version_ = 0;
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::condition_variable condition_;
+    asio::thread_pool claims_;
+    asio::thread_pool settings_;
+    asio::thread_pool status_;
+    std::thread vm_list_;
+};
+
+} // namespace buckthornvale::daemon
+
+#endif
--- a/packages/decision/include/buckthornvale/decision/requests/caller_messages.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/caller_messages.hpp
@@ -67,6 +67,7 @@
     bool safe_to_repeat = true; //!< no non-repeatable stage may have started
     duration retry_after{};     //!< zero: no advice
     std::string outcome_key;    //!< key to ask the outcome by; empty: none
+    std::optional<wall_time> outcome_issued_at; //!< time of issue of that key
     std::vector<stage_trace> stages;
 };
 
--- a/packages/decision/src/requests/answers.cpp
+++ b/packages/decision/src/requests/answers.cpp
@@ -66,7 +66,7 @@
     body.failure = reason_after_start(std::move(reason));
     body.safe_to_repeat = !request.once_may_have_run();
     body.retry_after = retry_after;
-    body.outcome_key = request.call.idempotency_key;
+    add_outcome_key(body, request);
     body.stages = trace_of(request);
     return body;
 }
@@ -77,18 +77,23 @@
     body.result_kind = outcome::completed;
     body.result = request.stages[request.graph->last()].output;
     body.safe_to_repeat = !request.once_may_have_run();
-    body.outcome_key = request.call.idempotency_key;
+    add_outcome_key(body, request);
     body.stages = trace_of(request);
     return body;
 }
 
-answer unsettled_answer(error reason, std::string key, duration retry_after)
+void add_outcome_key(answer& body, request_state const& request)
+{
+    body.outcome_key = request.call.idempotency_key;
+    body.outcome_issued_at = request.call.issued_at;
+}
+
+answer unsettled_answer(error reason, duration retry_after)
 {
     answer body;
     body.result_kind = outcome::unknown;
     body.failure = std::move(reason);
     body.safe_to_repeat = false;
-    body.outcome_key = std::move(key);
     body.retry_after = retry_after;
     return body;
 }
--- a/packages/decision/src/requests/request_flow_claims.cpp
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -84,8 +84,8 @@
     auto const claimed = claims_.find(decision.request);
     if (!claimed)
     {
-        answer body = unsettled_answer(reason_of(decision.state), {},
-                                       pending_retry_after);
+        answer body =
+            unsettled_answer(reason_of(decision.state), pending_retry_after);
         if (decision.state == bookings::claim_state::completed)
         {
             body.result_kind = outcome::completed;
@@ -118,11 +118,9 @@
                       "it ran, but its result was too large to keep"};
         }
         executor_.cancel(request, true, now, out.requests);
-        finish(request,
-               unsettled_answer(std::move(reason), request.call.idempotency_key,
-                                pending_retry_after),
-               now, out);
-        return;
+        auto body = unsettled_answer(std::move(reason), pending_retry_after);
+        add_outcome_key(body, request);
+        return finish(request, std::move(body), now, out);
     }
     auto& stage = request.stages[n];
     stage.output = std::make_shared<stage_output const>(
@@ -156,7 +154,7 @@
     {
         return answer_query(decision.request,
                             unsettled_answer({error_kind::outcome_pending, {}},
-                                             {}, decision.retry_after),
+                                             decision.retry_after),
                             out);
     }
     claims_.remove(decision.request);
@@ -173,7 +171,7 @@
     {
         return answer_query(decision.request,
                             unsettled_answer({error_kind::outcome_pending, {}},
-                                             {}, pending_retry_after),
+                                             pending_retry_after),
                             out);
     }
     claims_.remove(decision.request);
@@ -181,11 +179,10 @@
     if (it == requests_.end() || it->second.answered)
         return;
     executor_.cancel(it->second, true, now, out.requests);
-    finish(it->second,
-           unsettled_answer({error_kind::deadline_exceeded, {}},
-                            it->second.call.idempotency_key,
-                            pending_retry_after),
-           now, out);
+    auto body = unsettled_answer({error_kind::deadline_exceeded, {}},
+                                 pending_retry_after);
+    add_outcome_key(body, it->second);
+    finish(it->second, std::move(body), now, out);
 }
 
 void request_flow::apply(bookings::claim_absent const& decision, time_point,
--- a/packages/serving/src/http/caller_codec.cpp
+++ b/packages/serving/src/http/caller_codec.cpp
@@ -256,6 +256,24 @@
     return call;
 }
 
+namespace
+{
+
+std::string outcome_url(requests::answer const& value,
+                        answer_context const& context)
+{
+    auto url = absl::StrCat("/v1/outcomes/", value.outcome_key,
+                            "?organisation=", context.organisation);
+    if (value.outcome_issued_at)
+    {
+        auto const issued_at = value.outcome_issued_at->time_since_epoch();
+        absl::StrAppend(&url, "&issued_at_ms=", issued_at.count());
+    }
+    return url;
+}
+
+} // namespace
+
 std::string encode_answer(requests::answer const& value,
                           answer_context const& context)
 {
@@ -271,9 +289,7 @@
             std::chrono::ceil<std::chrono::milliseconds>(value.retry_after)
                 .count();
     if (!value.outcome_key.empty())
-        body["outcome_url"] =
-            absl::StrCat("/v1/outcomes/", value.outcome_key,
-                         "?organisation=", context.organisation);
+        body["outcome_url"] = outcome_url(value, context);
     auto text = write_json(body);
     if (value.result)
         append_raw_member(text, "result", encode_result(*value.result));
--- a/packages/serving/src/http/http_front.cpp
+++ b/packages/serving/src/http/http_front.cpp
@@ -2,6 +2,7 @@
 #include <buckthornvale/serving/http/http_front.hpp>
 #include <buckthornvale/serving/http/key_digest.hpp>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 namespace buckthornvale::serving::http
@@ -336,6 +337,27 @@
         { return (*writer)(sink); });
 }
 
+namespace
+{
+
+// False when the parameter is there and is no time; without it the query
+// looks in the present time window only.
+bool read_issued_at(Request const& request, requests::outcome_asked& query)
+{
+    if (!request.has_param("issued_at_ms"))
+        return true;
+    std::int64_t ms = 0;
+    if (!absl::SimpleAtoi(request.get_param_value("issued_at_ms"), &ms) ||
+        ms < 0)
+    {
+        return false;
+    }
+    query.issued_at = decision::wall_time(std::chrono::milliseconds(ms));
+    return true;
+}
+
+} // namespace
+
 void http_front::handle_outcome(Request const& request, Response& response)
 {
     requests::outcome_asked query;
@@ -356,6 +378,11 @@
                        "the key in the path must have 1 to 128 letters, "
                        "digits or ._:~-"},
                       "", response);
+    if (!read_issued_at(request, query))
+        return refuse({error_kind::malformed_request,
+                       "query parameter 'issued_at_ms' must be the time of "
+                       "issue that was sent with the key"},
+                      "", response);
     query.key_sha256 = key_digest(key);
     auto const session = open_session(query.organisation, response);
     if (!session)
--- a/packages/serving/src/upstream/upstream_pool.cpp
+++ b/packages/serving/src/upstream/upstream_pool.cpp
@@ -19,8 +19,7 @@
 unavailable_outcome(requests::ask_service_outcome const& query)
 {
     service_outcome_told told;
-    told.organisation = query.organisation;
-    told.idempotency_key = query.idempotency_key;
+    told.claim = query.claim;
     return told;
 }
 
