--- /dev/null
+++ b/packages/peer/src/codec/codec.cpp
@@ -0,0 +1,527 @@
+#include "depth_check.hpp"
+#include "reader.hpp"
+#include <buckthornvale/decision/core/text.hpp>
+#include <buckthornvale/peer/codec/codec.hpp>
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <absl/types/span.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+#include <vector>
+
+namespace buckthornvale::peer
+{
+
+namespace
+{
+
+using detail::field_reader;
+using nlohmann::json;
+namespace bookings = decision::bookings;
+namespace config = decision::config;
+namespace fleet = decision::fleet;
+
+constexpr std::uint64_t protocol_version = 1;
+constexpr std::size_t max_value_bytes = 1024 * 1024;
+
+json binary_of(std::string const& bytes)
+{
+    return json::binary(std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+// hello, ping, ack, goodbye
+
+json fields_of(hello const& value)
+{
+    return {{"t", "hello"}, {"vm", value.vm.value}, {"inc", value.incarnation}};
+}
+
+void read(field_reader& in, hello& value)
+{
+    in.number("vm", value.vm.value);
+    in.number("inc", value.incarnation);
+}
+
+json fields_of(ping const& value)
+{
+    return {{"t", "ping"}, {"to", value.target.value}, {"n", value.sequence}};
+}
+
+void read(field_reader& in, ping& value)
+{
+    in.number("to", value.target.value);
+    in.number("n", value.sequence);
+}
+
+json fields_of(ack const& value)
+{
+    return {{"t", "ack"}, {"to", value.target.value}, {"n", value.sequence}};
+}
+
+void read(field_reader& in, ack& value)
+{
+    in.number("to", value.target.value);
+    in.number("n", value.sequence);
+}
+
+json fields_of(goodbye const&)
+{
+    return {{"t", "goodbye"}};
+}
+
+void read(field_reader&, goodbye&) {}
+
+// isolation marks
+
+json fields_of(fleet::isolation_mark const& value)
+{
+    return {{"t", "mark"},
+            {"h", value.high},
+            {"l", value.low},
+            {"i", value.isolated}};
+}
+
+void read(field_reader& in, fleet::isolation_mark& value)
+{
+    in.number("h", value.high);
+    in.number("l", value.low);
+    in.boolean("i", value.isolated);
+}
+
+// summaries
+
+// Whole numbers take one to five bytes in CBOR, other numbers five or nine.
+// A thousandth is finer than any decision needs.
+constexpr double units = 1000.;
+
+// The largest amount of thousandths that a double holds exactly.
+constexpr double max_units = 9007199254740992.;
+
+json units_of(double value)
+{
+    auto const scaled = value * units;
+    if (!(scaled > 0.))
+        return 0U;
+    return static_cast<std::uint64_t>(std::min(scaled, max_units) + 0.5);
+}
+
+void read_units(field_reader& in, char const* name, absl::Span<double> out)
+{
+    auto const* list = in.array(name, out.size());
+    if (list == nullptr)
+        return;
+    if (list->size() != out.size())
+        in.fail(name);
+    for (std::size_t i = 0; i < list->size(); ++i)
+    {
+        if ((*list)[i].is_number_unsigned())
+            out[i] =
+                static_cast<double>((*list)[i].get<std::uint64_t>()) / units;
+        else
+            in.fail(name);
+    }
+}
+
+json fields_of(fleet::summary_message const& value)
+{
+    json pools = json::array();
+    for (auto const& it : value.load.pools)
+    {
+        json running = json::array();
+        json demand = json::array();
+        for (std::size_t i = 0; i < decision::rank_count; ++i)
+        {
+            running.push_back(units_of(it.in_flight[i]));
+            demand.push_back(units_of(it.demand[i]));
+        }
+        pools.push_back({{"p", it.pool.value},
+                         {"f", std::move(running)},
+                         {"d", std::move(demand)}});
+    }
+    json organisations = json::array();
+    for (auto const& it : value.load.organisations)
+    {
+        organisations.push_back(
+            {{"o", it.organisation.value},
+             {"a",
+              {units_of(it.requests_per_second), units_of(it.concurrent)}}});
+    }
+    json marks = json::array();
+    for (auto const& it : value.load.marks)
+    {
+        marks.push_back({{"h", it.high}, {"l", it.low}, {"i", it.isolated}});
+    }
+    return {{"t", "summary"},
+            {"n", value.sequence},
+            {"full", value.full},
+            {"fleet", value.fleet},
+            {"vms", value.load.vms},
+            {"rev", value.load.settings_revision},
+            {"pools", std::move(pools)},
+            {"orgs", std::move(organisations)},
+            {"marks", std::move(marks)}};
+}
+
+void read(field_reader& in, fleet::summary_message& value)
+{
+    in.number("n", value.sequence);
+    in.boolean("full", value.full);
+    in.boolean("fleet", value.fleet);
+    in.number("vms", value.load.vms);
+    in.number("rev", value.load.settings_revision);
+    // A difference also lists what is gone, so it may have twice the entries.
+    if (auto const* list = in.array("pools", 2 * fleet::max_summary_pools))
+    {
+        for (auto const& it : *list)
+        {
+            field_reader entry(it);
+            fleet::pool_load load;
+            entry.number("p", load.pool.value);
+            read_units(entry, "f", absl::MakeSpan(load.in_flight));
+            read_units(entry, "d", absl::MakeSpan(load.demand));
+            in.check(entry);
+            value.load.pools.push_back(load);
+        }
+    }
+    if (auto const* list =
+            in.array("orgs", 2 * fleet::max_summary_organisations))
+    {
+        for (auto const& it : *list)
+        {
+            field_reader entry(it);
+            fleet::organisation_load load;
+            std::array<double, 2> amounts{};
+            entry.number("o", load.organisation.value);
+            read_units(entry, "a", absl::MakeSpan(amounts));
+            load.requests_per_second = amounts[0];
+            load.concurrent = amounts[1];
+            in.check(entry);
+            value.load.organisations.push_back(load);
+        }
+    }
+    if (auto const* list = in.array("marks", fleet::max_summary_marks))
+    {
+        for (auto const& it : *list)
+        {
+            field_reader entry(it);
+            fleet::isolation_mark mark;
+            read(entry, mark);
+            in.check(entry);
+            value.load.marks.push_back(mark);
+        }
+    }
+}
+
+// settings
+
+json fields_of(config::settings_have const& value)
+{
+    return {
+        {"t", "settings_have"}, {"rev", value.revision}, {"c", value.complete}};
+}
+
+void read(field_reader& in, config::settings_have& value)
+{
+    in.number("rev", value.revision);
+    in.boolean("c", value.complete);
+}
+
+json fields_of(config::settings_pull const& value)
+{
+    return {{"t", "settings_pull"}, {"from", value.from}};
+}
+
+void read(field_reader& in, config::settings_pull& value)
+{
+    in.number("from", value.from);
+}
+
+json fields_of(config::settings_push const& value)
+{
+    json objects = json::array();
+    for (auto const& it : value.objects)
+    {
+        objects.push_back({{"p", it.path},
+                           {"n", it.version},
+                           {"del", it.deleted},
+                           {"val", binary_of(it.value)}});
+    }
+    return {{"t", "settings_push"}, {"from", value.from},
+            {"to", value.up_to},    {"rev", value.revision},
+            {"re", value.restart},  {"objs", std::move(objects)}};
+}
+
+void read(field_reader& in, config::settings_push& value)
+{
+    in.number("from", value.from);
+    in.number("to", value.up_to);
+    in.number("rev", value.revision);
+    in.boolean("re", value.restart);
+    auto const* list = in.array("objs", max_push_objects);
+    if (list == nullptr)
+        return;
+    for (auto const& it : *list)
+    {
+        field_reader entry(it);
+        config::settings_object object;
+        entry.text("p", object.path, max_path_bytes);
+        entry.number("n", object.version);
+        entry.boolean("del", object.deleted);
+        entry.binary("val", object.value, max_value_bytes);
+        in.check(entry);
+        if (object.path.empty() || object.version == 0)
+            in.fail("objs");
+        value.objects.push_back(std::move(object));
+    }
+    if (value.up_to < value.from)
+        in.fail("to");
+}
+
+// claims
+
+json fields_of(bookings::digest128 value)
+{
+    return {{"h", value.high}, {"l", value.low}};
+}
+
+void read(field_reader& in, char const* name, bookings::digest128& value)
+{
+    auto const* nested = in.map(name);
+    if (nested == nullptr)
+        return;
+    field_reader entry(*nested);
+    entry.number("h", value.high);
+    entry.number("l", value.low);
+    in.check(entry);
+}
+
+json fields_of(bookings::booking_result const& value)
+{
+    return {{"b", binary_of(value.bytes)},
+            {"cut", value.truncated},
+            {"d", fields_of(value.digest)},
+            {"n", value.size}};
+}
+
+void read(field_reader& in, char const* name, bookings::booking_result& value)
+{
+    auto const* nested = in.map(name);
+    if (nested == nullptr)
+        return;
+    field_reader entry(*nested);
+    entry.binary("b", value.bytes, bookings::max_result_bytes);
+    entry.boolean("cut", value.truncated);
+    read(entry, "d", value.digest);
+    entry.number("n", value.size);
+    in.check(entry);
+}
+
+json fields_of(bookings::shard_address value)
+{
+    return {{"w", value.window}, {"s", value.shard}};
+}
+
+void read(field_reader& in, char const* name, bookings::shard_address& value)
+{
+    auto const* nested = in.map(name);
+    if (nested == nullptr)
+        return;
+    field_reader entry(*nested);
+    entry.number("w", value.window);
+    entry.number("s", value.shard);
+    in.check(entry);
+}
+
+json milliseconds_of(decision::wall_time value)
+{
+    return value.time_since_epoch().count();
+}
+
+void read(field_reader& in, char const* name, decision::wall_time& value)
+{
+    std::int64_t milliseconds = 0;
+    in.integer(name, milliseconds);
+    value = decision::wall_time(std::chrono::milliseconds(milliseconds));
+}
+
+json fields_of(bookings::shard_update const& value)
+{
+    return {{"t", "claim"},
+            {"k", static_cast<unsigned>(value.kind)},
+            {"at", fields_of(value.shard)},
+            {"id", fields_of(value.id)},
+            {"body", fields_of(value.body)},
+            {"vm", value.owner.value},
+            {"inc", value.incarnation},
+            {"nonce", value.nonce},
+            {"dl", milliseconds_of(value.deadline)},
+            {"res", fields_of(value.result)}};
+}
+
+void read(field_reader& in, bookings::shard_update& value)
+{
+    in.enumeration("k", value.kind, bookings::update_kind::release);
+    read(in, "at", value.shard);
+    read(in, "id", value.id);
+    read(in, "body", value.body);
+    in.number("vm", value.owner.value);
+    in.number("inc", value.incarnation);
+    in.number("nonce", value.nonce);
+    read(in, "dl", value.deadline);
+    read(in, "res", value.result);
+}
+
+json fields_of(bookings::claim_entry const& value)
+{
+    return {{"s", static_cast<unsigned>(value.state)},
+            {"body", fields_of(value.body)},
+            {"vm", value.owner.value},
+            {"inc", value.incarnation},
+            {"nonce", value.nonce},
+            {"dl", milliseconds_of(value.deadline)},
+            {"res", fields_of(value.result)}};
+}
+
+void read(field_reader& in, char const* name, bookings::claim_entry& value)
+{
+    auto const* nested = in.map(name);
+    if (nested == nullptr)
+        return;
+    field_reader entry(*nested);
+    entry.enumeration("s", value.state, bookings::claim_state::unknown);
+    read(entry, "body", value.body);
+    entry.number("vm", value.owner.value);
+    entry.number("inc", value.incarnation);
+    entry.number("nonce", value.nonce);
+    read(entry, "dl", value.deadline);
+    read(entry, "res", value.result);
+    in.check(entry);
+}
+
+json fields_of(bookings::update_answer const& value)
+{
+    return {{"t", "claim_answer"},
+            {"k", static_cast<unsigned>(value.kind)},
+            {"at", fields_of(value.shard)},
+            {"id", fields_of(value.id)},
+            {"nonce", value.nonce},
+            {"a", static_cast<unsigned>(value.verdict)},
+            {"why", static_cast<unsigned>(value.reason)},
+            {"e", fields_of(value.entry)}};
+}
+
+void read(field_reader& in, bookings::update_answer& value)
+{
+    in.enumeration("k", value.kind, bookings::update_kind::release);
+    read(in, "at", value.shard);
+    read(in, "id", value.id);
+    in.number("nonce", value.nonce);
+    in.enumeration("a", value.verdict, bookings::update_verdict::unsettled);
+    in.enumeration("why", value.reason, decision::error_kind::caller_gone);
+    read(in, "e", value.entry);
+}
+
+// types
+
+template <class Type>
+message read_message(field_reader& in)
+{
+    Type value;
+    read(in, value);
+    return value;
+}
+
+struct type_entry
+{
+    std::string_view name;
+    message (*read)(field_reader&);
+};
+
+constexpr type_entry types[] = {
+    {"hello", read_message<hello>},
+    {"summary", read_message<fleet::summary_message>},
+    {"ping", read_message<ping>},
+    {"ack", read_message<ack>},
+    {"settings_have", read_message<config::settings_have>},
+    {"settings_pull", read_message<config::settings_pull>},
+    {"settings_push", read_message<config::settings_push>},
+    {"claim", read_message<bookings::shard_update>},
+    {"claim_answer", read_message<bookings::update_answer>},
+    {"mark", read_message<fleet::isolation_mark>},
+    {"goodbye", read_message<goodbye>},
+};
+
+type_entry const* find_type(std::string const& name)
+{
+    for (auto const& it : types)
+    {
+        if (it.name == name)
+            return &it;
+    }
+    return nullptr;
+}
+
+absl::StatusOr<json> parse(std::string_view bytes)
+{
+    if (bytes.size() > max_message_bytes)
+        return absl::ResourceExhaustedError(
+            "peer message exceeds the size limit");
+    detail::depth_check check;
+    if (!json::sax_parse(bytes.begin(), bytes.end(), &check,
+                         json::input_format_t::cbor))
+    {
+        if (check.exceeded())
+            return absl::ResourceExhaustedError(
+                "peer message has too many values or levels");
+        return absl::InvalidArgumentError("peer message is not valid CBOR");
+    }
+    auto value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (value.is_discarded())
+        return absl::InvalidArgumentError("peer message is not valid CBOR");
+    return value;
+}
+
+} // namespace
+
+std::string encode(message const& value)
+{
+    auto fields =
+        std::visit([](auto const& it) { return fields_of(it); }, value);
+    fields["v"] = protocol_version;
+    std::string bytes;
+    json::to_cbor(fields, bytes);
+    return bytes;
+}
+
+absl::StatusOr<message> decode(std::string_view bytes)
+{
+    auto const parsed = parse(bytes);
+    if (!parsed.ok())
+        return parsed.status();
+    field_reader in(*parsed);
+    std::uint64_t version = 0;
+    std::string name;
+    in.number("v", version);
+    in.text("t", name, max_path_bytes);
+    if (in.ok() && version != protocol_version)
+        return absl::UnimplementedError("peer message has another version");
+    auto const* type = find_type(name);
+    if (in.ok() && type == nullptr)
+        return absl::UnimplementedError("peer message has an unknown type");
+    message value;
+    if (in.ok())
+        value = type->read(in);
+    if (in.too_large())
+        return absl::ResourceExhaustedError(
+            "a field of the peer message exceeds its limit");
+    if (!in.ok())
+        return absl::InvalidArgumentError(absl::StrCat(
+            "peer message field is missing or wrong: ", in.failed_field()));
+    return value;
+}
+
+} // namespace buckthornvale::peer
--- /dev/null
+++ b/packages/peer/src/codec/depth_check.hpp
@@ -0,0 +1,53 @@
+#ifndef BUCKTHORNVALE_PEER_SRC_CODEC_DEPTH_CHECK_HPP
+#define BUCKTHORNVALE_PEER_SRC_CODEC_DEPTH_CHECK_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string>
+
+namespace buckthornvale::peer::detail
+{
+
+//! Visitor that stops at a depth or at a number of values. The CBOR parser
+//! calls itself for each level, so a deep message would exhaust the stack.
+class depth_check : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+    bool null() override { return value(); }
+    bool boolean(bool) override { return value(); }
+    bool number_integer(number_integer_t) override { return value(); }
+    bool number_unsigned(number_unsigned_t) override { return value(); }
+    bool number_float(number_float_t, string_t const&) override
+    {
+        return value();
+    }
+    bool string(string_t&) override { return value(); }
+    bool binary(binary_t&) override { return value(); }
+    bool start_object(std::size_t) override { return enter(); }
+    bool key(string_t&) override { return value(); }
+    bool end_object() override { return leave(); }
+    bool start_array(std::size_t) override { return enter(); }
+    bool end_array() override { return leave(); }
+    bool parse_error(std::size_t, std::string const&,
+                     nlohmann::detail::exception const&) override
+    {
+        return false;
+    }
+
+    //! True when a bound stopped the parser.
+    bool exceeded() const { return exceeded_; }
+
+private:
+    bool value();
+    bool enter();
+    bool leave();
+
+    std::size_t depth_ = 0;
+    std::size_t values_ = 0;
+    bool exceeded_ = false;
+};
+
+} // namespace buckthornvale::peer::detail
+
+#endif
