--- /dev/null
+++ b/packages/daemon/src/entry_node.cpp
@@ -0,0 +1,339 @@
+#include <buckthornvale/daemon/entry_node.hpp>
+
+#include <buckthornvale/daemon/status_text.hpp>
+#include <buckthornvale/serving/log/logging.hpp>
+
+#include <absl/strings/str_cat.h>
+#include <asio/post.hpp>
+
+#include <chrono>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace buckthornvale::daemon
+{
+
+namespace
+{
+
+namespace requests = decision::requests;
+using std::chrono::milliseconds;
+
+// Bounds how late a deadline, a hedge or a batch is noticed.
+constexpr milliseconds tick_period{10};
+
+constexpr decision::duration status_period = std::chrono::seconds(1);
+
+constexpr decision::duration vm_list_period = std::chrono::seconds(1);
+
+decision::wall_time wall_now()
+{
+    auto const now = std::chrono::system_clock::now();
+    return std::chrono::time_point_cast<milliseconds>(now);
+}
+
+decision::reducer_settings
+reducer_settings_of(settings::process_settings const& from,
+                    std::uint64_t incarnation)
+{
+    decision::reducer_settings settings;
+    settings.vm = from.vm;
+    settings.failure_domain = from.failure_domain;
+    settings.incarnation = incarnation;
+    settings.seed = incarnation;
+    return settings;
+}
+
+serving::http::front_settings
+front_settings_of(settings::process_settings const& from,
+                  std::uint64_t incarnation)
+{
+    serving::http::front_settings settings;
+    settings.address = from.http.address;
+    settings.port = from.http.port;
+    settings.incarnation = incarnation;
+    settings.server.threads = from.http.threads;
+    settings.max_waiting = from.http.threads - from.http.threads / 4;
+    return settings;
+}
+
+serving::upstream::upstream_settings
+upstream_settings_of(settings::process_settings const& from)
+{
+    serving::upstream::upstream_settings settings;
+    settings.max_calls = from.limits.upstream_calls;
+    return settings;
+}
+
+peer::link_settings link_settings_of(settings::process_settings const& from,
+                                     std::uint64_t incarnation)
+{
+    peer::link_settings settings;
+    settings.self = decision::vm_id::of(from.vm);
+    settings.incarnation = incarnation;
+    settings.address = from.peer.address;
+    settings.port = from.peer.port;
+    settings.seed = incarnation;
+    return settings;
+}
+
+} // namespace
+
+entry_node::entry_node(settings::process_settings settings,
+                       std::uint64_t incarnation)
+    : settings_(std::move(settings)), incarnation_(incarnation),
+      work_(asio::make_work_guard(loop_)), tick_(loop_), notice_(loop_),
+      reducer_(reducer_settings_of(settings_, incarnation)),
+      metrics_(serving::metrics::metrics_settings{}),
+      api_(settings_.platform.address), budget_({}, incarnation),
+      front_(front_settings_of(settings_, incarnation),
+             {[this] { return ready_.load(); },
+              [this] { return metrics_.to_text(); },
+              [this] { return *std::atomic_load(&status_); },
+              [this] { drain(); }, [] { return wall_now(); }},
+             *this),
+      upstream_(upstream_settings_of(settings_), *this),
+      poller_(serving::upstream::poll_settings{}, *this),
+      peers_(link_settings_of(settings_, incarnation), *this),
+      store_(api_, budget_, *this),
+      status_(std::make_shared<std::string const>("{}"))
+{
+}
+
+entry_node::~entry_node()
+{
+    loop_.stop();
+    if (finisher_.joinable())
+        finisher_.join();
+    peers_.stop();
+}
+
+absl::Status entry_node::start()
+{
+    if (auto const status = peers_.start(); !status.ok())
+        return status;
+    publish_status();
+    if (!front_.start())
+    {
+        return absl::UnavailableError(absl::StrCat(
+            "cannot listen on ", settings_.http.address, ":",
+            settings_.http.port, "; choose a free address in [http]"));
+    }
+    store_.start_vm_list(vm_list_period);
+    schedule_tick();
+    return absl::OkStatus();
+}
+
+void entry_node::run() { loop_.run(); }
+
+void entry_node::post(decision::event value)
+{
+    asio::post(loop_, [this, value = std::move(value)] { step(value); });
+}
+
+void entry_node::step(decision::event const& value)
+{
+    decision::effects effects;
+    reducer_.reduce(value, platform::monotonic_now(), effects);
+    execute(effects);
+}
+
+void entry_node::execute(decision::effects& effects)
+{
+    for (auto& effect : effects)
+    {
+        std::visit(
+            [this](auto& it)
+            {
+                using kind = std::decay_t<decltype(it)>;
+                if constexpr (std::is_same_v<kind, requests::send_answer> ||
+                              std::is_same_v<kind, requests::send_token>)
+                    front_.deliver(it);
+                else if constexpr (std::is_same_v<kind,
+                                                  requests::start_attempt>)
+                    upstream_.start(std::move(it));
+                else if constexpr (std::is_same_v<kind,
+                                                  requests::cancel_attempt>)
+                    upstream_.cancel(it);
+                else if constexpr (std::is_same_v<
+                                       kind, requests::ask_service_outcome>)
+                    upstream_.ask(std::move(it));
+                else if constexpr (std::is_same_v<kind,
+                                                  requests::state_logged>)
+                    serving::log::write_log(it);
+                else if constexpr (std::is_same_v<kind,
+                                                  requests::request_counted> ||
+                                   std::is_same_v<kind,
+                                                  requests::stage_counted> ||
+                                   std::is_same_v<kind,
+                                                  requests::event_counted>)
+                    metrics_.count(it);
+                else if constexpr (std::is_same_v<kind,
+                                                  decision::apply_settings>)
+                    execute(it);
+                else if constexpr (std::is_same_v<kind, decision::send_peer>)
+                {
+                    if (!peers_.execute(it))
+                        metrics_.count(requests::event_counted{
+                            requests::counter::peer_message_dropped, 1.});
+                }
+                else if constexpr (std::is_same_v<kind,
+                                                  decision::set_peer_targets>)
+                    peers_.execute(it);
+                else
+                {
+                    metrics_.count(requests::event_counted{
+                        requests::counter::store_call, 1.});
+                    store_.execute(std::move(it));
+                }
+            },
+            effect);
+    }
+}
+
+void entry_node::execute(decision::apply_settings const& change)
+{
+    auto const result = installer_.apply(change);
+    for (auto const& it : result.problems)
+    {
+        metrics_.count(requests::event_counted{
+            requests::counter::settings_rejected, 1.});
+        serving::log::write_log(
+            serving::log::level::warning,
+            absl::StrCat("settings change refused, the value in force stays: ",
+                         it));
+    }
+    if (result.installed)
+        install(*result.installed);
+}
+
+void entry_node::install(requests::settings_installed const& installed)
+{
+    std::vector<serving::upstream::polled_runner> runners;
+    std::vector<std::string> organisations;
+    std::vector<std::string> pipelines;
+    for (auto const& [name, pool] : installed.settings->pools)
+    {
+        for (auto const& it : pool.runners)
+        {
+            runners.push_back({decision::runner_id::of(it.name), it.host,
+                               it.port, pool.kind});
+        }
+    }
+    for (auto const& it : installed.settings->organisations)
+        organisations.push_back(it.first);
+    for (auto const& it : installed.settings->pipelines)
+        pipelines.push_back(it.first);
+    poller_.set_runners(runners);
+    metrics_.set_organisations(organisations);
+    metrics_.set_pipelines(pipelines);
+    step(installed);
+}
+
+void entry_node::schedule_tick()
+{
+    tick_.expires_after(tick_period);
+    tick_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (ec)
+                return;
+            step(decision::ticked{wall_now()});
+            ready_ = reducer_.ready();
+            publish_status();
+            finish_drain();
+            schedule_tick();
+        });
+}
+
+void entry_node::publish_status()
+{
+    auto const now = platform::monotonic_now();
+    if (now < next_status_)
+        return;
+    next_status_ = now + status_period;
+    auto text = status_text(settings_.vm, incarnation_, reducer_.status(),
+                            peers_.counters());
+    store_.offer_status(absl::StrCat("status/", settings_.vm), text);
+    std::atomic_store(&status_,
+                      std::make_shared<std::string const>(std::move(text)));
+}
+
+void entry_node::drain()
+{
+    if (draining_.exchange(true))
+        return;
+    asio::post(loop_, [this] { begin_drain(); });
+}
+
+void entry_node::begin_drain()
+{
+    step(decision::drain_started{});
+    ready_ = false;
+    notice_.expires_after(settings_.shutdown.notice);
+    notice_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (ec)
+                return;
+            front_.stop_accepting();
+            finisher_ = std::thread(
+                [this]
+                {
+                    front_.finish();
+                    asio::post(loop_, [this] { callers_done_ = true; });
+                });
+        });
+}
+
+// Ends the loop once the last caller has its answer and the last outcome of a
+// non-repeatable stage is known or given up.
+void entry_node::finish_drain()
+{
+    if (!callers_done_ || !reducer_.idle())
+        return;
+    peers_.stop();
+    loop_.stop();
+}
+
+void entry_node::submit(requests::request_received message)
+{
+    post(std::move(message));
+}
+
+void entry_node::gone(requests::caller_gone message) { post(message); }
+
+void entry_node::ask(requests::outcome_asked message)
+{
+    post(std::move(message));
+}
+
+void entry_node::token(requests::attempt_token message)
+{
+    post(std::move(message));
+}
+
+void entry_node::ended(requests::attempt_ended message)
+{
+    post(std::move(message));
+}
+
+void entry_node::outcome_told(requests::service_outcome_told message)
+{
+    post(std::move(message));
+}
+
+void entry_node::ordered(serving::upstream::order_answered) {}
+
+void entry_node::reported(requests::runner_reported message)
+{
+    post(std::move(message));
+}
+
+void entry_node::cache_changed(requests::runner_cache_changed message)
+{
+    post(std::move(message));
+}
+
+} // namespace buckthornvale::daemon
