--- a/packages/decision/src/requests/request_flow_claims.cpp
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -90,6 +90,7 @@
         {
             body.result_kind = outcome::completed;
             body.failure = {};
+            body.retry_after = {};
             body.result = std::make_shared<stage_output const>(
                 stage_output{decision.result.bytes, false});
         }
