--- a/packages/daemon/include/buckthornvale/daemon/address.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/address.hpp
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <optional>
 #include <string>
 #include <string_view>
 
--- a/packages/daemon/src/address.cpp
+++ b/packages/daemon/src/address.cpp
@@ -1,5 +1,4 @@
 #include <buckthornvale/daemon/address.hpp>
-
 #include <buckthornvale/decision/core/text.hpp>
 
 #include <absl/strings/numbers.h>
--- a/packages/daemon/src/entry_node.cpp
+++ b/packages/daemon/src/entry_node.cpp
@@ -1,5 +1,4 @@
 #include <buckthornvale/daemon/entry_node.hpp>
-
 #include <buckthornvale/daemon/status_text.hpp>
 #include <buckthornvale/serving/log/logging.hpp>
 
@@ -125,7 +124,10 @@
     return absl::OkStatus();
 }
 
-void entry_node::run() { loop_.run(); }
+void entry_node::run()
+{
+    loop_.run();
+}
 
 void entry_node::post(decision::event value)
 {
@@ -159,8 +161,7 @@
                 else if constexpr (std::is_same_v<
                                        kind, requests::ask_service_outcome>)
                     upstream_.ask(std::move(it));
-                else if constexpr (std::is_same_v<kind,
-                                                  requests::state_logged>)
+                else if constexpr (std::is_same_v<kind, requests::state_logged>)
                     serving::log::write_log(it);
                 else if constexpr (std::is_same_v<kind,
                                                   requests::request_counted> ||
@@ -197,8 +198,8 @@
     auto const result = installer_.apply(change);
     for (auto const& it : result.problems)
     {
-        metrics_.count(requests::event_counted{
-            requests::counter::settings_rejected, 1.});
+        metrics_.count(
+            requests::event_counted{requests::counter::settings_rejected, 1.});
         serving::log::write_log(
             serving::log::level::warning,
             absl::StrCat("settings change refused, the value in force stays: ",
@@ -302,7 +303,10 @@
     post(std::move(message));
 }
 
-void entry_node::gone(requests::caller_gone message) { post(message); }
+void entry_node::gone(requests::caller_gone message)
+{
+    post(message);
+}
 
 void entry_node::ask(requests::outcome_asked message)
 {
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -67,11 +67,12 @@
 
     asio::io_context signals_loop;
     asio::signal_set signals(signals_loop, SIGTERM, SIGINT);
-    signals.async_wait([&](asio::error_code ec, int)
-                       {
-                           if (!ec)
-                               node.drain();
-                       });
+    signals.async_wait(
+        [&](asio::error_code ec, int)
+        {
+            if (!ec)
+                node.drain();
+        });
     std::thread signal_thread([&] { signals_loop.run(); });
     node.run();
     signals_loop.stop();
--- a/packages/daemon/src/peer_gateway.cpp
+++ b/packages/daemon/src/peer_gateway.cpp
@@ -1,6 +1,5 @@
-#include <buckthornvale/daemon/peer_gateway.hpp>
-
 #include <buckthornvale/daemon/address.hpp>
+#include <buckthornvale/daemon/peer_gateway.hpp>
 
 #include <type_traits>
 #include <utility>
@@ -58,8 +57,9 @@
     };
     handlers.event = [&events](decision::vm_id peer,
                                decision::fleet::link_event what,
-                               std::uint64_t incarnation)
-    { events.post(decision::peer_link_changed{peer, what, incarnation}); };
+                               std::uint64_t incarnation) {
+        events.post(decision::peer_link_changed{peer, what, incarnation});
+    };
     handlers.not_sent = [](decision::vm_id) {};
     return handlers;
 }
--- a/packages/daemon/src/status_text.cpp
+++ b/packages/daemon/src/status_text.cpp
@@ -13,7 +13,8 @@
     json members = json::array();
     for (auto const& it : status.members)
     {
-        bool const entry = it.listed.role == decision::fleet::member_role::entry;
+        bool const entry =
+            it.listed.role == decision::fleet::member_role::entry;
         members.push_back({{"id", it.listed.name},
                            {"role", entry ? "entry" : "runner"},
                            {"state", decision::fleet::name_of(it.state)}});
--- a/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
+++ b/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
@@ -51,7 +51,7 @@
     runner_kind kind = runner_kind::engine;
     bool checks_fencing = false;     //!< engines refuse an old fencing number
     bool answers_outcomes = false;   //!< service can be asked by key
-    bool resumes_streams = false;  //!< engines resume from a token index
+    bool resumes_streams = false;    //!< engines resume from a token index
     std::vector<std::string> models; //!< engines: models that orders may load
     std::vector<runner_settings> runners;
 };
--- /dev/null
+++ b/packages/decision/tests/reducer/outcomes_test.cpp
@@ -0,0 +1,218 @@
+#include "support/vm_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::decision
+{
+namespace
+{
+
+using requests::attempt_outcome;
+using requests::outcome;
+using testing::fake_store;
+using testing::vm_fixture;
+
+// Guards against a lost or doubled answer on the plain path.
+TEST(request_outcome, is_completed_once_after_the_last_stage)
+{
+    fake_store store;
+    vm_fixture it(store);
+    auto const id = it.send("answer");
+    it.complete(it.next_attempt(), "\"code\"");
+    auto const generate = it.next_attempt();
+    ASSERT_EQ(generate.results.size(), 1u);
+    EXPECT_EQ(generate.results[0].output->bytes, "\"code\"");
+    it.token(generate, 0, "a");
+    it.token(generate, 1, "b");
+    it.end_stream(generate, 2);
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, outcome::completed);
+    EXPECT_EQ(it.answers[id].result->bytes, "ab");
+    EXPECT_EQ(it.answer_counts[id], 1);
+    EXPECT_TRUE(it.vm.idle());
+}
+
+// One row for each way in which a request can end before its last stage.
+struct failure_row
+{
+    char const* name;
+    attempt_outcome how;
+    outcome expected;
+    bool safe_to_repeat;
+};
+
+class repeatable_stage_failure : public ::testing::TestWithParam<failure_row>
+{
+};
+
+// Guards against "not run" for work that an upstream may have executed, and
+// against "unknown" for work that provably never started.
+TEST_P(repeatable_stage_failure, tells_whether_it_may_have_run)
+{
+    fake_store store;
+    vm_fixture it(store);
+    auto const id = it.send("answer");
+    while (!it.has_answer(id) && !it.attempts.empty())
+        it.fail(it.next_attempt(), GetParam().how);
+    it.advance(std::chrono::seconds(6));
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, GetParam().expected);
+    EXPECT_EQ(it.answers[id].safe_to_repeat, GetParam().safe_to_repeat);
+    EXPECT_EQ(it.answer_counts[id], 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all_outcomes, repeatable_stage_failure,
+    ::testing::Values(failure_row{"not_started", attempt_outcome::not_started,
+                                  outcome::not_run, true},
+                      failure_row{"rejected", attempt_outcome::rejected,
+                                  outcome::unknown, true},
+                      failure_row{"connection_lost",
+                                  attempt_outcome::connection_lost,
+                                  outcome::unknown, true},
+                      failure_row{"timed_out", attempt_outcome::timed_out,
+                                  outcome::unknown, true}),
+    [](auto const& row) { return row.param.name; });
+
+class booking_stage_failure : public ::testing::TestWithParam<failure_row>
+{
+};
+
+// Guards against a second run of a booking whose first may have happened.
+TEST_P(booking_stage_failure, never_runs_it_again_unless_it_did_not_start)
+{
+    fake_store store;
+    vm_fixture it(store, "vm-1", 1);
+    auto const id = it.send("booking", "key-1");
+    it.advance(std::chrono::milliseconds(100));
+    it.complete(it.next_attempt(), "\"code\"");
+    it.fail(it.next_attempt(), GetParam().how);
+    EXPECT_TRUE(it.attempts.empty());
+    it.advance(std::chrono::seconds(6));
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, GetParam().expected);
+    EXPECT_EQ(it.answers[id].safe_to_repeat, GetParam().safe_to_repeat);
+
+    // A repeat runs the booking exactly when the first one provably did not.
+    auto const again = it.send("booking", "key-1");
+    it.advance(std::chrono::seconds(3));
+    EXPECT_EQ(it.attempts.empty(), !GetParam().safe_to_repeat);
+    EXPECT_EQ(it.has_answer(again), !GetParam().safe_to_repeat);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all_outcomes, booking_stage_failure,
+    ::testing::Values(failure_row{"not_started", attempt_outcome::not_started,
+                                  outcome::unknown, true},
+                      failure_row{"rejected", attempt_outcome::rejected,
+                                  outcome::unknown, false},
+                      failure_row{"connection_lost",
+                                  attempt_outcome::connection_lost,
+                                  outcome::unknown, false},
+                      failure_row{"timed_out", attempt_outcome::timed_out,
+                                  outcome::unknown, false}),
+    [](auto const& row) { return row.param.name; });
+
+// Guards against a booking that runs while its claim cannot be kept.
+TEST(booking, is_not_run_while_the_store_is_out)
+{
+    fake_store store;
+    store.outage = true;
+    vm_fixture it(store);
+    auto const id = it.send("booking", "key-1");
+    it.advance(std::chrono::seconds(6));
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, outcome::not_run);
+    EXPECT_TRUE(it.attempts.empty());
+    // Repeatable work goes on at the same time.
+    it.send("answer");
+    EXPECT_EQ(it.attempts.size(), 1u);
+}
+
+// Guards against a doubled booking when the answer to the claim is lost.
+TEST(booking, runs_once_when_the_claims_answer_is_lost)
+{
+    fake_store store;
+    store.lose_answers = 1;
+    vm_fixture it(store);
+    auto const id = it.send("booking", "key-1");
+    it.advance(std::chrono::seconds(3));
+    it.complete(it.next_attempt(), "\"code\"");
+    it.complete(it.next_attempt(), "{\"booked\":7}");
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, outcome::completed);
+    EXPECT_TRUE(it.attempts.empty());
+}
+
+// Guards against two invoices for one key that comes through two VMs.
+TEST(booking, gives_the_first_result_to_a_repeat_through_another_vm)
+{
+    fake_store store;
+    vm_fixture first(store, "vm-1");
+    vm_fixture second(store, "vm-2");
+    first.send("booking", "key-1");
+    first.advance(std::chrono::milliseconds(100));
+    first.complete(first.next_attempt(), "\"code\"");
+    first.complete(first.next_attempt(), "{\"booked\":7}");
+    first.advance(std::chrono::seconds(2));
+
+    auto const repeat = second.send("booking", "key-1");
+    second.advance(std::chrono::seconds(3));
+    ASSERT_TRUE(second.has_answer(repeat));
+    ASSERT_EQ(second.answers[repeat].result_kind, outcome::completed)
+        << message_of(second.answers[repeat].failure);
+    EXPECT_EQ(second.answers[repeat].result->bytes, "{\"booked\":7}");
+    EXPECT_TRUE(second.attempts.empty());
+}
+
+// Guards against a key that is used for two different bookings.
+TEST(booking, refuses_a_key_with_another_body)
+{
+    fake_store store;
+    vm_fixture it(store);
+    it.send("booking", "key-1");
+    it.advance(std::chrono::milliseconds(100));
+    auto const other = it.send("booking", "key-1", false, "{\"q\":2}");
+    it.advance(std::chrono::milliseconds(100));
+    ASSERT_TRUE(it.has_answer(other));
+    EXPECT_EQ(it.answers[other].result_kind, outcome::not_run);
+    EXPECT_EQ(it.answers[other].failure.kind, error_kind::key_reused);
+}
+
+// Guards against a late answer that leaves its claim unknown for ever.
+TEST(booking, is_settled_by_an_answer_after_the_callers_deadline)
+{
+    fake_store store;
+    vm_fixture it(store);
+    auto const id = it.send("booking", "key-1");
+    it.advance(std::chrono::milliseconds(100));
+    it.complete(it.next_attempt(), "\"code\"");
+    auto const book = it.next_attempt();
+    it.advance(std::chrono::seconds(6));
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, outcome::unknown);
+    EXPECT_FALSE(it.answers[id].safe_to_repeat);
+    it.complete(book, "{\"booked\":7}");
+    it.advance(std::chrono::seconds(2));
+    EXPECT_TRUE(it.vm.idle());
+
+    auto const repeat = it.send("booking", "key-1");
+    it.advance(std::chrono::milliseconds(100));
+    ASSERT_TRUE(it.has_answer(repeat));
+    EXPECT_EQ(it.answers[repeat].result_kind, outcome::completed);
+    EXPECT_EQ(it.answers[repeat].result->bytes, "{\"booked\":7}");
+}
+
+// Guards against an endless wait for runners that are all gone.
+TEST(request_outcome, is_not_run_at_the_deadline_when_no_runner_is_left)
+{
+    fake_store store;
+    vm_fixture it(store, "vm-1", 0);
+    auto const id = it.send("answer");
+    it.advance(std::chrono::seconds(6));
+    ASSERT_TRUE(it.has_answer(id));
+    EXPECT_EQ(it.answers[id].result_kind, outcome::not_run);
+}
+
+} // namespace
+} // namespace buckthornvale::decision
