--- a/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
@@ -52,6 +52,7 @@
     update_kind kind = update_kind::claim;
     shard_address shard;
     claim_id id;
+    std::uint64_t incarnation = 0; //!< of the process that sent the update
     std::uint64_t nonce = 0;
     update_verdict verdict = update_verdict::unavailable;
     error_kind reason = error_kind::none; //!< when refused
--- a/packages/decision/src/bookings/booking_table.cpp
+++ b/packages/decision/src/bookings/booking_table.cpp
@@ -202,7 +202,7 @@
     update.id = answer.id;
     update.body = entry.body;
     update.owner = entry.owner;
-    update.incarnation = entry.incarnation;
+    update.incarnation = settings_.incarnation;
     update.nonce = entry.nonce;
     update.deadline = entry.deadline;
     ask(request.key, request.request, update, now, out);
@@ -308,6 +308,7 @@
         answer.kind = update.kind;
         answer.shard = update.shard;
         answer.id = update.id;
+        answer.incarnation = update.incarnation;
         answer.nonce = update.nonce;
         answer.verdict = update_verdict::refused;
         answer.reason =
@@ -351,7 +352,9 @@
                            std::optional<vm_id> peer, time_point now,
                            wall_time wall, booking_effects& out)
 {
-    if (answer.kind == update_kind::dispatched)
+    // A late answer to an earlier process of this VM, which may have run it.
+    if (answer.incarnation != settings_.incarnation ||
+        answer.kind == update_kind::dispatched)
         return;
     if (answer.kind == update_kind::query)
     {
--- a/packages/decision/src/bookings/shard_committer.cpp
+++ b/packages/decision/src/bookings/shard_committer.cpp
@@ -20,6 +20,7 @@
     answer.kind = update.kind;
     answer.shard = update.shard;
     answer.id = update.id;
+    answer.incarnation = update.incarnation;
     answer.nonce = update.nonce;
     answer.verdict = verdict;
     return answer;
--- a/packages/decision/src/bookings/shard_document.cpp
+++ b/packages/decision/src/bookings/shard_document.cpp
@@ -214,7 +214,8 @@
         // An owner without a record of its claim releases it; it must not
         // remove a claim that has run.
         if (entry.state == claim_state::completed ||
-            entry.state == claim_state::unknown)
+            entry.state == claim_state::unknown ||
+            entry.incarnation != update.incarnation)
             return {};
         claims_.erase(it);
         bytes_ -= entry_bytes;
--- /dev/null
+++ b/packages/decision/tests/schedules/fake_store.hpp
@@ -0,0 +1,119 @@
+#ifndef BUCKTHORNVALE_TESTS_SCHEDULES_FAKE_STORE_HPP
+#define BUCKTHORNVALE_TESTS_SCHEDULES_FAKE_STORE_HPP
+
+#include "event_queue.hpp"
+#include <buckthornvale/decision/bookings/booking_effects.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace buckthornvale::decision::schedules
+{
+
+//! The object API in memory: conditional updates, outages, answers lost after
+//! the write, and writes that take effect long after their caller gave up.
+class fake_store
+{
+public:
+    using answer = bookings::store_answer;
+    using status = bookings::store_status;
+    using reply = std::function<void(answer)>;
+
+    struct object
+    {
+        std::uint64_t version = 0;
+        std::string value;
+    };
+
+    explicit fake_store(event_queue& events) : events_(events) {}
+
+    void read(std::string const& path, reply done)
+    {
+        if (!accepts(done))
+            return;
+        events_.after(events_.between(1, 20), [this, path, done]
+                      { respond(current(path, status::ok), done); });
+    }
+    void write(std::string const& path, std::uint64_t expected,
+               std::string const& value, reply done)
+    {
+        change(path, expected, value, false, std::move(done));
+    }
+    void erase(std::string const& path, std::uint64_t expected, reply done)
+    {
+        change(path, expected, {}, true, std::move(done));
+    }
+
+    std::map<std::string, object> objects;
+    std::uint64_t revision = 0;
+    bool outage = false;
+    double lost = 0.;    //!< share of answers that are lost
+    double delayed = 0.; //!< share of lost writes that take effect late
+
+private:
+    bool accepts(reply const& done)
+    {
+        if (!outage)
+            return true;
+        events_.after(milliseconds(1),
+                      [done] {
+                          done({0, status::unavailable, 0, {}});
+                      });
+        return false;
+    }
+    answer current(std::string const& path, status found) const
+    {
+        auto const it = objects.find(path);
+        if (it == objects.end())
+            return {0, found == status::ok ? status::absent : found, 0, {}};
+        return {0, found, it->second.version, it->second.value};
+    }
+    answer apply(std::string const& path, std::uint64_t expected,
+                 std::string const& value, bool remove)
+    {
+        auto const it = objects.find(path);
+        auto const version = it == objects.end() ? 0 : it->second.version;
+        if (version != expected)
+            return current(path, status::conflict);
+        ++revision;
+        if (remove)
+            objects.erase(path);
+        else
+            objects[path] = {revision, value};
+        return {0, status::ok, revision, {}};
+    }
+    void change(std::string const& path, std::uint64_t expected,
+                std::string const& value, bool remove, reply done)
+    {
+        if (!accepts(done))
+            return;
+        if (events_.chance(lost * delayed))
+        {
+            events_.after(events_.between(20, 60),
+                          [done] {
+                              done({0, status::unknown, 0, {}});
+                          });
+            events_.after(events_.between(10, 3000),
+                          [this, path, expected, value, remove]
+                          { apply(path, expected, value, remove); });
+            return;
+        }
+        events_.after(events_.between(1, 20),
+                      [this, path, expected, value, remove, done]
+                      { respond(apply(path, expected, value, remove), done); });
+    }
+    void respond(answer value, reply const& done)
+    {
+        if (events_.chance(lost))
+            value = {0, status::unknown, 0, {}};
+        events_.after(events_.between(1, 20), [value, done] { done(value); });
+    }
+
+    event_queue& events_;
+};
+
+} // namespace buckthornvale::decision::schedules
+
+#endif
--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -408,6 +408,7 @@
             {"k", static_cast<unsigned>(value.kind)},
             {"at", fields_of(value.shard)},
             {"id", fields_of(value.id)},
+            {"inc", value.incarnation},
             {"nonce", value.nonce},
             {"a", static_cast<unsigned>(value.verdict)},
             {"why", static_cast<unsigned>(value.reason)},
@@ -419,6 +420,7 @@
     in.enumeration("k", value.kind, bookings::update_kind::release);
     read(in, "at", value.shard);
     read(in, "id", value.id);
+    in.number("inc", value.incarnation);
     in.number("nonce", value.nonce);
     in.enumeration("a", value.verdict, bookings::update_verdict::unsettled);
     in.enumeration("why", value.reason, decision::error_kind::caller_gone);
