--- a/packages/decision/include/buckthornvale/decision/bookings/shard_committer.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_committer.hpp
@@ -122,6 +122,8 @@
     bool adopt(shard_state& state, std::uint64_t version,
                std::string const& value, bool absent, time_point now,
                answers& done);
+    //! Answers the claims that a document of the store already decides.
+    void settle_known(shard_state& state, answers& done);
     void requeue_batch(shard_state& state);
     void fail(shard_state& state, time_point now, answers& done);
     void refuse_unwritten(shard_state& state, update_verdict verdict,
--- a/packages/decision/src/bookings/shard_committer.cpp
+++ b/packages/decision/src/bookings/shard_committer.cpp
@@ -272,6 +272,7 @@
         write_done(state, answer, now, done);
     else
         read_done(state, answer, now, done);
+    expire(state, now, done);
     run(address, state, now, out, done);
     return true;
 }
@@ -306,9 +307,33 @@
             it.unsettled_at.reset();
     }
     state.failures = 0;
+    settle_known(state, done);
     return true;
 }
 
+void shard_committer::settle_known(shard_state& state, answers& done)
+{
+    std::vector<item> kept;
+    for (auto& it : state.queue)
+    {
+        auto const* entry = it.update.kind == update_kind::claim
+                                ? state.document->find(it.update.id)
+                                : nullptr;
+        if (entry == nullptr || it.unsettled_at)
+        {
+            kept.push_back(std::move(it));
+            continue;
+        }
+        bool const own = entry->nonce == it.update.nonce;
+        auto answer = answer_of(it.update, own ? update_verdict::applied
+                                               : update_verdict::existing);
+        if (!own)
+            answer.entry = *entry;
+        done.push_back({it.origin, std::move(answer)});
+    }
+    state.queue = std::move(kept);
+}
+
 void shard_committer::requeue_batch(shard_state& state)
 {
     state.queue.insert(state.queue.begin(),
--- /dev/null
+++ b/packages/decision/tests/config/settings_schedule_test.cpp
@@ -0,0 +1,337 @@
+#include "schedules/event_queue.hpp"
+#include "schedules/fake_network.hpp"
+#include <buckthornvale/decision/config/settings_state.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision::config
+{
+namespace
+{
+
+using namespace schedules;
+
+constexpr std::size_t vm_count = 4;
+constexpr std::uint32_t path_count = 8;
+
+// Store with a list, a watch from a revision, compaction and outages.
+class watched_store
+{
+public:
+    void change(std::string const& path, bool remove)
+    {
+        ++revision;
+        settings_object const event{path, revision, remove,
+                                    remove ? "" : std::to_string(revision)};
+        log.push_back(event);
+        if (remove)
+            objects.erase(path);
+        else
+            objects[path] = event;
+    }
+    void compact() { compacted = revision, log.clear(); }
+
+    std::map<std::string, settings_object> objects;
+    std::vector<settings_object> log;
+    std::uint64_t revision = 0;
+    std::uint64_t compacted = 0;
+    bool outage = false;
+};
+
+class settings_world
+{
+public:
+    explicit settings_world(std::uint64_t seed)
+        : events_(seed), network_(events_, vm_count), vms_(vm_count)
+    {
+        for (std::uint32_t i = 0; i < path_count; ++i)
+            change();
+        for (std::size_t i = 0; i < vm_count; ++i)
+        {
+            events_.after(events_.between(0, 2000),
+                          [this, i]
+                          {
+                              start(i);
+                              tick(i);
+                          });
+        }
+    }
+
+    void run()
+    {
+        for (int i = 0; i < 40; ++i)
+            events_.after(events_.between(0, 8000), [this] { change(); });
+        for (int i = 0; i < 14; ++i)
+            events_.after(events_.between(0, 8000), [this] { fault(); });
+        events_.run_until(time_point(milliseconds(9000)));
+        store_.outage = false;
+        network_.loss = network_.duplication = network_.slow = 0.;
+        network_.side.assign(vm_count, 0);
+        events_.run_until(time_point(milliseconds(20000)));
+        for (auto const& it : vms_)
+            check_converged(*it.state);
+        // With the store healthy a change is in force within 2 s (I7).
+        change();
+        events_.run_until(time_point(milliseconds(22000)));
+        for (auto const& it : vms_)
+            check_converged(*it.state);
+    }
+
+private:
+    struct vm
+    {
+        std::unique_ptr<settings_state> state;
+        int process = 0;
+        std::map<std::string, std::uint64_t> seen; //!< versions in force
+        std::uint64_t revision = 0;
+        bool was_ready = false;
+    };
+
+    using event = std::function<void(settings_state&, config_effects&)>;
+
+    void start(std::size_t i)
+    {
+        config_settings settings;
+        settings.watch_timeout = milliseconds(1000);
+        settings.call_grace = milliseconds(500);
+        settings.backoff_last = milliseconds(1000);
+        settings.page_items = 3;
+        settings.push_bytes = 60;
+        settings.max_tombstones = 3;
+        settings.pull_timeout = milliseconds(500);
+        auto& held = vms_[i];
+        ++held.process;
+        held.seen.clear();
+        held.revision = 0;
+        held.state =
+            std::make_unique<settings_state>(settings, events_.random());
+        std::vector<vm_id> peers;
+        for (std::size_t other = 0; other < vm_count; ++other)
+        {
+            if (other != i)
+                peers.push_back(vm_id{other + 1});
+        }
+        held.state->set_peers(peers, events_.now);
+    }
+
+    void on(std::size_t i, int process, event const& change)
+    {
+        auto& held = vms_[i];
+        if (!held.state || held.process != process)
+            return;
+        config_effects out;
+        change(*held.state, out);
+        check(held);
+        for (auto const& it : out)
+            std::visit([this, i](auto const& effect) { does(i, effect); }, it);
+    }
+    void tick(std::size_t i)
+    {
+        on(i, vms_[i].process,
+           [this](settings_state& state, config_effects& out)
+           { state.tick(events_.now, out); });
+        events_.after(milliseconds(40), [this, i] { tick(i); });
+    }
+
+    // Nothing in force may go back to an older version.
+    static void check(vm& held)
+    {
+        EXPECT_GE(held.state->revision(), held.revision) << "revision reverted";
+        held.revision = held.state->revision();
+        for (std::uint32_t i = 0; i < path_count; ++i)
+        {
+            auto const path = path_of(i);
+            auto const version = held.state->version_of(path);
+            // A forgotten tombstone has no version, but is no older value.
+            if (version == 0)
+                continue;
+            EXPECT_GE(version, held.seen[path]) << "reverted: " << path;
+            held.seen[path] = version;
+        }
+        if (held.state->ready())
+            EXPECT_GE(held.state->revision(), held.state->highest_reported());
+    }
+
+    void check_converged(settings_state const& state) const
+    {
+        EXPECT_TRUE(state.ready());
+        EXPECT_EQ(state.revision(), store_.revision);
+        EXPECT_EQ(state.live_objects(), store_.objects.size());
+        for (auto const& it : store_.objects)
+        {
+            auto const* held = state.find(it.first);
+            ASSERT_NE(held, nullptr) << "missing: " << it.first;
+            EXPECT_EQ(held->value, it.second.value);
+        }
+    }
+
+    static std::string path_of(std::uint32_t i)
+    {
+        return "settings/" + std::to_string(i);
+    }
+    void change()
+    {
+        store_.change(path_of(events_.below(path_count)), events_.chance(.3));
+    }
+    void fault()
+    {
+        auto const i = events_.below(vm_count);
+        switch (events_.below(6))
+        {
+        case 0:
+            if (vms_[i].state)
+                start(i);
+            break;
+        case 1:
+            store_.outage = !store_.outage;
+            break;
+        case 2:
+            store_.compact();
+            break;
+        case 3:
+            network_.side[i] = 1 - network_.side[i];
+            break;
+        case 4:
+            network_.loss = .2;
+            network_.duplication = .2;
+            network_.slow = .3;
+            break;
+        default:
+            network_.loss = 0.;
+        }
+    }
+
+    void answer(std::size_t i, int least, int most, event const& reply)
+    {
+        auto const process = vms_[i].process;
+        events_.after(events_.between(least, most),
+                      [this, i, process, reply] { on(i, process, reply); });
+    }
+    void fail(std::size_t i, call_token token)
+    {
+        answer(i, 1, 10,
+               [this, token](settings_state& state, config_effects& out)
+               { state.store_failed(token, events_.now, out); });
+    }
+
+    void does(std::size_t i, list_objects const& effect)
+    {
+        if (store_.outage)
+        {
+            fail(i, effect.token);
+            return;
+        }
+        list_answer page{effect.token, {}, {}, store_.revision};
+        for (auto it = store_.objects.upper_bound(effect.after);
+             it != store_.objects.end(); ++it)
+        {
+            if (page.items.size() == effect.limit)
+            {
+                page.next = page.items.back().path;
+                break;
+            }
+            page.items.push_back(it->second);
+        }
+        answer(i, 1, 30,
+               [this, page](settings_state& state, config_effects& out)
+               { state.list_page(page, events_.now, out); });
+    }
+    void does(std::size_t i, watch_objects const& effect)
+    {
+        poll(i, vms_[i].process, effect, events_.now + effect.timeout);
+    }
+    void poll(std::size_t i, int process, watch_objects const& effect,
+              time_point end)
+    {
+        if (store_.outage)
+        {
+            fail(i, effect.token);
+            return;
+        }
+        if (effect.from < store_.compacted)
+        {
+            answer(i, 1, 10,
+                   [this, effect](settings_state& state, config_effects& out)
+                   { state.watch_gap(effect.token, events_.now, out); });
+            return;
+        }
+        watch_answer batch{effect.token, {}, store_.revision};
+        for (auto const& it : store_.log)
+        {
+            if (it.version > effect.from)
+                batch.events.push_back(it);
+        }
+        if (batch.events.empty() && events_.now < end)
+        {
+            events_.after(milliseconds(20), [this, i, process, effect, end]
+                          { poll(i, process, effect, end); });
+            return;
+        }
+        if (vms_[i].process == process)
+            answer(i, 1, 10,
+                   [this, batch](settings_state& state, config_effects& out)
+                   { state.watch_batch(batch, events_.now, out); });
+    }
+
+    void send(std::size_t from, std::size_t to, event const& deliver)
+    {
+        network_.send(from, to,
+                      [this, to, deliver]
+                      { on(to, vms_[to].process, deliver); });
+    }
+    void does(std::size_t i, announce_settings const& effect)
+    {
+        for (std::size_t to = 0; to < vm_count; ++to)
+        {
+            if (to != i)
+                send(i, to,
+                     [this, i, effect](settings_state& state,
+                                       config_effects& out) {
+                         state.peer_have(vm_id{i + 1}, effect.message,
+                                         events_.now, out);
+                     });
+        }
+    }
+    void does(std::size_t i, pull_settings const& effect)
+    {
+        send(i, effect.to.value - 1,
+             [this, i, effect](settings_state& state, config_effects& out) {
+                 state.peer_pull(vm_id{i + 1}, effect.message, events_.now,
+                                 out);
+             });
+    }
+    void does(std::size_t i, push_settings const& effect)
+    {
+        send(i, effect.to.value - 1,
+             [this, i, effect](settings_state& state, config_effects& out) {
+                 state.peer_push(vm_id{i + 1}, effect.message, events_.now,
+                                 out);
+             });
+    }
+    void does(std::size_t i, settings_changed const& effect)
+    {
+        EXPECT_FALSE(effect.paths.empty());
+        EXPECT_LE(effect.revision, vms_[i].state->revision());
+    }
+
+    event_queue events_;
+    watched_store store_;
+    fake_network network_;
+    std::vector<vm> vms_;
+};
+
+// Guards against settings that go back to an older version, deletes that come
+// undone by a peer's old copy, VMs that stay behind after a gap, an outage or a
+// partition, and a VM that is ready below a revision it was told of.
+TEST(settings_schedules, never_revert_and_converge)
+{
+    run_seeds(1000, [](std::uint64_t seed) { settings_world(seed).run(); });
+}
+
+} // namespace
+} // namespace buckthornvale::decision::config
