admission: allow bursts only to ranks within their uncapped demand

Cause: after heavy organisations were capped, an overloaded rank looked as if it were within its guarantee, so every VM without the heavy caller held twice its part and a caller on a single VM got less. Change: the burst depends on the demand before capping; 150 ms of queueing at the runners makes up for the tighter bounds.

--- a/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
@@ -75,7 +75,7 @@
     //! Queueing at the runners that the backlog bound allows for. Shorter
     //! leaves slots idle between two polls, longer moves the queue from
     //! admission, where it can be reordered, to the runners.
-    duration runner_queueing = std::chrono::milliseconds(100);
+    duration runner_queueing = std::chrono::milliseconds(150);
 
     //! Part of the slack with which a request arrives that it may spend in the
     //! queue. Under overload every request is started about this late, so the
--- a/packages/decision/src/admission/capacity_share.cpp
+++ b/packages/decision/src/admission/capacity_share.cpp
@@ -158,7 +158,7 @@
 }
 
 pool_share own_share(fleet_demand& demand, std::size_t pool, double slots,
-                     rank_table const& ranks)
+                     by_rank const& served, rank_table const& ranks)
 {
     auto const total = demand.total(pool);
     auto const& own = demand.rate(pool, 0);
@@ -173,7 +173,8 @@
         auto const part = total[r] > 0.0 ? own[r] / total[r] : even;
         out.slots += given[r] * part;
         auto const guaranteed = ranks[r].guaranteed_share * slots;
-        bool const within = total[r] < guaranteed;
+        bool const within =
+            served[r] >= served_in_full && total[r] < guaranteed;
         out.guaranteed[r] =
             guaranteed * (within ? burst_factor * std::max(part, even)
                                  : std::max(part, least_part * even));
@@ -207,8 +208,8 @@
     }
     out.shares.reserve(pools.size());
     for (std::size_t pool = 0; pool < pools.size(); ++pool)
-        out.shares.push_back(
-            own_share(demand, pool, pools[pool].slots * reachable, ranks));
+        out.shares.push_back(own_share(
+            demand, pool, pools[pool].slots * reachable, served, ranks));
     return out;
 }
 
