--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -31,6 +31,7 @@
 {
     namespace admission = buckthornvale::decision::admission;
     std::vector<policy> out;
+    out.reserve(admission::all_orderings.size() + 2);
     for (auto it : admission::all_orderings)
         out.push_back({std::string(name_of(it)), it, gate_kind::none});
     out.push_back(
--- a/packages/decision/src/admission/admission_state.cpp
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -34,7 +34,7 @@
 
 //! Light organisations together may hold this many times the rank's part.
 //! Their demand is below their fair parts, so the excess is a burst.
-constexpr double light_factor = 2.0;
+constexpr double light_factor = 3.0;
 
 constexpr duration no_runner_retry = std::chrono::seconds(1);
 constexpr duration queue_full_retry = std::chrono::seconds(1);
