--- /dev/null
+++ b/packages/ctl/include/buckthornvale/ctl/burn/burn_report.hpp
@@ -0,0 +1,113 @@
+#ifndef BUCKTHORNVALE_CTL_BURN_BURN_REPORT_HPP
+#define BUCKTHORNVALE_CTL_BURN_BURN_REPORT_HPP
+
+#include <buckthornvale/ctl/burn/snapshot.hpp>
+#include <buckthornvale/decision/core/settings_model.hpp>
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::ctl
+{
+
+using decision::rank;
+using decision::rank_count;
+
+//! Requests of a group in a window.
+struct attainment
+{
+    double requests = 0.;  //!< all outcomes
+    double in_target = 0.; //!< completed within the rank's target
+
+    //! Fraction in the target; nothing without requests.
+    std::optional<double> fraction() const;
+
+    //! (share that missed the target) / (1 - objective).
+    std::optional<double> burn(double objective) const;
+};
+
+//! A window that ends with the last snapshot.
+struct burn_window
+{
+    decision::duration length{};
+    decision::duration covered{}; //!< by snapshots; less than length: partial
+};
+
+//! Service-level burn of one group in each window.
+struct burn_row
+{
+    rank work_rank = rank::urgent;
+    std::string group; //!< pipeline or organisation; empty for a whole rank
+    double objective = 0.;
+    std::vector<attainment> windows; //!< as in burn_report::windows
+};
+
+//! Runner time of one stage in the longest window, seconds.
+struct stage_cost
+{
+    std::string pipeline;
+    std::string stage;
+    std::array<double, rank_count> seconds{}; //!< by rank
+    double wasted = 0.; //!< spent on results that nobody got
+
+    double total() const { return seconds[0] + seconds[1] + seconds[2]; }
+};
+
+//! One interval between snapshots, for plots.
+struct burn_point
+{
+    std::int64_t at_ms = 0;
+    std::array<attainment, rank_count> ranks;
+    std::array<double, rank_count> stage_seconds{};
+};
+
+//! Latency of a rank in the longest window, seconds; 0 without requests.
+struct latency
+{
+    double p50 = 0.;
+    double p95 = 0.;
+    double p99 = 0.;
+};
+
+//! All that the burn report shows.
+struct burn_report
+{
+    std::int64_t from_ms = 0;
+    std::int64_t to_ms = 0;
+    std::size_t vms = 0; //!< in the last snapshot
+    decision::rank_table ranks;
+    std::vector<burn_window> windows; //!< shortest first
+    std::vector<burn_row> by_rank;
+    std::vector<burn_row> by_pipeline;
+    std::vector<burn_row> by_organisation; //!< highest burn first, bounded
+    std::vector<stage_cost> stages;        //!< most expensive first
+    std::vector<burn_point> points;
+    std::array<latency, rank_count> latencies;
+};
+
+//! Computes the report; `top` bounds the organisations.
+burn_report make_burn_report(std::vector<snapshot> const& snapshots,
+                             decision::rank_table const& ranks,
+                             std::vector<decision::duration> const& windows,
+                             std::size_t top);
+
+//! Name of a window such as `5m` or `6h`.
+std::string window_name(decision::duration length);
+
+std::string burn_text(burn_report const& report);
+std::string burn_json(burn_report const& report);
+
+//! One self-contained HTML page with inline SVG plots.
+std::string burn_html(burn_report const& report);
+
+//! Alert rules in the format of Prometheus rule files. Each rule needs the
+//! burn of a long and a short window, so that it fires fast and resolves
+//! fast.
+std::string burn_rules(decision::rank_table const& ranks,
+                       std::vector<decision::duration> const& windows);
+
+} // namespace buckthornvale::ctl
+
+#endif
--- /dev/null
+++ b/packages/ctl/include/buckthornvale/ctl/cli/command.hpp
@@ -0,0 +1,36 @@
+#ifndef BUCKTHORNVALE_CTL_CLI_COMMAND_HPP
+#define BUCKTHORNVALE_CTL_CLI_COMMAND_HPP
+
+#include <buckthornvale/ctl/cli/context.hpp>
+#include <buckthornvale/ctl/cli/exit_code.hpp>
+
+#include <absl/types/span.h>
+
+#include <string>
+#include <string_view>
+
+namespace buckthornvale::ctl
+{
+
+using arguments = absl::Span<std::string const>;
+
+//! One sub-command.
+struct command
+{
+    std::string_view name;    //!< one or two words
+    std::string_view usage;   //!< as in the usage line
+    std::string_view summary; //!< one line
+    std::string_view help;    //!< flags and details
+    std::size_t least;        //!< number of arguments
+    std::size_t most;
+    exit_code (*run)(context&, arguments);
+};
+
+absl::Span<command const> all_commands();
+
+//! Runs the command that the words name; `wants_help` prints its help.
+exit_code run_command(context& with, arguments words, bool wants_help);
+
+} // namespace buckthornvale::ctl
+
+#endif
--- /dev/null
+++ b/packages/ctl/main.cpp
@@ -0,0 +1,90 @@
+#include <buckthornvale/ctl/cli/command.hpp>
+#include <buckthornvale/platform/objects/http_object_api.hpp>
+
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+
+DEFINE_string(platform, "127.0.0.1:9000", "IP:PORT of the platform's API");
+DEFINE_string(output, "text", "text or json");
+DEFINE_string(author, "", "name for the history; default: $USER");
+DEFINE_string(settings, "", "folder with settings, instead of the store");
+DEFINE_double(timeout_s, 30., "time limit of waits, seconds");
+DEFINE_double(interval_s, 1., "time between polls or samples, seconds");
+DEFINE_bool(prune, false, "remove stored settings that have no file");
+DEFINE_bool(wait, false, "wait until the command has taken effect");
+DEFINE_bool(loads, false, "ask each runner for its load");
+DEFINE_string(record, "", "file that samples are added to");
+DEFINE_string(from, "", "file of earlier samples");
+DEFINE_uint32(samples, 1, "samples to take");
+DEFINE_uint32(top, 10, "organisations to list");
+DEFINE_string(html, "", "page to write");
+DEFINE_bool(rules, false, "print alert rules only");
+DECLARE_bool(help);
+
+namespace
+{
+
+using namespace buckthornvale;
+
+ctl::options read_flags()
+{
+    ctl::options value;
+    value.is_json = FLAGS_output == "json";
+    value.author = FLAGS_author;
+    // Read once, before any thread starts.
+    auto const* user = std::getenv("USER"); // NOLINT(concurrency-mt-unsafe)
+    if (value.author.empty() && user)
+        value.author = user;
+    value.settings = FLAGS_settings;
+    value.timeout = decision::from_seconds(FLAGS_timeout_s);
+    value.interval = decision::from_seconds(FLAGS_interval_s);
+    value.prunes = FLAGS_prune;
+    value.waits = FLAGS_wait;
+    value.reads_loads = FLAGS_loads;
+    value.record = FLAGS_record;
+    value.from = FLAGS_from;
+    value.samples = FLAGS_samples;
+    value.top = FLAGS_top;
+    value.html = FLAGS_html;
+    value.prints_rules = FLAGS_rules;
+    return value;
+}
+
+std::int64_t wall_ms()
+{
+    using namespace std::chrono;
+    return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+        .count();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("operator's command of buckthornvale");
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    std::vector<std::string> const words(argv + 1, argv + argc);
+    bool const is_output_known =
+        FLAGS_output == "text" || FLAGS_output == "json";
+    if (!is_output_known || FLAGS_interval_s <= 0.)
+    {
+        std::cerr << "--output is text or json, --interval_s is above 0\n";
+        return static_cast<int>(ctl::exit_code::usage);
+    }
+    auto const flags = read_flags();
+    platform::http_object_api store(FLAGS_platform);
+    ctl::http_vm_client vms;
+    ctl::context with{store,
+                      vms,
+                      flags,
+                      std::cout,
+                      std::cerr,
+                      &wall_ms,
+                      [](decision::duration length)
+                      { std::this_thread::sleep_for(length); }};
+    return static_cast<int>(ctl::run_command(with, words, FLAGS_help));
+}
--- /dev/null
+++ b/packages/ctl/src/burn/burn_plots.hpp
@@ -0,0 +1,28 @@
+#ifndef BUCKTHORNVALE_CTL_BURN_BURN_PLOTS_HPP
+#define BUCKTHORNVALE_CTL_BURN_BURN_PLOTS_HPP
+
+#include <buckthornvale/ctl/burn/burn_report.hpp>
+
+#include <string>
+
+namespace buckthornvale::ctl
+{
+
+// The plots of the HTML page, each one SVG element.
+
+//! Burn of each rank in each window; the line at 1 uses up the budget
+//! exactly.
+std::string plot_burn(burn_report const& report);
+
+//! Attainment of each rank over time with its objective.
+std::string plot_attainment(burn_report const& report);
+
+//! Share of runner time by rank over time with the guaranteed shares.
+std::string plot_shares(burn_report const& report);
+
+//! Runner time of each stage, by rank, and what of it was wasted.
+std::string plot_costs(burn_report const& report);
+
+} // namespace buckthornvale::ctl
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/burn/svg.hpp
@@ -0,0 +1,48 @@
+#ifndef BUCKTHORNVALE_CTL_BURN_SVG_HPP
+#define BUCKTHORNVALE_CTL_BURN_SVG_HPP
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace buckthornvale::ctl
+{
+
+//! Text with the characters that HTML and SVG reserve replaced.
+std::string escape_markup(std::string_view text);
+
+//! Builds one SVG picture. Colours come from the page's style by class.
+class svg_picture
+{
+public:
+    using points_t = std::vector<std::pair<double, double>>;
+
+    //! Size in user units; the page scales the picture to its width.
+    svg_picture(double width, double height, std::string_view title);
+
+    //! The tip is shown when the pointer is over the rectangle.
+    void rectangle(double x, double y, double width, double height,
+                   std::string_view style, std::string_view tip = {});
+    void line(double x1, double y1, double x2, double y2,
+              std::string_view style);
+    void polyline(points_t const& points, std::string_view style);
+    void polygon(points_t const& points, std::string_view style);
+    void dot(double x, double y, std::string_view style, std::string_view tip);
+
+    //! `anchor` is start, middle or end.
+    void text(double x, double y, std::string_view text,
+              std::string_view anchor = "start", std::string_view style = {});
+
+    std::string finish();
+
+private:
+    void shape(std::string_view name, points_t const& points,
+               std::string_view style);
+
+    std::string out_;
+};
+
+} // namespace buckthornvale::ctl
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/fleet/vm_client.cpp
@@ -0,0 +1,42 @@
+#include <buckthornvale/ctl/fleet/vm_client.hpp>
+
+#include <httplib.h>
+
+#include <chrono>
+
+namespace buckthornvale::ctl
+{
+
+namespace
+{
+
+// A VM that does not answer shall not hold up the report on the others.
+constexpr auto connect_limit = std::chrono::seconds(1);
+constexpr auto read_limit = std::chrono::seconds(3);
+
+httplib::Client connect(std::string const& address)
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(connect_limit);
+    client.set_read_timeout(read_limit);
+    return client;
+}
+
+} // namespace
+
+std::optional<std::string> http_vm_client::get(std::string const& address,
+                                               std::string const& target)
+{
+    auto const result = connect(address).Get(target);
+    if (!result || result->status != 200)
+        return std::nullopt;
+    return result->body;
+}
+
+bool http_vm_client::post(std::string const& address, std::string const& target)
+{
+    auto const result = connect(address).Post(target);
+    return result && result->status >= 200 && result->status < 300;
+}
+
+} // namespace buckthornvale::ctl
--- /dev/null
+++ b/packages/ctl/src/store/history.cpp
@@ -0,0 +1,115 @@
+#include <buckthornvale/ctl/store/history.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornvale::ctl
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t most_entries = 20;
+// Half of the largest value of the store leaves room for JSON's escapes.
+constexpr std::size_t most_bytes = 512U << 10U;
+// Races of operators on one history are rare; a fifth attempt would only
+// repeat a fault of the store.
+constexpr int most_attempts = 4;
+
+std::string object_path(std::string const& path)
+{
+    return "history/" + path;
+}
+
+json to_json(history_entry const& entry)
+{
+    return {{"version", entry.version},
+            {"at_ms", entry.at_ms},
+            {"author", entry.author},
+            {"text", entry.text},
+            {"removal", entry.is_removal}};
+}
+
+history_entry entry_from(json const& value)
+{
+    return {value.at("version").get<std::uint64_t>(), value.value("at_ms", 0LL),
+            value.value("author", ""), value.value("text", ""),
+            value.value("removal", false)};
+}
+
+std::string render(std::vector<history_entry> const& entries)
+{
+    json list = json::array();
+    std::size_t bytes = 0;
+    for (auto it = entries.rbegin(); it != entries.rend(); ++it)
+    {
+        bytes += it->text.size();
+        if (list.size() == most_entries || bytes > most_bytes)
+            break;
+        list.insert(list.begin(), to_json(*it));
+    }
+    return json{{"entries", list}}.dump(-1, ' ', false,
+                                        json::error_handler_t::replace);
+}
+
+} // namespace
+
+history_entry const* history::find(std::uint64_t version) const
+{
+    for (auto const& it : entries)
+    {
+        if (it.version == version)
+            return &it;
+    }
+    return nullptr;
+}
+
+history read_history(platform::object_api& store, std::string const& path)
+{
+    history value;
+    auto const read = store.get(object_path(path));
+    value.status = read.status;
+    if (read.status == platform::call_status::not_found)
+        value.status = platform::call_status::done;
+    if (!read.is_done())
+        return value;
+    value.object_version = read.value.version;
+    // An unreadable history is replaced by the next entry.
+    auto const body = json::parse(read.value.value, nullptr, false);
+    if (!body.is_object() || !body.contains("entries"))
+        return value;
+    try
+    {
+        for (auto const& it : body["entries"])
+            value.entries.push_back(entry_from(it));
+    }
+    catch (json::exception const&)
+    {
+        value.entries.clear();
+    }
+    return value;
+}
+
+bool append_history(platform::object_api& store, std::string const& path,
+                    history_entry const& entry)
+{
+    for (int i = 0; i < most_attempts; ++i)
+    {
+        auto known = read_history(store, path);
+        if (known.status != platform::call_status::done)
+            continue;
+        // A lost response of an earlier attempt may have written it.
+        if (known.find(entry.version))
+            return true;
+        known.entries.push_back(entry);
+        if (store
+                .put(object_path(path), known.object_version,
+                     render(known.entries))
+                .is_done())
+            return true;
+    }
+    return false;
+}
+
+} // namespace buckthornvale::ctl
