ctl: test the commands against fakes and golden files

Cause: scripts and people rely on what the command prints and on its exit codes; the burn figures must be right over restarts and gaps. Change: in-process runs against the in-memory store and fake VMs, golden sessions for apply, status, help, the burn report and the alert rules; a conflict with a version that the history no longer has says so; a reference to an object that is refused itself says so.

--- a/packages/ctl/src/burn/burn_html.cpp
+++ b/packages/ctl/src/burn/burn_html.cpp
@@ -182,8 +182,8 @@
                    "objective.",
                    plot_attainment(report));
     append_section(page, "Flood shares",
-                   "Share of runner time by rank; dotted: where the "
-                   "guaranteed shares would lie.",
+                   "Share of runner time by rank; in brackets and dotted: the "
+                   "guaranteed shares.",
                    plot_shares(report));
     append_section(page, "Cost by stage",
                    "Runner time by rank in the longest window; the red strip "
--- a/packages/ctl/src/burn/burn_plots.cpp
+++ b/packages/ctl/src/burn/burn_plots.cpp
@@ -281,7 +281,7 @@
         guaranteed += report.ranks[i].guaranteed_share;
         labels.push_back(
             {last_middle,
-             absl::StrFormat("%s, sure of %.0f%%",
+             absl::StrFormat("%s (%.0f%%)",
                              as_absl(decision::name_of(work_rank)),
                              100. * report.ranks[i].guaranteed_share),
              style("label", work_rank)});
@@ -308,18 +308,24 @@
     auto const rows = std::min(report.stages.size(), most_stages);
     auto const height = top + row_height * static_cast<double>(rows) + 10.;
     constexpr double names = 260.;
+    constexpr double values = 200.;          // room for the text behind a bar
+    constexpr std::size_t most_letters = 34; // of a name that fits in front
     svg_picture picture(plot_width, height, "cost by stage");
     double highest = 1e-9;
     for (auto const& it : report.stages)
         highest = std::max(highest, it.total());
-    auto const scale = (plot_width - names - right) / highest;
+    auto const scale = (plot_width - names - values) / highest;
     double y = top;
     for (std::size_t n = 0; n < rows; ++n, y += row_height)
     {
         auto const& it = report.stages[n];
         auto const name = absl::StrCat(it.pipeline, " / ", it.stage);
         auto const middle = y + row_height / 2. + text_drop;
-        picture.text(names - 10., middle, name, "end", "axis");
+        picture.text(names - 10., middle,
+                     name.size() > most_letters
+                         ? name.substr(0, most_letters - 3) + "..."
+                         : name,
+                     "end", "axis");
         double x = names;
         for (auto work_rank : decision::all_ranks)
         {
--- a/packages/ctl/src/burn/burn_report.cpp
+++ b/packages/ctl/src/burn/burn_report.cpp
@@ -60,6 +60,7 @@
 std::vector<burn_row> values_of(rows_t const& rows)
 {
     std::vector<burn_row> values;
+    values.reserve(rows.size());
     for (auto const& [key, row] : rows)
         values.push_back(row);
     return values;
@@ -90,6 +91,7 @@
             cost.seconds[index_of(*it)] += value;
     }
     std::vector<stage_cost> values;
+    values.reserve(costs.size());
     for (auto const& [key, cost] : costs)
         values.push_back(cost);
     std::stable_sort(values.begin(), values.end(),
@@ -210,6 +212,7 @@
 {
     burn_report report;
     report.ranks = ranks;
+    report.windows.reserve(windows.size());
     for (auto it : windows)
         report.windows.push_back({it, {}});
     if (snapshots.empty())
@@ -240,6 +243,7 @@
     // The last sums are those of the longest window.
     report.stages = costs_of(sums);
     report.latencies = latencies_of(sums);
+    report.points.reserve(intervals.size());
     for (auto const& it : intervals)
         report.points.push_back(point_of(it));
     return report;
--- a/packages/ctl/src/cli/command.cpp
+++ b/packages/ctl/src/cli/command.cpp
@@ -92,8 +92,8 @@
            "commands:\n";
     for (auto const& it : table)
     {
-        out << "  " << it.name << ' ' << it.usage << "\n      "
-            << it.summary << '\n';
+        out << "  " << it.name << ' ' << it.usage << "\n      " << it.summary
+            << '\n';
     }
     out << "\nflags of every command:\n"
            "  --platform IP:PORT   the platform's object API\n"
--- a/packages/ctl/src/store/apply.cpp
+++ b/packages/ctl/src/store/apply.cpp
@@ -64,12 +64,19 @@
     value.status = exit_code::conflict;
     auto const current = result.current.value_or(platform::object{});
     auto base = change.stored.value;
+    std::string note;
     if (change.stored.version != change.expected)
     {
         // The version in the file is older than what this command read.
         auto const known = read_history(with.store, change.path);
         auto const* entry = known.find(change.expected);
         base = entry ? entry->text : "";
+        if (!entry)
+        {
+            note =
+                absl::StrCat(". The history has no version ", change.expected,
+                             ", so the whole stored value is shown");
+        }
     }
     auto const other =
         current.version == 0
@@ -82,7 +89,8 @@
         change.path, ": another change came first (expected version ",
         change.expected, ", stored is ", current.version,
         "); nothing was overwritten. Get the object again, repeat your "
-        "change on it, and apply it");
+        "change on it, and apply it",
+        note);
     return value;
 }
 
--- /dev/null
+++ b/packages/ctl/tests/store/apply_test.cpp
@@ -0,0 +1,143 @@
+#include "ctl_fixture.hpp"
+
+namespace buckthornvale::ctl
+{
+namespace
+{
+
+struct apply_test : ctl_test
+{
+    apply_test()
+    {
+        for (auto const& [name, text] : sample_settings)
+            write(name, text);
+    }
+
+    std::string const price = "settings/pipelines/price";
+};
+
+// Guards against a change in the whole session of an operator's work: what
+// is printed is what scripts and people rely on.
+TEST_F(apply_test, session_matches_the_golden_file)
+{
+    std::string text;
+    auto const step = [&](std::vector<std::string> const& words)
+    {
+        auto const code = run(words);
+        for (auto const& it : words)
+            text += (it == words.front() ? "$ " : " ") + it;
+        text += "\n" + output() + "--- exit " +
+                std::to_string(static_cast<int>(code)) + "\n\n";
+        for (auto at = text.find(folder.string()); at != std::string::npos;
+             at = text.find(folder.string()))
+            text.replace(at, folder.string().size(), "DIR");
+    };
+    step({"validate", folder.string()});
+    step({"diff", folder.string()});
+    step({"apply", folder.string()});
+    step({"apply", folder.string()});
+    step({"get", price});
+    write("settings/pipelines/price.toml",
+          "# version 5\ndeadline_ms = 2500\n[[stages]]\nname = \"lookup\"\n"
+          "pool = \"lookup\"\n");
+    auto const stored = objects.get(price);
+    objects.put(price, stored->version,
+                "deadline_ms = 2000\n" + stored->value.substr(19));
+    step({"apply", folder.string()});
+    step({"history", price});
+    write("settings/pipelines/price.toml",
+          "# version 2\n" + sample_settings.at(price + ".toml"));
+    step({"apply", folder.string()});
+    write("settings/pools/lookup.toml", "kind = \"engine\"\nmodel = 3\n");
+    step({"validate", folder.string()});
+    expect_golden("apply_session.txt", text);
+}
+
+// Guards against an operator who overwrites a change made between the
+// command's read and its write.
+TEST_F(apply_test, reports_a_racing_change_and_keeps_it)
+{
+    ASSERT_EQ(run({"apply", folder.string()}), exit_code::success);
+    auto const version = objects.get(price)->version;
+    auto const file = write("edit/settings/pipelines/price.toml",
+                            "# version " + std::to_string(version) +
+                                "\ndeadline_ms = 1\n[[stages]]\n"
+                                "name = \"lookup\"\npool = \"lookup\"\n");
+    auto const other = sample_settings.at(price + ".toml") + "# other\n";
+    objects.put(price, version, other);
+    output();
+    EXPECT_EQ(run({"apply", file}), exit_code::conflict);
+    EXPECT_EQ(value(price), other);
+    EXPECT_NE(output().find("+# other"), std::string::npos);
+}
+
+// Guards against a lost response that is reported as a failure, or repeated.
+TEST_F(apply_test, settles_a_lost_response_by_reading_back)
+{
+    gate.set_lost_answers(1);
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::success);
+    EXPECT_FALSE(value("settings/ranks").empty());
+    EXPECT_EQ(gate.counts().lost_answers, 1U);
+}
+
+// Guards against a command that claims success in an outage.
+TEST_F(apply_test, reports_an_unavailable_store)
+{
+    gate.set_outage(true);
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::unavailable);
+    gate.set_outage(false);
+    gate.set_budget({0., 1e-6});
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::unavailable);
+    EXPECT_EQ(objects.revision(), 0U);
+}
+
+// Guards against a removal in an order that VMs refuse.
+TEST_F(apply_test, prunes_referring_objects_first)
+{
+    run({"apply", folder.string()});
+    std::filesystem::remove(folder / "settings/pools/lookup.toml");
+    flags.prunes = true;
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::invalid);
+    std::filesystem::remove(folder / "settings/pipelines/price.toml");
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::success);
+    EXPECT_TRUE(value("settings/pools/lookup").empty());
+    EXPECT_NE(output().find("removed settings/pipelines/price"),
+              std::string::npos);
+}
+
+// Guards against a history that grows without bound, and against a value
+// that cannot be brought back.
+TEST_F(apply_test, keeps_a_bounded_history_to_go_back_to)
+{
+    std::string const fleet = "settings/fleet";
+    for (int i = 1; i <= 30; ++i)
+    {
+        auto const file = write("settings/fleet.toml",
+                                "retry_burst = " + std::to_string(i) + "\n");
+        ASSERT_EQ(run({"apply", folder.string()}), exit_code::success);
+    }
+    output();
+    ASSERT_EQ(run({"history", fleet}), exit_code::success);
+    auto const text = out.str();
+    EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 20);
+    // The listed versions are newest first.
+    auto const last_line = text.rfind('\n', text.size() - 2) + 1;
+    auto const oldest =
+        text.substr(last_line, text.find(' ', last_line) - last_line);
+    output();
+    ASSERT_EQ(run({"history", fleet, oldest}), exit_code::success);
+    auto const file = write("back/settings/fleet.toml", out.str());
+    EXPECT_EQ(run({"apply", file}), exit_code::success);
+    EXPECT_EQ(value(fleet), "retry_burst = 11\n");
+    EXPECT_EQ(run({"history", fleet, "1"}), exit_code::not_found);
+}
+
+// Guards against a fault in the store's old values that blocks every change.
+TEST_F(apply_test, is_not_stopped_by_problems_that_were_there_before)
+{
+    objects.put("settings/pools/broken", 0, "kind = ");
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::success);
+}
+
+} // namespace
+} // namespace buckthornvale::ctl
--- a/packages/settings/src/fleet/settings_set.cpp
+++ b/packages/settings/src/fleet/settings_set.cpp
@@ -284,9 +284,14 @@
     if (!exists(needed.target))
     {
         auto const target = to_text(needed.target);
-        auto value =
-            make_problem(problem_kind::unknown_reference, object.path,
-                         needed.key, "'" + target + "' does not exist", target);
+        bool const is_held = held_.count(target) > 0;
+        auto value = make_problem(
+            problem_kind::unknown_reference, object.path, needed.key,
+            absl::StrCat("'", target,
+                         is_held ? "' is refused itself" : "' does not exist"),
+            target);
+        if (is_held)
+            value.remedy = "correct that object first";
         value.line = needed.line;
         problems.push_back(std::move(value));
         return;
