--- /dev/null
+++ b/packages/serving/tests/http/json_text_test.cpp
@@ -0,0 +1,73 @@
+#include <buckthornvale/serving/http/json_text.hpp>
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::serving::http
+{
+namespace
+{
+
+struct member_row
+{
+    std::string name;
+    std::string object;
+    std::string found;
+};
+
+class raw_member_test : public testing::TestWithParam<member_row>
+{
+};
+
+// Guards against an input that is cut, or taken from another member.
+TEST_P(raw_member_test, gives_the_text_that_the_parser_saw)
+{
+    auto const& row = GetParam();
+    EXPECT_EQ(raw_member(row.object, "input"), row.found);
+    auto const parsed = parse_json(row.object);
+    ASSERT_TRUE(parsed);
+    if (parsed->contains("input"))
+        EXPECT_EQ(nlohmann::json::parse(row.found), (*parsed)["input"]);
+    else
+        EXPECT_EQ(row.found, "");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, raw_member_test,
+    testing::Values(
+        member_row{"number",
+                   R"({"a":1,"input": 98765432109876543210987 ,"b":2})",
+                   "98765432109876543210987"},
+        member_row{"last", R"({"a":1,"input":1.50})", "1.50"},
+        member_row{"text", R"({"input":"},\"input\":2\\"})",
+                   R"("},\"input\":2\\")"},
+        member_row{"nested_name", R"({"a":{"input":1},"input":[{"input":2}]})",
+                   R"([{"input":2}])"},
+        member_row{"only_nested", R"({"a":{"input":1}})", ""},
+        member_row{"escaped_name", R"({"\u0069nput":3})", "3"},
+        member_row{"twice", R"({"input":1,"input":2})", "2"},
+        member_row{"spaces", "{ \"input\" :\n {} }", "{}"},
+        member_row{"empty", "{}", ""}),
+    [](auto const& it) { return it.param.name; });
+
+// Guards against a document that exhausts the stack when it is written.
+TEST(parse_json, refuses_deep_nesting_only_outside_of_strings)
+{
+    auto const nested = [](std::size_t n)
+    { return std::string(n, '[') + std::string(n, ']'); };
+    EXPECT_TRUE(parse_json(nested(max_json_depth)));
+    EXPECT_FALSE(parse_json(nested(max_json_depth + 1)));
+    EXPECT_TRUE(parse_json('"' + nested(1000) + '"'));
+    EXPECT_FALSE(parse_json("\"unfinished\\"));
+}
+
+// Guards against a name or value that breaks the object it is added to.
+TEST(append_raw_member, keeps_the_object_whole)
+{
+    std::string object = "{}";
+    append_raw_member(object, "a", "1");
+    append_raw_member(object, "b", "[2]");
+    EXPECT_EQ(object, R"({"a":1,"b":[2]})");
+}
+
+} // namespace
+} // namespace buckthornvale::serving::http
