decision: tell claims of two VMs apart by owner and nonce

Cause: the test of a repeat through a second VM ran the booking twice. Both VMs' generators had the same seed and drew the same nonce, so the second VM took the first one's claim for its own. Ruled out: the claim's write (one write, seen in the store), the path and the key (equal on both VMs). Change: a claim is its writer's when nonce and owner match. Conclusion: the claim no longer rests on the quality of the seeds.

--- a/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
+++ b/packages/decision/include/buckthornvale/decision/bookings/shard_update.hpp
@@ -59,6 +59,13 @@
     claim_entry entry;                    //!< when existing
 };
 
+//! True when the update is about this claim. The owner is compared too: two
+//! VMs whose generators had the same seed draw the same nonces.
+inline bool is_same_claim(claim_entry const& entry, shard_update const& update)
+{
+    return entry.nonce == update.nonce && entry.owner == update.owner;
+}
+
 } // namespace buckthornvale::decision::bookings
 
 #endif
--- a/packages/decision/src/bookings/shard_committer.cpp
+++ b/packages/decision/src/bookings/shard_committer.cpp
@@ -174,7 +174,7 @@
     // The document may be an old one of the cache. Only a write shows that the
     // store does not have the claim that an update is about.
     bool const not_found =
-        !reads && (entry == nullptr || entry->nonce != it.update.nonce);
+        !reads && (entry == nullptr || !is_same_claim(*entry, it.update));
     // A write of unknown outcome is made void by moving the version.
     bool const must_write =
         change.modified || not_found || it.unsettled_at.has_value();
@@ -324,7 +324,7 @@
             kept.push_back(std::move(it));
             continue;
         }
-        bool const own = entry->nonce == it.update.nonce;
+        bool const own = is_same_claim(*entry, it.update);
         auto answer = answer_of(it.update, own ? update_verdict::applied
                                                : update_verdict::existing);
         if (!own)
--- a/packages/decision/src/bookings/shard_document.cpp
+++ b/packages/decision/src/bookings/shard_document.cpp
@@ -193,7 +193,7 @@
     auto& entry = it->second;
     if (update.kind == update_kind::query)
         return {update_verdict::existing, false, error_kind::none};
-    if (entry.nonce != update.nonce)
+    if (!is_same_claim(entry, update))
         return {update_verdict::existing, false, error_kind::none};
     switch (update.kind)
     {
--- a/packages/decision/tests/config/settings_schedule_test.cpp
+++ b/packages/decision/tests/config/settings_schedule_test.cpp
@@ -154,7 +154,9 @@
             held.seen[path] = version;
         }
         if (held.state->ready())
+        {
             EXPECT_GE(held.state->revision(), held.state->highest_reported());
+        }
     }
 
     void check_converged(settings_state const& state) const
