--- a/packages/decision/include/buckthornvale/decision/config/config_effects.hpp
+++ b/packages/decision/include/buckthornvale/decision/config/config_effects.hpp
@@ -53,6 +53,9 @@
 struct settings_pull
 {
     std::uint64_t from = 0;
+    //! Deletes after this revision are needed. Equal to `from`, but on later
+    //! pages of a whole copy: the sender's revision on its first page.
+    std::uint64_t base = 0;
 };
 
 //! Peer message: all changes in (from, up_to], ordered by version.
--- a/packages/decision/include/buckthornvale/decision/config/settings_state.hpp
+++ b/packages/decision/include/buckthornvale/decision/config/settings_state.hpp
@@ -133,6 +133,7 @@
     {
         vm_id peer;
         std::uint64_t from = 0;
+        std::uint64_t base = 0;
         time_point started{};
         std::optional<snapshot> full;
     };
@@ -145,7 +146,9 @@
 
     using objects = std::map<std::string, settings_object, std::less<>>;
 
-    bool put(settings_object const& object, std::vector<std::string>& changed);
+    //! Takes an object of a copy that was current at revision `as_of`.
+    bool put(settings_object const& object, std::uint64_t as_of,
+             std::vector<std::string>& changed);
     void erase_unseen(snapshot const& list, std::vector<std::string>& changed);
     void trim_tombstones();
     void raise(std::uint64_t revision);
@@ -169,7 +172,7 @@
     //! Versions in order, for pages of changes.
     std::set<std::pair<std::uint64_t, std::string_view>> by_version_;
     std::size_t tombstones_ = 0;
-    std::uint64_t tombstone_floor_ = 0; //!< deletes up to it are forgotten
+    std::uint64_t tombstone_floor_ = 0; //!< not all deletes up to it are known
     std::uint64_t revision_ = 0;
     std::uint64_t highest_ = 0;
     bool complete_ = false; //!< a whole list or copy was taken
--- a/packages/decision/src/config/settings_state.cpp
+++ b/packages/decision/src/config/settings_state.cpp
@@ -30,7 +30,7 @@
     highest_ = std::max(highest_, revision_);
 }
 
-bool settings_state::put(settings_object const& object,
+bool settings_state::put(settings_object const& object, std::uint64_t as_of,
                          std::vector<std::string>& changed)
 {
     auto it = objects_.find(object.path);
@@ -42,6 +42,13 @@
     }
     if (it == objects_.end())
     {
+        // All changes up to the revision are known, so the path was deleted
+        // and its tombstone forgotten.
+        if (complete_ && object.version <= revision_ && as_of <= revision_)
+        {
+            ++counters_.refused_lower;
+            return false;
+        }
         if (objects_.size() >= settings_.max_objects)
             return false;
         it = objects_.emplace(object.path, settings_object{}).first;
@@ -78,7 +85,7 @@
             ++gone.back().version;
     }
     for (auto const& it : gone)
-        put(it, changed);
+        put(it, list.revision, changed);
 }
 
 void settings_state::trim_tombstones()
@@ -184,7 +191,7 @@
     for (auto const& it : answer.items)
     {
         list_->seen.insert(stable_hash(it.path));
-        put(it, changed);
+        put(it, answer.revision, changed);
     }
     if (!answer.next.empty())
     {
@@ -194,6 +201,8 @@
         return;
     }
     erase_unseen(*list_, changed);
+    // A list does not show what was deleted before it.
+    tombstone_floor_ = std::max(tombstone_floor_, list_->revision);
     raise(list_->revision);
     list_.reset();
     list_wanted_ = false;
@@ -215,7 +224,7 @@
     auto const before = revision_;
     std::vector<std::string> changed;
     for (auto const& it : answer.events)
-        put(it, changed);
+        put(it, answer.revision, changed);
     // The watch started at a revision that was in force, so nothing is missing
     // between it and the answer's revision.
     raise(answer.revision);
@@ -343,8 +352,10 @@
     pull_->started = now;
     if (from == 0 && !pull_->full)
         pull_->full.emplace();
+    if (!pull_->full)
+        pull_->base = from;
     ++counters_.pulls;
-    out.push_back(pull_settings{peer, {from}});
+    out.push_back(pull_settings{peer, {from, pull_->base}});
 }
 
 void settings_state::peer_pull(vm_id peer, settings_pull const& message,
@@ -357,7 +368,7 @@
     auto& answer = push.message;
     answer.from = message.from;
     answer.revision = revision_;
-    if (message.from != 0 && message.from < tombstone_floor_)
+    if (message.from != 0 && message.base < tombstone_floor_)
     {
         answer.restart = true;
         answer.up_to = message.from;
@@ -406,13 +417,15 @@
         start_pull(peer, 0, now, out);
         return;
     }
+    if (pull_->full && message.from == 0)
+        pull_->base = message.revision;
     auto const before = revision_;
     std::vector<std::string> changed;
     for (auto const& object : message.objects)
     {
         if (pull_->full)
             pull_->full->seen.insert(stable_hash(object.path));
-        put(object, changed);
+        put(object, message.revision, changed);
     }
     bool const more =
         message.up_to < message.revision && message.up_to > message.from;
@@ -422,6 +435,7 @@
         if (!more)
         {
             erase_unseen(*pull_->full, changed);
+            tombstone_floor_ = std::max(tombstone_floor_, message.up_to);
             complete_ = true;
             raise(message.up_to);
         }
--- a/packages/decision/tests/config/settings_schedule_test.cpp
+++ b/packages/decision/tests/config/settings_schedule_test.cpp
@@ -89,7 +89,6 @@
         int process = 0;
         std::map<std::string, std::uint64_t> seen; //!< versions in force
         std::uint64_t revision = 0;
-        bool was_ready = false;
     };
 
     using event = std::function<void(settings_state&, config_effects&)>;
@@ -154,7 +153,9 @@
             held.seen[path] = version;
         }
         if (held.state->ready())
+        {
             EXPECT_GE(held.state->revision(), held.state->highest_reported());
+        }
     }
 
     void check_converged(settings_state const& state) const
--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -232,12 +232,15 @@
 
 json fields_of(config::settings_pull const& value)
 {
-    return {{"t", "settings_pull"}, {"from", value.from}};
+    return {{"t", "settings_pull"},
+            {"from", value.from},
+            {"base", value.base}};
 }
 
 void read(field_reader& in, config::settings_pull& value)
 {
     in.number("from", value.from);
+    in.number("base", value.base);
 }
 
 json fields_of(config::settings_push const& value)
