--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -101,6 +101,10 @@
 // The largest amount of thousandths that a double holds exactly.
 constexpr double max_units = 9007199254740992.;
 
+// Bits of a summary's kind.
+constexpr unsigned full_flag = 1;
+constexpr unsigned fleet_flag = 2;
+
 json units_of(double value)
 {
     auto const scaled = value * units;
@@ -109,20 +113,29 @@
     return static_cast<std::uint64_t>(std::min(scaled, max_units) + 0.5);
 }
 
-void read_units(field_reader& in, char const* name, absl::Span<double> out)
+// Reads an array of an id and amounts: shorter than a map with names, and
+// summaries are most of the links' traffic.
+void read_load(field_reader& in, char const* name, json const& list,
+               std::uint64_t& id, absl::Span<double> amounts)
 {
-    auto const* list = in.array(name, out.size());
-    if (list == nullptr)
-        return;
-    if (list->size() != out.size())
+    if (!list.is_array() || list.size() != amounts.size() + 1)
+    {
         in.fail(name);
-    for (std::size_t i = 0; i < list->size(); ++i)
+        return;
+    }
+    for (auto const& it : list)
     {
-        if ((*list)[i].is_number_unsigned())
-            out[i] =
-                static_cast<double>((*list)[i].get<std::uint64_t>()) / units;
-        else
+        if (!it.is_number_unsigned())
+        {
             in.fail(name);
+            return;
+        }
+    }
+    id = list[0].get<std::uint64_t>();
+    for (std::size_t i = 0; i < amounts.size(); ++i)
+    {
+        auto const value = list[i + 1].get<std::uint64_t>();
+        amounts[i] = static_cast<double>(value) / units;
     }
 }
 
@@ -131,79 +144,81 @@
     json pools = json::array();
     for (auto const& it : value.load.pools)
     {
-        json running = json::array();
-        json demand = json::array();
-        for (std::size_t i = 0; i < decision::rank_count; ++i)
-        {
-            running.push_back(units_of(it.in_flight[i]));
-            demand.push_back(units_of(it.demand[i]));
-        }
-        pools.push_back({{"p", it.pool.value},
-                         {"f", std::move(running)},
-                         {"d", std::move(demand)}});
+        json load = json::array({it.pool.value});
+        for (auto running : it.in_flight)
+            load.push_back(units_of(running));
+        for (auto demand : it.demand)
+            load.push_back(units_of(demand));
+        pools.push_back(std::move(load));
     }
     json organisations = json::array();
     for (auto const& it : value.load.organisations)
     {
-        organisations.push_back(
-            {{"o", it.organisation.value},
-             {"a",
-              {units_of(it.requests_per_second), units_of(it.concurrent)}}});
+        organisations.push_back(json::array({it.organisation.value,
+                                             units_of(it.requests_per_second),
+                                             units_of(it.concurrent)}));
     }
     json marks = json::array();
     for (auto const& it : value.load.marks)
     {
         marks.push_back({{"h", it.high}, {"l", it.low}, {"i", it.isolated}});
     }
-    return {{"t", "summary"},
-            {"n", value.sequence},
-            {"full", value.full},
-            {"fleet", value.fleet},
-            {"vms", value.load.vms},
-            {"rev", value.load.settings_revision},
-            {"pools", std::move(pools)},
-            {"orgs", std::move(organisations)},
-            {"marks", std::move(marks)}};
+    json fields = {
+        {"t", "summary"},
+        {"n", value.sequence},
+        {"k", (value.full ? full_flag : 0U) | (value.fleet ? fleet_flag : 0U)},
+        {"c", value.load.vms},
+        {"r", value.load.settings_revision}};
+    // Most differences have none of the lists.
+    if (!pools.empty())
+        fields["p"] = std::move(pools);
+    if (!organisations.empty())
+        fields["o"] = std::move(organisations);
+    if (!marks.empty())
+        fields["m"] = std::move(marks);
+    return fields;
 }
 
 void read(field_reader& in, fleet::summary_message& value)
 {
+    std::uint64_t flags = 0;
     in.number("n", value.sequence);
-    in.boolean("full", value.full);
-    in.boolean("fleet", value.fleet);
-    in.number("vms", value.load.vms);
-    in.number("rev", value.load.settings_revision);
+    in.number("k", flags);
+    in.number("c", value.load.vms);
+    in.number("r", value.load.settings_revision);
+    if (flags > (full_flag | fleet_flag))
+        in.fail("k");
+    value.full = (flags & full_flag) != 0;
+    value.fleet = (flags & fleet_flag) != 0;
     // A difference also lists what is gone, so it may have twice the entries.
-    if (auto const* list = in.array("pools", 2 * fleet::max_summary_pools))
+    if (auto const* list = in.optional_array("p", 2 * fleet::max_summary_pools))
     {
         for (auto const& it : *list)
         {
-            field_reader entry(it);
+            std::array<double, 2 * decision::rank_count> amounts{};
             fleet::pool_load load;
-            entry.number("p", load.pool.value);
-            read_units(entry, "f", absl::MakeSpan(load.in_flight));
-            read_units(entry, "d", absl::MakeSpan(load.demand));
-            in.check(entry);
+            read_load(in, "p", it, load.pool.value, absl::MakeSpan(amounts));
+            auto const half = amounts.begin() + decision::rank_count;
+            std::copy(amounts.begin(), half, load.in_flight.begin());
+            std::copy(half, amounts.end(), load.demand.begin());
             value.load.pools.push_back(load);
         }
     }
     if (auto const* list =
-            in.array("orgs", 2 * fleet::max_summary_organisations))
+            in.optional_array("o", 2 * fleet::max_summary_organisations))
     {
         for (auto const& it : *list)
         {
-            field_reader entry(it);
-            fleet::organisation_load load;
             std::array<double, 2> amounts{};
-            entry.number("o", load.organisation.value);
-            read_units(entry, "a", absl::MakeSpan(amounts));
+            fleet::organisation_load load;
+            read_load(in, "o", it, load.organisation.value,
+                      absl::MakeSpan(amounts));
             load.requests_per_second = amounts[0];
             load.concurrent = amounts[1];
-            in.check(entry);
             value.load.organisations.push_back(load);
         }
     }
-    if (auto const* list = in.array("marks", fleet::max_summary_marks))
+    if (auto const* list = in.optional_array("m", fleet::max_summary_marks))
     {
         for (auto const& it : *list)
         {
@@ -232,12 +247,13 @@
 
 json fields_of(config::settings_pull const& value)
 {
-    return {{"t", "settings_pull"}, {"from", value.from}};
+    return {{"t", "settings_pull"}, {"from", value.from}, {"base", value.base}};
 }
 
 void read(field_reader& in, config::settings_pull& value)
 {
     in.number("from", value.from);
+    in.number("base", value.base);
 }
 
 json fields_of(config::settings_push const& value)
