--- a/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/admission_types.hpp
@@ -137,6 +137,9 @@
 //! pools times ranks plus `summary_organisations` entries.
 struct demand_summary
 {
+    //! VMs that it sums over; above 16 VMs the fleet passes sums on. A sum
+    //! that a VM receives must not include the VM itself.
+    std::uint32_t vms = 1;
     std::vector<pool_demand> pools;
     std::array<float, rank_count> cost_rate{}; //!< over all organisations
     std::vector<organisation_demand> heaviest;
--- a/packages/decision/include/buckthornvale/decision/admission/peer_view.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/peer_view.hpp
@@ -50,6 +50,9 @@
     //! Fresh summaries, as of the last refresh.
     std::vector<demand_summary const*> const& fresh() const { return fresh_; }
 
+    //! VMs that the fresh summaries stand for.
+    std::size_t fresh_vms() const { return fresh_vms_; }
+
     //! Sum over the fresh peers; all zero for an unlisted organisation.
     peer_organisation organisation(organisation_id id) const;
 
@@ -77,6 +80,7 @@
     std::deque<std::pair<time_point, std::size_t>> earlier_sizes_;
     std::map<vm_id, received> peers_; //!< ordered: sums are reproducible
     std::vector<demand_summary const*> fresh_;
+    std::size_t fresh_vms_ = 0;
     absl::flat_hash_map<organisation_id, peer_organisation> organisations_;
     double unlisted_sum_ = 0.0;
     double unlisted_max_ = 0.0;
--- a/packages/decision/src/admission/capacity_share.cpp
+++ b/packages/decision/src/admission/capacity_share.cpp
@@ -158,12 +158,12 @@
 }
 
 pool_share own_share(fleet_demand& demand, std::size_t pool, double slots,
-                     by_rank const& served, rank_table const& ranks)
+                     by_rank const& served, double even,
+                     rank_table const& ranks)
 {
     auto const total = demand.total(pool);
     auto const& own = demand.rate(pool, 0);
     auto const given = allocate_ranks(total, slots, ranks);
-    auto const even = 1.0 / static_cast<double>(demand.vm_count());
     pool_share out;
     double own_sum = 0.0;
     double all_sum = 0.0;
@@ -196,8 +196,8 @@
              absl::FunctionRef<double(organisation_id)> weight_of)
 {
     fleet_demand demand(pools, own, peers);
-    auto const reachable = static_cast<double>(demand.vm_count()) /
-                           static_cast<double>(peers.fleet_size());
+    auto const heard = static_cast<double>(peers.fresh_vms() + 1);
+    auto const reachable = heard / static_cast<double>(peers.fleet_size());
     auto const served = served_parts(demand, pools, reachable, ranks);
     capacity_division out;
     out.fair_level.fill(std::numeric_limits<double>::infinity());
@@ -208,8 +208,9 @@
     }
     out.shares.reserve(pools.size());
     for (std::size_t pool = 0; pool < pools.size(); ++pool)
-        out.shares.push_back(own_share(
-            demand, pool, pools[pool].slots * reachable, served, ranks));
+        out.shares.push_back(own_share(demand, pool,
+                                       pools[pool].slots * reachable, served,
+                                       1.0 / heard, ranks));
     return out;
 }
 
--- a/packages/decision/src/admission/organisation_limiter.cpp
+++ b/packages/decision/src/admission/organisation_limiter.cpp
@@ -15,7 +15,7 @@
 double fraction_of_demand(double own, peer_organisation const& listed,
                           peer_view const& peers)
 {
-    auto const fresh_vms = static_cast<double>(peers.fresh().size() + 1);
+    auto const fresh_vms = static_cast<double>(peers.fresh_vms() + 1);
     auto const unlisted =
         std::max(0.0, peers.unlisted_request_rate() - listed.listed_bounds);
     bool const light = listed.request_rate <= 0.0 &&
--- a/packages/decision/src/admission/peer_view.cpp
+++ b/packages/decision/src/admission/peer_view.cpp
@@ -31,6 +31,7 @@
 {
     expire_sizes(now);
     fresh_.clear();
+    fresh_vms_ = 0;
     organisations_.clear();
     unlisted_sum_ = 0.0;
     unlisted_max_ = 0.0;
@@ -42,6 +43,7 @@
         if (now - it.at > summary_lifetime_)
             continue;
         fresh_.push_back(&it.summary);
+        fresh_vms_ += it.summary.vms;
         add_organisations(it.summary);
         double const bound = it.summary.unlisted_request_rate;
         unlisted_sum_ += bound;
@@ -51,7 +53,7 @@
 
 std::size_t peer_view::fleet_size() const
 {
-    return std::max(live_, fresh_.size() + 1);
+    return std::max(live_, fresh_vms_ + 1);
 }
 
 std::size_t peer_view::largest_fleet_size() const
@@ -63,7 +65,7 @@
 
 std::size_t peer_view::stale_against_largest() const
 {
-    return largest_fleet_size() - 1 - fresh_.size();
+    return largest_fleet_size() - 1 - fresh_vms_;
 }
 
 peer_organisation peer_view::organisation(organisation_id id) const
--- a/packages/decision/tests/admission/capacity_share_test.cpp
+++ b/packages/decision/tests/admission/capacity_share_test.cpp
@@ -1,5 +1,6 @@
 #include "fixture.hpp"
 #include <buckthornvale/decision/admission/capacity_share.hpp>
+#include <buckthornvale/decision/admission/summary_sum.hpp>
 
 #include <gtest/gtest.h>
 
@@ -88,6 +89,24 @@
     EXPECT_NEAR(first, 40.0, 0.5);
 }
 
+// Guards against a sum of peers that is divided as if it were one VM, and
+// against sums that grow with the fleet.
+TEST(capacity_share, treats_a_sum_of_summaries_as_its_vms)
+{
+    auto const own = demand({{"a", 500.0F}});
+    std::vector<demand_summary> const peers(6, own);
+    auto const sum = sum_summaries(peers, 32);
+    EXPECT_EQ(sum.vms, 6U);
+    EXPECT_NEAR(slots_of(own, {sum}, 7), slots_of(own, peers, 7), 1e-3);
+    EXPECT_NEAR(slots_of(own, {sum}, 14), 5.0, 1e-3);
+    std::vector<std::pair<std::string, float>> many;
+    for (int n = 0; n < 100; ++n)
+        many.emplace_back("org" + std::to_string(n), 1.0F + n);
+    auto const bounded = sum_summaries({demand(many), demand(many)}, 32);
+    EXPECT_EQ(bounded.heaviest.size(), 32U);
+    EXPECT_FLOAT_EQ(bounded.cost_rate[1], 2.0F * 5050.0F);
+}
+
 // Guards against a fair level that hands out more or less than there is.
 TEST(capacity_share, finds_the_level_that_uses_the_total)
 {
