--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -21,6 +21,8 @@
 
 DEFINE_double(queue_slack_part, 0.5, "see admission_settings");
 DEFINE_uint64(summary_organisations, 32, "see admission_settings");
+DEFINE_uint64(vms, 7, "entry VMs");
+DEFINE_bool(summaries, true, "peers exchange demand summaries");
 DEFINE_double(heavy_part, 1.0, "see admission_settings");
 
 namespace
@@ -63,11 +65,12 @@
     options.runner_queueing = FLAGS_runner_queueing;
     options.queue_slack_part = FLAGS_queue_slack_part;
     options.summary_organisations = FLAGS_summary_organisations;
+    options.summaries = FLAGS_summaries;
     options.heavy_part = FLAGS_heavy_part;
     auto const policies = make_policies();
     nlohmann::json document;
-    for (auto const& shape :
-         {make_deployment("waikato", 20), make_deployment("sahel", 10)})
+    for (auto const& shape : {make_deployment("waikato", 20, FLAGS_vms),
+                              make_deployment("sahel", 10, FLAGS_vms)})
     {
         std::vector<figures> normal(policies.size());
         for (auto const& load : make_scenarios(shape))
--- a/bench/policy/model.cpp
+++ b/bench/policy/model.cpp
@@ -38,9 +38,11 @@
     return sum;
 }
 
-deployment make_deployment(std::string name, std::size_t model_runners)
+deployment make_deployment(std::string name, std::size_t model_runners,
+                           std::size_t vms)
 {
     deployment out;
+    out.vms = vms;
     out.name = std::move(name);
     out.pools.push_back({"model", model_runners, slots_per_engine});
     for (std::size_t n = 1; n <= services; ++n)
--- a/bench/policy/model.hpp
+++ b/bench/policy/model.hpp
@@ -66,7 +66,8 @@
     double total_work(rank r) const;
 };
 
-deployment make_deployment(std::string name, std::size_t model_runners);
+deployment make_deployment(std::string name, std::size_t model_runners,
+                           std::size_t vms);
 
 //! A queued or running stage on a runner.
 struct job
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -291,7 +291,8 @@
     {
         auto const summary = controllers_[vm].local_demand(now());
         auto const id = decision::vm_id::of("vm" + std::to_string(vm));
-        for (std::size_t peer = 0; peer < controllers_.size(); ++peer)
+        for (std::size_t peer = 0;
+             options_.summaries && peer < controllers_.size(); ++peer)
         {
             if (peer != vm)
                 controllers_[peer].peer_demand(
--- a/bench/policy/simulation.hpp
+++ b/bench/policy/simulation.hpp
@@ -33,6 +33,7 @@
 {
     std::uint64_t seed = 1;
     double speed_spread = 4.0;
+    bool summaries = true;         //!< else every peer stays stale
     bool runner_priority = false;  //!< runners serve by rank, else by arrival
     double queue_slack_part = 0.5; //!< as in admission_settings
     std::size_t summary_organisations = 32; //!< as in admission_settings
--- a/packages/decision/tests/admission/organisation_limiter_test.cpp
+++ b/packages/decision/tests/admission/organisation_limiter_test.cpp
@@ -97,6 +97,25 @@
     EXPECT_LE(all, 800);
 }
 
+// Guards against an excess beyond the stated bound, the demand of two summary
+// periods, when demand moves from one VM to all.
+TEST(organisation_limiter, exceeds_a_rate_by_two_periods_of_demand_at_most)
+{
+    constexpr double limit = 70.0;
+    constexpr double demand = 280.0;
+    fleet it(7, {1.0, limit, 0});
+    it.offer({280, 0, 0, 0, 0, 0, 0}, 0.0, 6.0, true);
+    double admitted = 0.0;
+    for (int second = 0; second < 10; ++second)
+    {
+        admitted +=
+            it.offer(std::vector<int>(7, 40), 6.0 + second, 7.0 + second, true);
+        EXPECT_LE(admitted, limit * (second + 1) + 2.0 * demand) << second;
+    }
+    EXPECT_LE(it.offer(std::vector<int>(7, 40), 16.0, 26.0, true),
+              1.1 * 10.0 * limit);
+}
+
 // Guards against two sides of a partition that each divide the whole limit
 // as soon as the other side has left the list of live VMs.
 TEST(organisation_limiter, remembers_the_largest_fleet_for_ten_minutes)
