admission: use a part smaller than one request at its rate

Cause: a request always fitted into an empty part, so many VMs with parts far below one request together held several times the pool. Change: a request that does not fit starts when its part has been idle long enough for that much work.

--- a/packages/decision/include/buckthornvale/decision/admission/pool_backlog.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/pool_backlog.hpp
@@ -58,6 +58,10 @@
     double backlog(rank r) const { return backlog_[index_of(r)]; }
     double total_backlog() const;
 
+    //! Time of the last dispatch of a rank, and of any rank.
+    time_point last_commit(rank r) const { return last_commit_[index_of(r)]; }
+    time_point last_commit() const;
+
     //! Work started per second.
     double started(rank r, duration memory, time_point now) const;
 
@@ -70,6 +74,7 @@
     pool_share share_;
     std::array<double, rank_count> backlog_{};
     std::array<double, rank_count> queued_{};
+    std::array<time_point, rank_count> last_commit_{};
     std::array<decayed_rate, rank_count> offered_;
     std::array<decayed_rate, rank_count> started_;
     std::array<double, rank_count> lead_{}; //!< seconds; 0: not measured
--- a/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/rank_scheduler.hpp
@@ -30,12 +30,13 @@
 
     //! Access of a request to one pool. Without shares every rank competes
     //! for the bound. A request is within a bound when half of its work is,
-    //! so that small parts are not exceeded more than large ones.
+    //! so that small parts are not exceeded more than large ones. A part that
+    //! is too small for one request is used at its rate, one at a time.
     //! `part` scales the bounds for the organisation: above 1 when it need not
     //! wait for what others hold, below 1 when it leaves room for them.
     pool_access access(pool_backlog const& pool, rank r, double work,
-                       duration runner_queueing, bool shares,
-                       double part) const;
+                       duration runner_queueing, bool shares, double part,
+                       time_point now) const;
 
     //! Slots that a rank can expect of this VM's part of a pool: what ranks
     //! above use and ranks below use within their guarantee is taken off.
--- a/packages/decision/src/admission/admission_controller.cpp
+++ b/packages/decision/src/admission/admission_controller.cpp
@@ -78,7 +78,7 @@
     auto const checked = state.check_deadline(kept, record, now);
     if (checked.outcome == verdict::refused)
         return checked;
-    bool const at_once = state.may_dispatch_now(kept);
+    bool const at_once = state.may_dispatch_now(kept, now);
     if (!at_once && state.queue_full(record, kept.work_rank))
         return state.refuse(error_kind::overloaded, {});
     auto& slot = state.requests[kept.id];
@@ -111,7 +111,7 @@
     };
     while (!state.expiries.empty() && state.expiries.begin()->first < now)
         expire(*state.requests.find(state.expiries.begin()->second)->second);
-    while (auto* const next = state.next_candidate())
+    while (auto* const next = state.next_candidate(now))
     {
         if (state.too_late(*next, now))
         {
--- a/packages/decision/src/admission/admission_state.cpp
+++ b/packages/decision/src/admission/admission_state.cpp
@@ -131,7 +131,7 @@
         return {verdict::dispatch, error_kind::none, {}};
     auto const& estimate =
         paths[request.path].residence[index_of(request.work_rank)];
-    if (may_dispatch_now(request))
+    if (may_dispatch_now(request, now))
     {
         auto const needed =
             estimate.predict(request.expected_total, start_margin, now);
@@ -224,14 +224,15 @@
     }
 }
 
-pool_access admission_state::access(kept_request const& request) const
+pool_access admission_state::access(kept_request const& request,
+                                    time_point now) const
 {
     auto out = pool_access::guaranteed;
     for (auto const& it : request.stages)
-        out =
-            std::min(out, ranks.access(pools[it.pool], request.work_rank,
-                                       it.committed, settings.runner_queueing,
-                                       traits.rank_shares, request.bound_part));
+        out = std::min(out, ranks.access(pools[it.pool], request.work_rank,
+                                         it.committed, settings.runner_queueing,
+                                         traits.rank_shares, request.bound_part,
+                                         now));
     return out;
 }
 
@@ -252,9 +253,10 @@
 
 // A request starts without passing through the queue only when it cannot
 // overtake one that poll() would dispatch.
-bool admission_state::may_dispatch_now(kept_request const& request) const
+bool admission_state::may_dispatch_now(kept_request const& request,
+                                       time_point now) const
 {
-    auto const allowed = access(request);
+    auto const allowed = access(request, now);
     if (allowed == pool_access::blocked)
         return false;
     if (expiries.empty())
@@ -358,7 +360,7 @@
     }
 }
 
-kept_request* admission_state::next_candidate()
+kept_request* admission_state::next_candidate(time_point now)
 {
     kept_request* best = nullptr;
     candidate best_candidate;
@@ -375,7 +377,7 @@
             auto const [flow, id] = queue.front(counter_of);
             auto& request = *requests.find(id)->second;
             candidate it;
-            it.access = access(request);
+            it.access = access(request, now);
             if (it.access == pool_access::blocked)
                 continue;
             it.work_rank = r;
--- a/packages/decision/src/admission/admission_state.hpp
+++ b/packages/decision/src/admission/admission_state.hpp
@@ -88,17 +88,17 @@
                      time_point now);
 
     // Queue.
-    pool_access access(kept_request const& request) const;
+    pool_access access(kept_request const& request, time_point now) const;
     double bound_part(kept_request const& request,
                       organisation_record const& record) const;
-    bool may_dispatch_now(kept_request const& request) const;
+    bool may_dispatch_now(kept_request const& request, time_point now) const;
     duration predicted_wait(kept_request const& request,
                             organisation_record const& record,
                             time_point now) const;
     void enqueue(kept_request const& request, organisation_record& record);
     void dequeue(kept_request const& request);
     void start(kept_request& request, time_point now);
-    kept_request* next_candidate();
+    kept_request* next_candidate(time_point now);
     double ordering_counter(organisation_id id, rank r) const;
     bool too_late(kept_request const& request, time_point now) const;
     organisation_id flow_of(kept_request const& request) const;
--- a/packages/decision/src/admission/pool_backlog.cpp
+++ b/packages/decision/src/admission/pool_backlog.cpp
@@ -45,6 +45,7 @@
 {
     backlog_[index_of(r)] += work;
     started_[index_of(r)].add(work, memory, now);
+    last_commit_[index_of(r)] = now;
 }
 
 void pool_backlog::release(rank r, double work)
@@ -73,6 +74,11 @@
     return std::accumulate(backlog_.begin(), backlog_.end(), 0.0);
 }
 
+time_point pool_backlog::last_commit() const
+{
+    return *std::max_element(last_commit_.begin(), last_commit_.end());
+}
+
 double pool_backlog::started(rank r, duration memory, time_point now) const
 {
     return started_[index_of(r)].at(memory, now);
--- a/packages/decision/src/admission/rank_scheduler.cpp
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -14,31 +14,36 @@
 //! A rank that uses less than this is not predicted to wait for ever.
 constexpr double smallest_slots = 1e-2;
 
-//! Some work always fits into an empty part, or else a part smaller than one
-//! request would stop its rank.
-bool fits(double backlog, double work, double bound)
+//! Whether a request fits into a bound of which `slots` are the rate.
+bool fits(double backlog, double work, double bound, double slots,
+          duration since_last)
 {
-    if (bound <= 0.0)
-        return false;
-    return backlog <= 0.0 || backlog + 0.5 * work <= bound;
+    if (backlog + 0.5 * work <= bound)
+        return true;
+    return backlog <= 0.0 && to_seconds(since_last) * slots >= work;
 }
 
 } // namespace
 
 pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
                                    double work, duration runner_queueing,
-                                   bool shares, double part) const
+                                   bool shares, double part,
+                                   time_point now) const
 {
     if (!pool.fleet_slots())
         return pool_access::guaranteed;
     if (*pool.fleet_slots() <= 0.0)
         return pool_access::blocked;
     auto const guaranteed = part * pool.guaranteed_bound(r, runner_queueing);
-    if (shares && fits(pool.backlog(r), work, guaranteed))
+    if (shares && fits(pool.backlog(r), work, guaranteed,
+                       part * pool.share().guaranteed[index_of(r)],
+                       now - pool.last_commit(r)))
         return pool_access::guaranteed;
     auto const bound = std::min(part, 1.0) * pool.bound(runner_queueing);
-    return fits(pool.total_backlog(), work, bound) ? pool_access::lent
-                                                   : pool_access::blocked;
+    return fits(pool.total_backlog(), work, bound, pool.share().slots,
+                now - pool.last_commit())
+               ? pool_access::lent
+               : pool_access::blocked;
 }
 
 double rank_scheduler::expected_slots(pool_backlog const& pool, rank r,
