--- a/bench/admission/main.cpp
+++ b/bench/admission/main.cpp
@@ -88,7 +88,7 @@
     state.counters["bytes_per_organisation"] =
         (heap() - before) / static_cast<double>(organisations);
     pcg32 random(1);
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         it.advance(std::chrono::microseconds(100));
         it.finish(it.admit(random(state.range(0)) + 1));
@@ -109,7 +109,7 @@
     it.poll();
     running = it.dispatched();
     std::size_t next = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         it.advance(std::chrono::microseconds(100));
         if (next < running.size())
@@ -131,7 +131,7 @@
     for (std::uint64_t n = 0; n < static_cast<std::uint64_t>(state.range(0));
          ++n)
         it.finish(it.admit(n + 1));
-    for (auto _ : state)
+    while (state.KeepRunning())
         benchmark::DoNotOptimize(it.controller().local_demand(it.now()));
 }
 BENCHMARK(local_demand)->Arg(5)->Arg(1000)->Arg(48000);
@@ -141,7 +141,7 @@
 {
     space_saving sketch(128);
     pcg32 random(1);
-    for (auto _ : state)
+    while (state.KeepRunning())
         sketch.add(organisation_id{random(state.range(0)) + 1U}, 1.0);
 }
 BENCHMARK(sketch_update)->Arg(5)->Arg(1000)->Arg(48000);
@@ -154,7 +154,7 @@
     for (std::uint32_t n = 0; n < state.range(0); ++n)
         rates[n * 0x9e3779b97f4a7c15ULL] = random(1000000);
     std::vector<std::pair<double, std::uint64_t>> order;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         order.clear();
         for (auto const& [id, rate] : rates)
