bench: model late cache events with gaps in routing_bench

Cause: the model showed each router only its own prompts; engines publish cache events to all VMs.

Change: each started request is published 500 ms later, one event in 20 is lost.

--- a/bench/routing/routing_bench.cpp
+++ b/bench/routing/routing_bench.cpp
@@ -26,6 +26,9 @@
 constexpr auto report_every = milliseconds(500);
 //! Age of a report when it arrives at a VM.
 constexpr auto report_lag = milliseconds(250);
+//! Cache events arrive late; one in so many is lost.
+constexpr auto cache_lag = milliseconds(500);
+constexpr std::uint64_t events_per_gap = 20;
 constexpr double other_domain_s = 0.001;
 //! Speeds of runners bought over several years.
 constexpr double speeds[] = {0.5, 1., 1., 2.};
@@ -46,6 +49,7 @@
         done,
         report,
         report_seen,
+        cached,
         slow
     } kind;
     std::size_t index = 0;
@@ -89,7 +93,7 @@
 public:
     simulation(shape const& of, routing::strategy_kind kind, trouble what)
         : shape_(of), trouble_(what), models_(of.runners), infos_(of.runners),
-          last_(of.runners), runner_of_(of.requests), started_(of.requests),
+          last_(of.runners), cache_sequences_(of.runners), runner_of_(of.requests), started_(of.requests),
           elsewhere_(of.requests)
     {
         add_runners();
@@ -168,6 +172,9 @@
         case event::what::report_seen:
             show_report(it.index);
             break;
+        case event::what::cached:
+            show_cached(it.index);
+            break;
         case event::what::slow:
             for (std::size_t i = 0; i < models_.size(); i += 10)
                 models_[i].speed /= 10.;
@@ -224,6 +231,7 @@
             work += adapter_work_s;
         model.prompts.use(it.blocks);
         model.adapters.use({&it.adapter, 1});
+        push(now_ + cache_lag, event::what::cached, i);
         push(now_ + from_seconds(work / model.speed), event::what::done, i);
     }
 
@@ -262,12 +270,26 @@
                        now_);
     }
 
+    void show_cached(std::size_t i)
+    {
+        auto const runner = runner_of_[i];
+        auto const sequence = ++cache_sequences_[runner];
+        if (sequence % events_per_gap == 0)
+            return;
+        for (auto& it : routers_)
+            it->cache_event(
+                infos_[runner].id,
+                {sequence, routing::cache_event_kind::add, jobs_[i].blocks},
+                now_);
+    }
+
     shape shape_;
     trouble trouble_;
     pool_id pool_ = pool_id::of("generate");
     std::vector<runner_model> models_;
     std::vector<routing::runner_info> infos_;
     std::vector<seen_report> last_;
+    std::vector<std::uint64_t> cache_sequences_;
     std::vector<std::size_t> runner_of_;
     std::vector<time_point> started_;
     std::vector<bool> elsewhere_;
