routing: damp herding between VMs and sample different runners

Cause: with 8 VMs and reports that lag 250 to 750 ms, all VMs send to the same fast runner until the next report; p95 waits of 0.87 s at 20 runners.

Change: what this VM sent and finished since a report also stands for a share of the other VMs (set_fleet); the wait for a slot is the mean over the uncertainty of the estimate; three different samples instead of four with repeats; the own failure domain is sampled only for short work.

--- a/bench/routing/routing_bench.cpp
+++ b/bench/routing/routing_bench.cpp
@@ -93,7 +93,8 @@
 public:
     simulation(shape const& of, routing::strategy_kind kind, trouble what)
         : shape_(of), trouble_(what), models_(of.runners), infos_(of.runners),
-          last_(of.runners), cache_sequences_(of.runners), runner_of_(of.requests), started_(of.requests),
+          last_(of.runners), cache_sequences_(of.runners),
+          runner_of_(of.requests), started_(of.requests),
           elsewhere_(of.requests)
     {
         add_runners();
@@ -107,6 +108,7 @@
             routers_.push_back(
                 std::make_unique<routing::router>(settings, of.seed + i));
             routers_.back()->set_runners(pool_, infos_, time_point{});
+            routers_.back()->set_fleet(of.vms, time_point{});
         }
     }
 
--- a/packages/decision/include/buckthornvale/decision/routing/candidates.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/candidates.hpp
@@ -14,7 +14,7 @@
 {
 public:
     candidates(routing_settings const& settings, runner_table const& table,
-               pool_entry const& pool, route_query const& query,
+               pool_entry const& pool, route_query const& query, double peers,
                time_point now);
 
     absl::Span<runner_index const> usable() const { return usable_; }
@@ -24,6 +24,9 @@
 
     route_query const& query() const { return query_; }
 
+    //! True when the way to another failure domain matters beside the work.
+    bool prefers_local() const;
+
     //! False for runners that the query excludes.
     bool allowed(runner_index index) const;
 
@@ -53,6 +56,7 @@
 private:
     double saved(runner_index index, double work) const;
     double adapter_cost(runner_index index) const;
+    double ahead(runner_entry const& entry) const;
     double stalled(runner_entry const& entry) const;
 
     routing_settings const& settings_;
@@ -62,7 +66,7 @@
     time_point now_;
     absl::Span<runner_index const> usable_;
     absl::Span<runner_index const> local_;
-    double mean_others_ = 0.;
+    load_assumptions assumed_;
     double mean_speed_ = 1.;
     double own_work_ = 0.;
     double saved_per_block_ = 0.;
--- a/packages/decision/include/buckthornvale/decision/routing/detail/sampling.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/detail/sampling.hpp
@@ -5,6 +5,11 @@
 
 #include <pcg_random.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
 namespace buckthornvale::decision::routing::detail
 {
 
@@ -17,6 +22,34 @@
     return from[random(static_cast<std::uint32_t>(from.size()))];
 }
 
+constexpr std::size_t most_samples = 8;
+
+//! Calls `use` with `n` different random runners of `from` (Floyd's method),
+//! or with all when it has fewer; at most `most_samples`. With repeats, a
+//! small pool's worst runner would at times be the only sample.
+template <class Use>
+void draw_distinct(absl::Span<runner_index const> from, std::size_t n,
+                   pcg32& random, Use use)
+{
+    std::array<std::size_t, most_samples> drawn{};
+    n = std::min({n, from.size(), most_samples});
+    if (n == 0)
+        return;
+    // Floyd's method draws the last positions late; the turn makes each
+    // position equally likely to come first, which decides between equals.
+    std::size_t const turn = random(static_cast<std::uint32_t>(from.size()));
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        std::size_t const last = from.size() - n + i;
+        std::size_t at = random(static_cast<std::uint32_t>(last + 1));
+        auto const end = drawn.begin() + static_cast<std::ptrdiff_t>(i);
+        if (std::find(drawn.begin(), end, at) != end)
+            at = last;
+        drawn[i] = at;
+        use(from[(at + turn) % from.size()]);
+    }
+}
+
 //! The first allowed runner from a random position on.
 inline runner_index draw_allowed(candidates const& from, pcg32& random)
 {
--- a/packages/decision/include/buckthornvale/decision/routing/load_estimate.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/load_estimate.hpp
@@ -10,6 +10,16 @@
 namespace buckthornvale::decision::routing
 {
 
+//! What an estimate of load rests on besides the runner's own reports.
+struct load_assumptions
+{
+    double mean_others = 0.; //!< pool's mean of other VMs' requests
+    duration fresh{};        //!< age up to which a report counts in full
+    //! Requests of other VMs that come and go with each of this VM's: they
+    //! see the same reports and choose by the same rule.
+    double peers = 0.;
+};
+
 //! Requests in one runner: the last report, corrected by what this VM sent
 //! and finished since the figures were taken.
 class load_estimate
@@ -31,7 +41,7 @@
 
     //! Estimated requests in the runner. As the report ages past `fresh`, the
     //! pool's mean of `others` takes its place.
-    double total(time_point now, double mean_others, duration fresh) const;
+    double total(time_point now, load_assumptions const& given) const;
 
     //! Time of the last progress seen: a completion, or the first send to the
     //! runner while it had nothing of this VM.
@@ -47,6 +57,7 @@
     std::array<std::uint16_t, history_size> history_{};
     std::int64_t step_ = 0; //!< history step that `own_` belongs to
     std::uint32_t own_ = 0;
+    std::uint32_t own_when_reported_ = 0;
     double others_ = 0.;
     std::uint64_t sequence_ = 0;
     time_point reported_{};
--- a/packages/decision/include/buckthornvale/decision/routing/router.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/router.hpp
@@ -50,6 +50,9 @@
     //! Keeps a runner free of new attempts while a suspect runs alone there.
     void set_reserved(runner_id runner, bool reserved, time_point now);
 
+    //! Number of live VMs: how many others send to the same runners.
+    void set_fleet(std::size_t live_vms, time_point now);
+
     void report(load_report const& value, time_point now);
 
     //! Models and adapters that a runner reports as loaded.
@@ -120,6 +123,7 @@
     absl::flat_hash_map<attempt_id, flight> flights_;
     std::vector<runner_index> added_;
     routing_counters counters_;
+    double peers_ = 0.; //!< see load_assumptions
 };
 
 } // namespace buckthornvale::decision::routing
--- a/packages/decision/include/buckthornvale/decision/routing/routing_settings.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/routing_settings.hpp
@@ -52,8 +52,14 @@
 struct routing_settings
 {
     strategy_kind strategy = strategy_kind::expected_completion;
-    std::size_t samples = 4;       //!< random candidates from the pool
-    std::size_t local_samples = 1; //!< more from the own failure domain
+    std::size_t samples = 3; //!< random candidates from the pool
+    //! More from the own failure domain, for work so short that the way to
+    //! another one matters.
+    std::size_t local_samples = 1;
+    //! Share of the other VMs that is assumed to choose as this one does
+    //! between two reports, and the most of them.
+    double peer_share = 0.7;
+    double most_peers = 6.0;
     //! Round trip to another failure domain.
     duration remote_cost = std::chrono::milliseconds(1);
     duration adapter_load = std::chrono::milliseconds(200);
--- a/packages/decision/src/routing/candidates.cpp
+++ b/packages/decision/src/routing/candidates.cpp
@@ -1,6 +1,7 @@
 #include <buckthornvale/decision/routing/candidates.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace buckthornvale::decision::routing
 {
@@ -10,6 +11,8 @@
 
 //! Time without progress is a cost past this multiple of one mean request.
 constexpr double patience = 3.0;
+//! The way to another failure domain matters from this share of the work on.
+constexpr double remote_matters = 0.02;
 
 index_group const& group_of(pool_entry const& pool, std::uint64_t model)
 {
@@ -26,9 +29,10 @@
 
 candidates::candidates(routing_settings const& settings,
                        runner_table const& table, pool_entry const& pool,
-                       route_query const& query, time_point now)
-    : settings_(settings), table_(table), pool_(pool), query_(query), now_(now),
-      mean_others_(pool.mean_others()), mean_speed_(pool.mean_speed()),
+                       route_query const& query, double peers, time_point now)
+    : settings_(settings), table_(table), pool_(pool), query_(query),
+      now_(now), assumed_{pool.mean_others(), settings.report_fresh, peers},
+      mean_speed_(pool.mean_speed()),
       own_work_(query.expected_work > duration::zero()
                     ? to_seconds(query.expected_work)
                     : pool.mean_work),
@@ -40,6 +44,11 @@
     local_ = group.local(query.local_domain);
 }
 
+bool candidates::prefers_local() const
+{
+    return remote_cost_ > remote_matters * own_work_;
+}
+
 bool candidates::allowed(runner_index index) const
 {
     auto const id = table_.at(index).info.id;
@@ -68,21 +77,15 @@
 double candidates::work(runner_index index) const
 {
     auto const& entry = table_.at(index);
-    double const slots = std::max(1., entry.info.slots);
-    double const total =
-        entry.load.total(now_, mean_others_, settings_.report_fresh);
-    double const ahead = std::max(0., total + 1. - slots) / slots;
     double const own =
         own_work_ - saved(index, own_work_) + adapter_cost(index);
-    return ahead * pool_.mean_work + own;
+    return ahead(entry) * pool_.mean_work + own;
 }
 
 double candidates::load(runner_index index) const
 {
     auto const& entry = table_.at(index);
-    double const total =
-        entry.load.total(now_, mean_others_, settings_.report_fresh);
-    return total / std::max(1., entry.info.slots);
+    return entry.load.total(now_, assumed_) / std::max(1., entry.info.slots);
 }
 
 double candidates::own_load(runner_index index) const
@@ -113,6 +116,17 @@
     return to_seconds(settings_.adapter_load);
 }
 
+double candidates::ahead(runner_entry const& entry) const
+{
+    double const slots = std::max(1., entry.info.slots);
+    double const total = entry.load.total(now_, assumed_);
+    // Mean of max(0, over) when the estimate is off by about the square root
+    // of the requests there; zero up to the last slot would send all VMs to
+    // the same nearly full runner.
+    double const over = total + 1. - slots;
+    return 0.5 * (over + std::sqrt(over * over + total + 1.)) / slots;
+}
+
 double candidates::stalled(runner_entry const& entry) const
 {
     if (entry.load.own() == 0)
--- a/packages/decision/src/routing/expected_completion.cpp
+++ b/packages/decision/src/routing/expected_completion.cpp
@@ -28,9 +28,10 @@
 runner_index expected_completion::choose(candidates const& from, pcg32& random)
 {
     detail::least best;
-    for (std::size_t i = 0; i < samples_; ++i)
-        offer(from, detail::draw(from.usable(), random), best);
-    for (std::size_t i = 0; i < local_samples_; ++i)
+    detail::draw_distinct(from.usable(), samples_, random,
+                          [&](runner_index it) { offer(from, it, best); });
+    auto const local = from.prefers_local() ? local_samples_ : 0;
+    for (std::size_t i = 0; i < local; ++i)
         offer(from, detail::draw(from.local(), random), best);
     offer_matches(from, from.cached(), best);
     offer_matches(from, from.adapted(), best);
--- a/packages/decision/src/routing/load_estimate.cpp
+++ b/packages/decision/src/routing/load_estimate.cpp
@@ -32,24 +32,28 @@
     if (stale)
         return false;
     advance(now);
+    own_when_reported_ = own_at(taken);
     others_ =
-        std::max(0., value.running + value.queued - double(own_at(taken)));
+        std::max(0., value.running + value.queued - double(own_when_reported_));
     sequence_ = value.sequence;
     reported_ = taken;
     has_report_ = true;
     return true;
 }
 
-double load_estimate::total(time_point now, double mean_others,
-                            duration fresh) const
+double load_estimate::total(time_point now, load_assumptions const& given) const
 {
+    double const own = own_;
     if (!has_report_)
-        return double(own_) + mean_others;
-    auto const over = now - reported_ - fresh;
+        return own + given.mean_others;
+    double const change = own - double(own_when_reported_);
+    double const others = std::max(0., others_ + given.peers * change);
+    auto const over = now - reported_ - given.fresh;
     if (over <= duration::zero())
-        return double(own_) + others_;
-    double const lost = std::min(1., to_seconds(over) / to_seconds(fresh));
-    return double(own_) + others_ + (mean_others - others_) * lost;
+        return own + others;
+    double const lost =
+        std::min(1., to_seconds(over) / to_seconds(given.fresh));
+    return own + others + (given.mean_others - others) * lost;
 }
 
 void load_estimate::advance(time_point now)
--- a/packages/decision/src/routing/router.cpp
+++ b/packages/decision/src/routing/router.cpp
@@ -57,6 +57,12 @@
     table_.rebuild(table_.at(index).info.pool);
 }
 
+void router::set_fleet(std::size_t live_vms, time_point)
+{
+    double const others = live_vms > 1 ? double(live_vms - 1) : 0.;
+    peers_ = std::min(settings_.most_peers, settings_.peer_share * others);
+}
+
 void router::report(load_report const& value, time_point now)
 {
     auto const index = table_.index_of(value.runner);
@@ -121,7 +127,7 @@
         if (probe)
             return probe;
     }
-    candidates from(settings_, table_, *pool, query, now);
+    candidates from(settings_, table_, *pool, query, peers_, now);
     find_matches(from, query, now);
     auto const index =
         query.alone ? choose_idle(from) : strategy_->choose(from, random_);
@@ -141,7 +147,7 @@
         return;
     auto& entry = table_.at(index);
     auto& pool = table_.pool_of(index);
-    candidates from(settings_, table_, pool, query, now);
+    candidates from(settings_, table_, pool, query, peers_, now);
     find_matches(from, query, now);
     flight started;
     started.runner = index;
--- a/packages/decision/tests/routing/router_test.cpp
+++ b/packages/decision/tests/routing/router_test.cpp
@@ -217,6 +217,7 @@
     EXPECT_EQ(it.choices(200, it.query()).count(it.id(1)), 0U);
     it.route.finished(probe, attempt_result::completed, milliseconds(100),
                       it.now);
+    it.now += seconds(10); // past the ramp of a runner that returned
     EXPECT_GT(it.choices(2000, it.query()).count(it.id(1)), 0U);
     EXPECT_EQ(it.route.counters().probes, 1U);
 }
