settings: keep less per organisation and search users only on removal

Cause: the indexes of settings_set took most of 63 MB at 48,000 organisations; a node has 32 MB for all control state. Change: versions and names are indexed by hash, references are kept for pipelines only, users of a pipeline are counted. A test gives the same changes in 500 seeded orders, doubled and late, and expects one state.

--- a/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
+++ b/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
@@ -3,8 +3,11 @@
 
 #include <buckthornvale/settings/fleet/object.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/types/span.h>
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -38,7 +41,8 @@
 //! The fleet settings in force, changed object by object. An invalid value
 //! never replaces a valid one: it is held back, and taken when a later
 //! change of another object makes it valid. A change costs what the changed
-//! object and its direct references cost. Not thread-safe.
+//! object and its direct references cost. Little is kept per organisation
+//! beside its settings, since there may be 48,000. Not thread-safe.
 class settings_set
 {
 public:
@@ -47,6 +51,13 @@
     //! Tests pass a weak hash to get collisions.
     explicit settings_set(hash_function hash = &decision::stable_hash);
 
+    // Indexes point into the settings; a move keeps these places.
+    settings_set(settings_set const&) = delete;
+    settings_set& operator=(settings_set const&) = delete;
+    settings_set(settings_set&&) = default;
+    settings_set& operator=(settings_set&&) = default;
+    ~settings_set() = default;
+
     //! Puts a new value; versions of one path must rise.
     change_result put(std::string_view path, std::uint64_t version,
                       std::string_view toml_text);
@@ -64,7 +75,7 @@
     decision::fleet_settings const& in_force() const { return settings_; }
 
     //! True once `settings/ranks` is in force.
-    bool is_complete() const { return versions_.count(object_path{}) > 0; }
+    bool is_complete() const { return has_ranks_; }
 
     //! Version in force of one object; 0 when there is none.
     std::uint64_t version_of(object_path const& path) const;
@@ -80,13 +91,19 @@
         bool is_removal = false;
         problem_list problems;
     };
-    struct owner
+    //! Versions of one path.
+    struct path_versions
+    {
+        std::uint64_t latest = 0;   //!< also of values that were refused
+        std::uint64_t in_force = 0; //!< 0: not in force
+    };
+    struct runner_owner
     {
         std::string name;
-        object_path path;
+        std::string pool;
     };
-    //! Kind of id and hash; ids of different kinds may be equal.
-    using id_key = std::pair<int, std::uint64_t>;
+
+    static constexpr std::size_t kind_count = 5;
 
     bool is_stale(std::string const& path, std::uint64_t version);
     void submit(std::string const& path, held_change change,
@@ -99,24 +116,33 @@
     void check_references(settings_object const&, problem_list&) const;
     void check_reference(settings_object const&, reference const&,
                          problem_list&) const;
-    void check_dependents(object_path const&, object_value const* replacement,
-                          problem_list&) const;
+    void check_removal(object_path const&, problem_list&) const;
+    void check_pool_change(settings_object const&, problem_list&) const;
     void check_ids(settings_object const&, problem_list&) const;
-    void remove_from_indexes(object_path const&);
-    void add_to_indexes(settings_object const&);
+    void check_runner_ids(decision::pool_settings const&, object_path const&,
+                          problem_list&) const;
+    void remove(object_path const&);
+    void store(settings_object const&);
     void store_value(settings_object const&);
     void drop_value(object_path const&);
+    void index_ids(object_path const&);
+    void unindex(object_path const&);
     bool exists(object_path const&) const;
-    std::vector<std::pair<id_key, std::string>>
-    ids_of(object_path const&, object_value const&) const;
+    std::vector<object_path> paths_in_force() const;
 
     hash_function hash_;
     decision::fleet_settings settings_;
-    std::map<object_path, std::uint64_t> versions_;
-    std::map<object_path, std::vector<reference>> references_;
-    std::map<object_path, std::set<object_path>> dependents_;
-    std::map<id_key, owner> owners_;
-    std::map<std::string, std::uint64_t> latest_; //!< also of removed objects
+    bool has_ranks_ = false;
+    bool has_fleet_ = false;
+    absl::flat_hash_map<std::uint64_t, path_versions> versions_; //!< by path
+    //! Names by id, for each kind; they are keys of maps in settings_.
+    std::array<absl::flat_hash_map<std::uint64_t, std::string const*>,
+               kind_count>
+        names_;
+    std::map<std::uint64_t, runner_owner> runners_;
+    std::map<std::string, std::vector<reference>> pipeline_references_;
+    std::map<std::string, std::set<std::string>> pool_users_; //!< pipelines
+    std::map<std::string, std::size_t> pipeline_users_;       //!< organisations
     std::map<std::string, held_change> held_;
     std::map<std::string, std::set<std::string>> blocked_; //!< by path
 };
--- a/packages/settings/src/fleet/settings_set.cpp
+++ b/packages/settings/src/fleet/settings_set.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-// Kinds of ids; the first three equal those of object_kind.
-constexpr int runner_ids = 100;
-
 problem make_problem(problem_kind kind, object_path const& path,
                      std::string key, std::string message,
                      std::string blocked_by)
@@ -63,8 +60,8 @@
 
 std::uint64_t settings_set::version_of(object_path const& path) const
 {
-    auto const it = versions_.find(path);
-    return it == versions_.end() ? 0 : it->second;
+    auto const it = versions_.find(decision::stable_hash(to_text(path)));
+    return it == versions_.end() ? 0 : it->second.in_force;
 }
 
 problem_list settings_set::held_problems() const
@@ -135,7 +132,7 @@
     for (auto const* it : ordered)
         add(put(it->path, it->version, it->value));
     std::vector<std::string> removed;
-    for (auto const& [path, version] : versions_)
+    for (auto const& path : paths_in_force())
     {
         auto text = to_text(path);
         if (listed.count(text) == 0)
@@ -150,7 +147,7 @@
 
 bool settings_set::is_stale(std::string const& path, std::uint64_t version)
 {
-    auto& latest = latest_[path];
+    auto& latest = versions_[decision::stable_hash(path)].latest;
     if (version <= latest)
         return true;
     latest = version;
@@ -237,35 +234,26 @@
 bool settings_set::try_apply(held_change const& change, object_path const& path,
                              problem_list& problems)
 {
+    if (!change.is_removal && !change.object)
+        return false;
     if (change.is_removal)
     {
-        if (path.kind == object_kind::ranks)
-        {
-            problems.push_back(make_problem(
-                problem_kind::missing_object, path, "",
-                "the ranks cannot be removed; the former ones stay", ""));
-        }
-        check_dependents(path, nullptr, problems);
-        if (!problems.empty())
-            return false;
-        remove_from_indexes(path);
-        drop_value(path);
-        versions_.erase(path);
+        check_removal(path, problems);
     }
     else
     {
-        if (!change.object)
-            return false;
         check_references(*change.object, problems);
-        check_dependents(path, &change.object->value, problems);
+        check_pool_change(*change.object, problems);
         check_ids(*change.object, problems);
-        if (!problems.empty())
-            return false;
-        remove_from_indexes(path);
-        store_value(*change.object);
-        add_to_indexes(*change.object);
-        versions_[path] = change.version;
     }
+    if (!problems.empty())
+        return false;
+    if (change.is_removal)
+        remove(path);
+    else
+        store(*change.object);
+    versions_[decision::stable_hash(to_text(path))].in_force =
+        change.is_removal ? 0 : change.version;
     settings_.revision = std::max(settings_.revision, change.version);
     return true;
 }
@@ -303,118 +291,193 @@
     }
 }
 
-void settings_set::check_dependents(object_path const& path,
-                                    object_value const* replacement,
-                                    problem_list& problems) const
+void settings_set::check_removal(object_path const& path,
+                                 problem_list& problems) const
 {
-    auto const dependents = dependents_.find(path);
-    if (dependents == dependents_.end())
+    auto const refuse = [&](object_path const& user)
+    {
+        auto const user_path = to_text(user);
+        problems.push_back(make_problem(
+            problem_kind::still_referenced, path, "",
+            absl::StrCat("'", user_path, "' refers to it"), user_path));
+    };
+    if (path.kind == object_kind::ranks)
+    {
+        problems.push_back(make_problem(
+            problem_kind::missing_object, path, "",
+            "the ranks cannot be removed; the former ones stay", ""));
+    }
+    if (auto const users = pool_users_.find(path.name);
+        path.kind == object_kind::pool && users != pool_users_.end())
+    {
+        for (auto const& it : users->second)
+            refuse({object_kind::pipeline, it});
+    }
+    if (path.kind != object_kind::pipeline ||
+        pipeline_users_.count(path.name) == 0)
         return;
-    for (auto const& it : dependents->second)
+    // One of the users is enough to hold the removal back; they are searched
+    // only here, so that no list of them has to be kept.
+    for (auto const& [name, it] : settings_.organisations)
     {
+        auto const& named = it.pipelines;
+        if (std::find(named.begin(), named.end(), path.name) != named.end())
+            return refuse({object_kind::organisation, name});
+    }
+}
+
+// Checks that a changed pool still has what the pipelines in force need.
+void settings_set::check_pool_change(settings_object const& object,
+                                     problem_list& problems) const
+{
+    auto const* pool = std::get_if<decision::pool_settings>(&object.value);
+    auto const users = pool_users_.find(object.path.name);
+    if (!pool || users == pool_users_.end())
+        return;
+    for (auto const& name : users->second)
+    {
+        object_path const user{object_kind::pipeline, name};
         problem_list found;
-        for (auto const& needed : references_.at(it))
+        for (auto const& needed : pipeline_references_.at(name))
         {
-            if (needed.target == path && replacement &&
-                path.kind == object_kind::pool)
-            {
-                check_pool(it, needed,
-                           std::get<decision::pool_settings>(*replacement),
-                           found);
-            }
+            if (needed.target == object.path)
+                check_pool(user, needed, *pool, found);
         }
-        if (replacement && found.empty())
+        if (found.empty())
             continue;
-        auto const reason = found.empty() ? "" : ": " + found.front().message;
+        auto const user_path = to_text(user);
         problems.push_back(make_problem(
-            problem_kind::still_referenced, path, "",
-            "'" + to_text(it) + "' needs the value in force" + reason,
-            to_text(it)));
+            problem_kind::still_referenced, object.path, "",
+            absl::StrCat("'", user_path,
+                         "' needs the value in force: ", found.front().message),
+            user_path));
     }
 }
 
 void settings_set::check_ids(settings_object const& object,
                              problem_list& problems) const
 {
-    std::map<id_key, std::string> own;
-    for (auto const& [id, name] : ids_of(object.path, object.value))
+    auto const& path = object.path;
+    auto const& names = names_[static_cast<std::size_t>(path.kind)];
+    auto const found = names.find(hash_(path.name));
+    if (found != names.end() && *found->second != path.name)
     {
-        std::string other;
-        std::string other_path;
-        auto const found = owners_.find(id);
-        if (found != owners_.end() && !(found->second.path == object.path))
-        {
-            other = found->second.name;
-            other_path = to_text(found->second.path);
-        }
-        else if (auto const [it, is_new] = own.emplace(id, name); !is_new)
-        {
-            other = it->second;
-        }
-        if (other.empty())
-            continue;
-        bool const is_same = other == name;
-        auto message = is_same ? absl::StrCat("the name '", name,
-                                              "' is used in '", other_path, "'")
-                               : absl::StrCat("the ids of '", name, "' and '",
-                                              other, "' are equal");
-        problems.push_back(make_problem(is_same ? problem_kind::duplicate_name
-                                                : problem_kind::hash_collision,
-                                        object.path, "name", std::move(message),
-                                        other_path));
+        problems.push_back(
+            make_problem(problem_kind::hash_collision, path, "name",
+                         absl::StrCat("the ids of '", path.name, "' and '",
+                                      *found->second, "' are equal"),
+                         to_text({path.kind, *found->second})));
     }
+    if (auto const* pool = std::get_if<decision::pool_settings>(&object.value))
+        check_runner_ids(*pool, path, problems);
 }
 
-std::vector<std::pair<settings_set::id_key, std::string>>
-settings_set::ids_of(object_path const& path, object_value const& value) const
+void settings_set::check_runner_ids(decision::pool_settings const& pool,
+                                    object_path const& path,
+                                    problem_list& problems) const
 {
-    std::vector<std::pair<id_key, std::string>> ids;
-    auto const add = [&](int kind, std::string const& name) {
-        ids.push_back({{kind, hash_(name)}, name});
-    };
-    if (!path.name.empty())
-        add(static_cast<int>(path.kind), path.name);
-    if (auto const* pool = std::get_if<decision::pool_settings>(&value))
+    std::map<std::uint64_t, runner_owner> own;
+    for (auto const& it : pool.runners)
     {
-        for (auto const& it : pool->runners)
-            add(runner_ids, it.name);
+        auto const id = hash_(it.name);
+        auto const [first, is_new] =
+            own.try_emplace(id, runner_owner{it.name, path.name});
+        auto const found = runners_.find(id);
+        runner_owner const* other = nullptr;
+        if (found != runners_.end() && found->second.pool != path.name)
+            other = &found->second;
+        else if (!is_new)
+            other = &first->second;
+        if (!other)
+            continue;
+        auto const other_path = to_text({object_kind::pool, other->pool});
+        bool const is_same = other->name == it.name;
+        problems.push_back(make_problem(
+            is_same ? problem_kind::duplicate_name
+                    : problem_kind::hash_collision,
+            path, "runners.name",
+            is_same ? absl::StrCat("the runner '", it.name, "' is also in '",
+                                   other_path, "'")
+                    : absl::StrCat("the ids of the runners '", it.name,
+                                   "' and '", other->name, "' are equal"),
+            other_path));
     }
-    return ids;
 }
 
-void settings_set::remove_from_indexes(object_path const& path)
+void settings_set::remove(object_path const& path)
 {
-    auto const references = references_.find(path);
-    if (references != references_.end())
+    unindex(path);
+    drop_value(path);
+}
+
+void settings_set::store(settings_object const& object)
+{
+    auto const& path = object.path;
+    unindex(path);
+    store_value(object);
+    index_ids(path);
+    for (auto const& it : object.references)
     {
-        for (auto const& it : references->second)
-        {
-            auto const dependents = dependents_.find(it.target);
-            if (dependents == dependents_.end())
-                continue;
-            dependents->second.erase(path);
-            if (dependents->second.empty())
-                dependents_.erase(dependents);
-        }
-        references_.erase(references);
+        if (it.target.kind == object_kind::pool)
+            pool_users_[it.target.name].insert(path.name);
+        else
+            ++pipeline_users_[it.target.name];
     }
-    // The value in force says which ids to give up.
-    if (versions_.count(path) == 0)
-        return;
-    object_value value;
+    if (path.kind == object_kind::pipeline)
+        pipeline_references_[path.name] = object.references;
+}
+
+void settings_set::index_ids(object_path const& path)
+{
+    auto& names = names_[static_cast<std::size_t>(path.kind)];
+    auto const add = [&](auto const& objects)
+    { names[hash_(path.name)] = &objects.find(path.name)->first; };
     if (path.kind == object_kind::pool)
-        value = settings_.pools.at(path.name);
-    for (auto const& [id, name] : ids_of(path, value))
-        owners_.erase(id);
+        add(settings_.pools);
+    else if (path.kind == object_kind::pipeline)
+        add(settings_.pipelines);
+    else if (path.kind == object_kind::organisation)
+        add(settings_.organisations);
+    if (path.kind != object_kind::pool)
+        return;
+    for (auto const& it : settings_.pools.at(path.name).runners)
+        runners_[hash_(it.name)] = {it.name, path.name};
 }
 
-void settings_set::add_to_indexes(settings_object const& object)
+// Takes the value in force out of all indexes.
+void settings_set::unindex(object_path const& path)
 {
-    for (auto const& it : object.references)
-        dependents_[it.target].insert(object.path);
-    references_[object.path] = object.references;
-    for (auto const& [id, name] : ids_of(object.path, object.value))
-        owners_[id] = {name, object.path};
+    if (!exists(path))
+        return;
+    auto const& name = path.name;
+    names_[static_cast<std::size_t>(path.kind)].erase(hash_(name));
+    if (path.kind == object_kind::pool)
+    {
+        for (auto const& it : settings_.pools.at(name).runners)
+            runners_.erase(hash_(it.name));
+    }
+    else if (path.kind == object_kind::pipeline)
+    {
+        for (auto const& it : pipeline_references_.at(name))
+        {
+            auto const users = pool_users_.find(it.target.name);
+            if (users == pool_users_.end())
+                continue;
+            users->second.erase(name);
+            if (users->second.empty())
+                pool_users_.erase(users);
+        }
+        pipeline_references_.erase(name);
+    }
+    else if (path.kind == object_kind::organisation)
+    {
+        for (auto const& it : settings_.organisations.at(name).pipelines)
+        {
+            auto const users = pipeline_users_.find(it);
+            if (--users->second == 0)
+                pipeline_users_.erase(users);
+        }
+    }
 }
 
 void settings_set::store_value(settings_object const& object)
@@ -425,9 +488,11 @@
     {
     case object_kind::ranks:
         settings_.ranks = std::get<decision::rank_table>(value);
+        has_ranks_ = true;
         break;
     case object_kind::fleet:
         settings_.fleet = std::get<decision::fleet_knobs>(value);
+        has_fleet_ = true;
         break;
     case object_kind::pool:
         settings_.pools[name] = std::get<decision::pool_settings>(value);
@@ -451,6 +516,7 @@
         break;
     case object_kind::fleet:
         settings_.fleet = {};
+        has_fleet_ = false;
         break;
     case object_kind::pool:
         settings_.pools.erase(path.name);
@@ -466,7 +532,39 @@
 
 bool settings_set::exists(object_path const& path) const
 {
-    return versions_.count(path) > 0;
+    switch (path.kind)
+    {
+    case object_kind::ranks:
+        return has_ranks_;
+    case object_kind::fleet:
+        return has_fleet_;
+    case object_kind::pool:
+        return settings_.pools.count(path.name) > 0;
+    case object_kind::pipeline:
+        return settings_.pipelines.count(path.name) > 0;
+    case object_kind::organisation:
+        break;
+    }
+    return settings_.organisations.count(path.name) > 0;
+}
+
+// In the order of object_kind.
+std::vector<object_path> settings_set::paths_in_force() const
+{
+    std::vector<object_path> paths;
+    if (has_ranks_)
+        paths.push_back({object_kind::ranks, ""});
+    if (has_fleet_)
+        paths.push_back({object_kind::fleet, ""});
+    auto const add = [&](object_kind kind, auto const& objects)
+    {
+        for (auto const& [name, value] : objects)
+            paths.push_back({kind, name});
+    };
+    add(object_kind::pool, settings_.pools);
+    add(object_kind::pipeline, settings_.pipelines);
+    add(object_kind::organisation, settings_.organisations);
+    return paths;
 }
 
 } // namespace buckthornvale::settings
--- a/packages/settings/tests/fleet/settings_set_test.cpp
+++ b/packages/settings/tests/fleet/settings_set_test.cpp
@@ -2,6 +2,10 @@
 #include <buckthornvale/settings/fleet/settings_set.hpp>
 
 #include <gtest/gtest.h>
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <random>
 
 namespace buckthornvale::settings
 {
@@ -123,6 +127,60 @@
     EXPECT_EQ(set.in_force().revision, 9U);
 }
 
+// Guards against VMs that disagree because the store, the watch and the peers
+// gave them the same changes in other orders, repeated, or late.
+TEST(settings_set, reaches_the_same_state_in_any_order)
+{
+    struct step
+    {
+        char const* path;
+        std::uint64_t version;
+        std::string const* value; // null: removal
+    };
+    std::string const other = "kind='service'\n[[runners]]\nname='r1'\n"
+                              "host='127.0.0.1'\nport=1\n"
+                              "failure_domain='f'\n";
+    std::string const free = "kind='engine'";
+    // The runner r1 moves from pool x to pool y, pipeline q comes and goes.
+    std::vector<step> steps = {
+        {"settings/ranks", 1, &ranks},
+        {"settings/pools/x", 2, &pool},
+        {"settings/pipelines/p", 3, &pipeline},
+        {"settings/organisations/o/limits", 4, &organisation},
+        {"settings/pipelines/q", 5, &pipeline},
+        {"settings/pools/x", 6, &free},
+        {"settings/pools/y", 7, &other},
+        {"settings/pipelines/q", 8, nullptr},
+        {"settings/pools/z", 9, &free},
+        {"settings/pools/z", 10, nullptr},
+    };
+    steps.insert(steps.end(), steps.begin(), steps.end());
+    for (std::uint64_t seed = 0; seed < 500; ++seed)
+    {
+        pcg32 random(seed);
+        std::shuffle(steps.begin(), steps.end(), random);
+        settings_set set;
+        std::uint64_t revision = 0;
+        for (auto const& it : steps)
+        {
+            if (it.value)
+                set.put(it.path, it.version, *it.value);
+            else
+                set.erase(it.path, it.version);
+            EXPECT_GE(set.in_force().revision, revision);
+            revision = set.in_force().revision;
+        }
+        auto const& settings = set.in_force();
+        EXPECT_TRUE(set.held_problems().empty()) << "seed " << seed;
+        EXPECT_EQ(settings.pools.size(), 2U) << "seed " << seed;
+        EXPECT_TRUE(settings.pools.at("x").runners.empty());
+        EXPECT_EQ(settings.pools.at("y").runners.size(), 1U);
+        EXPECT_EQ(settings.pipelines.size(), 1U) << "seed " << seed;
+        EXPECT_EQ(settings.organisations.size(), 1U);
+        EXPECT_EQ(settings.revision, 10U) << "seed " << seed;
+    }
+}
+
 // Guards against a difference between what the operator's check accepts and
 // what the daemons accept.
 TEST(assemble, reports_dangling_references_and_missing_ranks)
