--- /dev/null
+++ b/packages/settings/include/buckthornvale/settings/fleet/settings_index.hpp
@@ -0,0 +1,82 @@
+#ifndef BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_INDEX_HPP
+#define BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_INDEX_HPP
+
+#include <buckthornvale/settings/fleet/object.hpp>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornvale::settings
+{
+
+//! Ids and references of the settings in force, so that a changed object is
+//! checked against its direct references only. Little is kept per
+//! organisation, since there may be 48,000.
+class settings_index
+{
+public:
+    using hash_function = std::uint64_t (*)(std::string_view);
+
+    explicit settings_index(hash_function hash);
+
+    // The index points to names in the settings; a move keeps their places.
+    settings_index(settings_index const&) = delete;
+    settings_index& operator=(settings_index const&) = delete;
+    settings_index(settings_index&&) = default;
+    settings_index& operator=(settings_index&&) = default;
+    ~settings_index() = default;
+
+    //! Adds an object whose value is in the settings.
+    void add(settings_object const& object,
+             decision::fleet_settings const& settings);
+
+    //! Takes out an object whose value is still in the settings.
+    void remove(object_path const& path,
+                decision::fleet_settings const& settings);
+
+    //! Checks ids, and for a pool what the pipelines need of it.
+    void check_change(settings_object const& object,
+                      problem_list& problems) const;
+
+    //! Checks that nothing refers to the object.
+    void check_removal(object_path const& path,
+                       decision::fleet_settings const& settings,
+                       problem_list& problems) const;
+
+private:
+    struct runner_owner
+    {
+        std::string name;
+        std::string pool;
+    };
+
+    static constexpr std::size_t kind_count = 5;
+
+    void check_pool_change(settings_object const&, problem_list&) const;
+    void check_ids(settings_object const&, problem_list&) const;
+    void check_runner_ids(decision::pool_settings const&, object_path const&,
+                          problem_list&) const;
+    void add_ids(object_path const&, decision::fleet_settings const&);
+
+    hash_function hash_;
+    //! Names by id, for each kind; they are keys of maps in the settings.
+    std::array<absl::flat_hash_map<std::uint64_t, std::string const*>,
+               kind_count>
+        names_;
+    std::map<std::uint64_t, runner_owner> runners_;
+    std::map<std::string, std::vector<reference>> pipeline_references_;
+    std::map<std::string, std::set<std::string>> pool_users_; //!< pipelines
+    std::map<std::string, std::size_t> pipeline_users_;       //!< organisations
+};
+
+} // namespace buckthornvale::settings
+
+#endif
--- a/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
+++ b/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
@@ -2,19 +2,17 @@
 #define BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_SET_HPP
 
 #include <buckthornvale/settings/fleet/object.hpp>
+#include <buckthornvale/settings/fleet/settings_index.hpp>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/types/span.h>
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace buckthornvale::settings
@@ -41,23 +39,15 @@
 //! The fleet settings in force, changed object by object. An invalid value
 //! never replaces a valid one: it is held back, and taken when a later
 //! change of another object makes it valid. A change costs what the changed
-//! object and its direct references cost. Little is kept per organisation
-//! beside its settings, since there may be 48,000. Not thread-safe.
+//! object and its direct references cost. Not thread-safe.
 class settings_set
 {
 public:
-    using hash_function = std::uint64_t (*)(std::string_view);
+    using hash_function = settings_index::hash_function;
 
     //! Tests pass a weak hash to get collisions.
     explicit settings_set(hash_function hash = &decision::stable_hash);
 
-    // Indexes point into the settings; a move keeps these places.
-    settings_set(settings_set const&) = delete;
-    settings_set& operator=(settings_set const&) = delete;
-    settings_set(settings_set&&) = default;
-    settings_set& operator=(settings_set&&) = default;
-    ~settings_set() = default;
-
     //! Puts a new value; versions of one path must rise.
     change_result put(std::string_view path, std::uint64_t version,
                       std::string_view toml_text);
@@ -97,13 +87,6 @@
         std::uint64_t latest = 0;   //!< also of values that were refused
         std::uint64_t in_force = 0; //!< 0: not in force
     };
-    struct runner_owner
-    {
-        std::string name;
-        std::string pool;
-    };
-
-    static constexpr std::size_t kind_count = 5;
 
     bool is_stale(std::string const& path, std::uint64_t version);
     void submit(std::string const& path, held_change change,
@@ -116,33 +99,19 @@
     void check_references(settings_object const&, problem_list&) const;
     void check_reference(settings_object const&, reference const&,
                          problem_list&) const;
-    void check_removal(object_path const&, problem_list&) const;
-    void check_pool_change(settings_object const&, problem_list&) const;
-    void check_ids(settings_object const&, problem_list&) const;
-    void check_runner_ids(decision::pool_settings const&, object_path const&,
-                          problem_list&) const;
     void remove(object_path const&);
     void store(settings_object const&);
     void store_value(settings_object const&);
     void drop_value(object_path const&);
-    void index_ids(object_path const&);
-    void unindex(object_path const&);
     bool exists(object_path const&) const;
     std::vector<object_path> paths_in_force() const;
 
-    hash_function hash_;
     decision::fleet_settings settings_;
     bool has_ranks_ = false;
     bool has_fleet_ = false;
-    absl::flat_hash_map<std::uint64_t, path_versions> versions_; //!< by path
-    //! Names by id, for each kind; they are keys of maps in settings_.
-    std::array<absl::flat_hash_map<std::uint64_t, std::string const*>,
-               kind_count>
-        names_;
-    std::map<std::uint64_t, runner_owner> runners_;
-    std::map<std::string, std::vector<reference>> pipeline_references_;
-    std::map<std::string, std::set<std::string>> pool_users_; //!< pipelines
-    std::map<std::string, std::size_t> pipeline_users_;       //!< organisations
+    settings_index index_;
+    //! By the hash of the path, also of removed and refused ones.
+    absl::flat_hash_map<std::uint64_t, path_versions> versions_;
     std::map<std::string, held_change> held_;
     std::map<std::string, std::set<std::string>> blocked_; //!< by path
 };
--- a/packages/settings/src/fleet/settings_set.cpp
+++ b/packages/settings/src/fleet/settings_set.cpp
@@ -1,3 +1,4 @@
+#include "reference_check.hpp"
 #include <buckthornvale/settings/fleet/settings_set.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -8,55 +9,7 @@
 namespace buckthornvale::settings
 {
 
-namespace
-{
-
-problem make_problem(problem_kind kind, object_path const& path,
-                     std::string key, std::string message,
-                     std::string blocked_by)
-{
-    problem value;
-    value.kind = kind;
-    value.path = to_text(path);
-    value.key = std::move(key);
-    value.message = std::move(message);
-    value.remedy = std::string(traits_of(kind).remedy);
-    value.blocked_by = std::move(blocked_by);
-    return value;
-}
-
-// Checks what a stage needs of its pool.
-void check_pool(object_path const& path, reference const& needed,
-                decision::pool_settings const& pool, problem_list& problems)
-{
-    auto const add = [&](problem_kind kind, std::string message)
-    {
-        auto value = make_problem(kind, path, needed.key, std::move(message),
-                                  to_text(needed.target));
-        value.line = needed.line;
-        problems.push_back(std::move(value));
-    };
-    if (needed.is_engine && pool.kind != decision::runner_kind::engine)
-    {
-        add(problem_kind::inconsistent,
-            "the stage generates with a model, but pool '" + pool.name +
-                "' consists of services");
-    }
-    auto const& models = pool.models;
-    bool const is_listed =
-        needed.model.empty() || models.empty() ||
-        std::find(models.begin(), models.end(), needed.model) != models.end();
-    if (!is_listed)
-    {
-        add(problem_kind::unknown_reference, "pool '" + pool.name +
-                                                 "' does not list the model '" +
-                                                 needed.model + "'");
-    }
-}
-
-} // namespace
-
-settings_set::settings_set(hash_function hash) : hash_(hash) {}
+settings_set::settings_set(hash_function hash) : index_(hash) {}
 
 std::uint64_t settings_set::version_of(object_path const& path) const
 {
@@ -238,13 +191,18 @@
         return false;
     if (change.is_removal)
     {
-        check_removal(path, problems);
+        if (path.kind == object_kind::ranks)
+        {
+            problems.push_back(make_problem(
+                problem_kind::missing_object, path, "",
+                "the ranks cannot be removed; the former ones stay", ""));
+        }
+        index_.check_removal(path, settings_, problems);
     }
     else
     {
         check_references(*change.object, problems);
-        check_pool_change(*change.object, problems);
-        check_ids(*change.object, problems);
+        index_.check_change(*change.object, problems);
     }
     if (!problems.empty())
         return false;
@@ -291,193 +249,19 @@
     }
 }
 
-void settings_set::check_removal(object_path const& path,
-                                 problem_list& problems) const
-{
-    auto const refuse = [&](object_path const& user)
-    {
-        auto const user_path = to_text(user);
-        problems.push_back(make_problem(
-            problem_kind::still_referenced, path, "",
-            absl::StrCat("'", user_path, "' refers to it"), user_path));
-    };
-    if (path.kind == object_kind::ranks)
-    {
-        problems.push_back(make_problem(
-            problem_kind::missing_object, path, "",
-            "the ranks cannot be removed; the former ones stay", ""));
-    }
-    if (auto const users = pool_users_.find(path.name);
-        path.kind == object_kind::pool && users != pool_users_.end())
-    {
-        for (auto const& it : users->second)
-            refuse({object_kind::pipeline, it});
-    }
-    if (path.kind != object_kind::pipeline ||
-        pipeline_users_.count(path.name) == 0)
-        return;
-    // One of the users is enough to hold the removal back; they are searched
-    // only here, so that no list of them has to be kept.
-    for (auto const& [name, it] : settings_.organisations)
-    {
-        auto const& named = it.pipelines;
-        if (std::find(named.begin(), named.end(), path.name) != named.end())
-            return refuse({object_kind::organisation, name});
-    }
-}
-
-// Checks that a changed pool still has what the pipelines in force need.
-void settings_set::check_pool_change(settings_object const& object,
-                                     problem_list& problems) const
-{
-    auto const* pool = std::get_if<decision::pool_settings>(&object.value);
-    auto const users = pool_users_.find(object.path.name);
-    if (!pool || users == pool_users_.end())
-        return;
-    for (auto const& name : users->second)
-    {
-        object_path const user{object_kind::pipeline, name};
-        problem_list found;
-        for (auto const& needed : pipeline_references_.at(name))
-        {
-            if (needed.target == object.path)
-                check_pool(user, needed, *pool, found);
-        }
-        if (found.empty())
-            continue;
-        auto const user_path = to_text(user);
-        problems.push_back(make_problem(
-            problem_kind::still_referenced, object.path, "",
-            absl::StrCat("'", user_path,
-                         "' needs the value in force: ", found.front().message),
-            user_path));
-    }
-}
-
-void settings_set::check_ids(settings_object const& object,
-                             problem_list& problems) const
-{
-    auto const& path = object.path;
-    auto const& names = names_[static_cast<std::size_t>(path.kind)];
-    auto const found = names.find(hash_(path.name));
-    if (found != names.end() && *found->second != path.name)
-    {
-        problems.push_back(
-            make_problem(problem_kind::hash_collision, path, "name",
-                         absl::StrCat("the ids of '", path.name, "' and '",
-                                      *found->second, "' are equal"),
-                         to_text({path.kind, *found->second})));
-    }
-    if (auto const* pool = std::get_if<decision::pool_settings>(&object.value))
-        check_runner_ids(*pool, path, problems);
-}
-
-void settings_set::check_runner_ids(decision::pool_settings const& pool,
-                                    object_path const& path,
-                                    problem_list& problems) const
-{
-    std::map<std::uint64_t, runner_owner> own;
-    for (auto const& it : pool.runners)
-    {
-        auto const id = hash_(it.name);
-        auto const [first, is_new] =
-            own.try_emplace(id, runner_owner{it.name, path.name});
-        auto const found = runners_.find(id);
-        runner_owner const* other = nullptr;
-        if (found != runners_.end() && found->second.pool != path.name)
-            other = &found->second;
-        else if (!is_new)
-            other = &first->second;
-        if (!other)
-            continue;
-        auto const other_path = to_text({object_kind::pool, other->pool});
-        bool const is_same = other->name == it.name;
-        problems.push_back(make_problem(
-            is_same ? problem_kind::duplicate_name
-                    : problem_kind::hash_collision,
-            path, "runners.name",
-            is_same ? absl::StrCat("the runner '", it.name, "' is also in '",
-                                   other_path, "'")
-                    : absl::StrCat("the ids of the runners '", it.name,
-                                   "' and '", other->name, "' are equal"),
-            other_path));
-    }
-}
-
 void settings_set::remove(object_path const& path)
 {
-    unindex(path);
+    if (exists(path))
+        index_.remove(path, settings_);
     drop_value(path);
 }
 
 void settings_set::store(settings_object const& object)
 {
-    auto const& path = object.path;
-    unindex(path);
+    if (exists(object.path))
+        index_.remove(object.path, settings_);
     store_value(object);
-    index_ids(path);
-    for (auto const& it : object.references)
-    {
-        if (it.target.kind == object_kind::pool)
-            pool_users_[it.target.name].insert(path.name);
-        else
-            ++pipeline_users_[it.target.name];
-    }
-    if (path.kind == object_kind::pipeline)
-        pipeline_references_[path.name] = object.references;
-}
-
-void settings_set::index_ids(object_path const& path)
-{
-    auto& names = names_[static_cast<std::size_t>(path.kind)];
-    auto const add = [&](auto const& objects)
-    { names[hash_(path.name)] = &objects.find(path.name)->first; };
-    if (path.kind == object_kind::pool)
-        add(settings_.pools);
-    else if (path.kind == object_kind::pipeline)
-        add(settings_.pipelines);
-    else if (path.kind == object_kind::organisation)
-        add(settings_.organisations);
-    if (path.kind != object_kind::pool)
-        return;
-    for (auto const& it : settings_.pools.at(path.name).runners)
-        runners_[hash_(it.name)] = {it.name, path.name};
-}
-
-// Takes the value in force out of all indexes.
-void settings_set::unindex(object_path const& path)
-{
-    if (!exists(path))
-        return;
-    auto const& name = path.name;
-    names_[static_cast<std::size_t>(path.kind)].erase(hash_(name));
-    if (path.kind == object_kind::pool)
-    {
-        for (auto const& it : settings_.pools.at(name).runners)
-            runners_.erase(hash_(it.name));
-    }
-    else if (path.kind == object_kind::pipeline)
-    {
-        for (auto const& it : pipeline_references_.at(name))
-        {
-            auto const users = pool_users_.find(it.target.name);
-            if (users == pool_users_.end())
-                continue;
-            users->second.erase(name);
-            if (users->second.empty())
-                pool_users_.erase(users);
-        }
-        pipeline_references_.erase(name);
-    }
-    else if (path.kind == object_kind::organisation)
-    {
-        for (auto const& it : settings_.organisations.at(name).pipelines)
-        {
-            auto const users = pipeline_users_.find(it);
-            if (--users->second == 0)
-                pipeline_users_.erase(users);
-        }
-    }
+    index_.add(object, settings_);
 }
 
 void settings_set::store_value(settings_object const& object)
