ctl: print JSON for files that are not UTF-8 and report unexpected errors

Change: one function prints JSON and replaces such bytes; main reports any other exception and exits with 9.

--- a/packages/ctl/include/buckthornvale/ctl/cli/exit_code.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/cli/exit_code.hpp
@@ -21,7 +21,8 @@
     unavailable = 5,
     unknown = 6,
     not_in_time = 7,
-    not_found = 8
+    not_found = 8,
+    internal = 9
 };
 
 //! Meaning of an exit code, for --help and the operators' pages.
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 #include <thread>
 
@@ -86,5 +87,14 @@
                       &wall_ms,
                       [](decision::duration length)
                       { std::this_thread::sleep_for(length); }};
-    return static_cast<int>(ctl::run_command(with, words, FLAGS_help));
+    try
+    {
+        return static_cast<int>(ctl::run_command(with, words, FLAGS_help));
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "unexpected error: " << error.what()
+                  << "; please report it with the command line\n";
+        return static_cast<int>(ctl::exit_code::internal);
+    }
 }
--- a/packages/ctl/src/burn/burn_text.cpp
+++ b/packages/ctl/src/burn/burn_text.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/burn/burn_report.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/decision/core/text.hpp>
 
 #include <absl/strings/str_format.h>
@@ -207,7 +208,7 @@
         {"stages", stages_json(report)},
         {"latencies", latencies},
         {"points", points_json(report)}};
-    return body.dump(2) + "\n";
+    return json_text(body);
 }
 
 } // namespace buckthornvale::ctl
--- a/packages/ctl/src/cli/exit_code.cpp
+++ b/packages/ctl/src/cli/exit_code.cpp
@@ -19,6 +19,7 @@
      "a write may have been applied; `get` shows what is stored"},
     {exit_code::not_in_time, "the time limit passed while waiting"},
     {exit_code::not_found, "no such object, VM or version"},
+    {exit_code::internal, "an error that the command did not expect"},
 };
 
 } // namespace
--- a/packages/ctl/src/fleet/drain.cpp
+++ b/packages/ctl/src/fleet/drain.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/cli/commands.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/fleet/vm_status.hpp>
 
 #include <algorithm>
@@ -75,7 +76,7 @@
         return exit_code::unavailable;
     }
     if (with.flags.is_json)
-        with.out << json{{"vm", vm->id}, {"draining", true}}.dump(2) << '\n';
+        with.out << json_text(json{{"vm", vm->id}, {"draining", true}});
     else
         with.out << vm->id << " is draining\n";
     return with.flags.waits ? wait_until_idle(with, *vm) : exit_code::success;
--- a/packages/ctl/src/fleet/status.cpp
+++ b/packages/ctl/src/fleet/status.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/cli/commands.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/fleet/vm_status.hpp>
 #include <buckthornvale/settings/fleet/settings_set.hpp>
 
@@ -150,7 +151,7 @@
              {"slots", it.settings.slots},
              {"load", it.load}});
     }
-    with.out << document.dump(2) << '\n';
+    with.out << json_text(document);
 }
 
 } // namespace
--- a/packages/ctl/src/fleet/wait.cpp
+++ b/packages/ctl/src/fleet/wait.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/cli/commands.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/fleet/vm_status.hpp>
 
 #include <absl/strings/numbers.h>
@@ -67,12 +68,10 @@
 {
     if (with.flags.is_json)
     {
-        with.out << json{{"revision", revision},
-                         {"vms", state.total},
-                         {"behind", state.behind},
-                         {"in_force", status == exit_code::success}}
-                        .dump(2)
-                 << '\n';
+        with.out << json_text(json{{"revision", revision},
+                                   {"vms", state.total},
+                                   {"behind", state.behind},
+                                   {"in_force", status == exit_code::success}});
     }
     else if (status == exit_code::success)
     {
--- a/packages/ctl/src/store/apply.cpp
+++ b/packages/ctl/src/store/apply.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/cli/commands.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/store/change_plan.hpp>
 #include <buckthornvale/ctl/store/history.hpp>
 #include <buckthornvale/ctl/store/text_diff.hpp>
@@ -197,11 +198,9 @@
     }
     if (with.flags.is_json)
     {
-        with.out << json{{"changes", list},
-                         {"unchanged", plan.unchanged},
-                         {"revision", revision}}
-                        .dump(2)
-                 << '\n';
+        with.out << json_text(json{{"changes", list},
+                                   {"unchanged", plan.unchanged},
+                                   {"revision", revision}});
     }
     else
     {
@@ -232,9 +231,8 @@
     }
     if (with.flags.is_json)
     {
-        with.out << json{{"changes", list}, {"unchanged", plan.unchanged}}.dump(
-                        2)
-                 << '\n';
+        with.out << json_text(
+            json{{"changes", list}, {"unchanged", plan.unchanged}});
     }
     return plan.changes.empty() ? exit_code::success : exit_code::different;
 }
--- a/packages/ctl/src/store/change_plan.cpp
+++ b/packages/ctl/src/store/change_plan.cpp
@@ -1,3 +1,4 @@
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/store/change_plan.hpp>
 #include <buckthornvale/ctl/store/settings_files.hpp>
 #include <buckthornvale/ctl/store/text_diff.hpp>
@@ -220,7 +221,7 @@
                         {"message", it.message},
                         {"remedy", it.remedy}});
     }
-    with.out << json{{"problems", list}}.dump(2) << '\n';
+    with.out << json_text(json{{"problems", list}});
 }
 
 } // namespace buckthornvale::ctl
--- a/packages/ctl/src/store/get.cpp
+++ b/packages/ctl/src/store/get.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/ctl/cli/commands.hpp>
+#include <buckthornvale/ctl/cli/json_text.hpp>
 #include <buckthornvale/ctl/store/history.hpp>
 #include <buckthornvale/ctl/store/settings_files.hpp>
 
@@ -69,11 +70,9 @@
     }
     if (with.flags.is_json)
     {
-        with.out << json{{"path", read.value.path},
-                         {"version", read.value.version},
-                         {"value", read.value.value}}
-                        .dump(2)
-                 << '\n';
+        with.out << json_text(json{{"path", read.value.path},
+                                   {"version", read.value.version},
+                                   {"value", read.value.value}});
         return exit_code::success;
     }
     with.out << version_line(read.value.version) << read.value.value;
@@ -98,7 +97,7 @@
         json list = json::array();
         for (auto const& it : known.entries)
             list.push_back(to_json(it));
-        with.out << json{{"path", words[0]}, {"entries", list}}.dump(2) << '\n';
+        with.out << json_text(json{{"path", words[0]}, {"entries", list}});
         return exit_code::success;
     }
     for (auto it = known.entries.rbegin(); it != known.entries.rend(); ++it)
--- a/packages/ctl/tests/store/apply_test.cpp
+++ b/packages/ctl/tests/store/apply_test.cpp
@@ -132,6 +132,17 @@
     EXPECT_EQ(run({"history", fleet, "1"}), exit_code::not_found);
 }
 
+// Guards against a damaged file that ends the command without a message.
+TEST_F(apply_test, reports_a_file_that_is_not_utf8)
+{
+    write("settings/fleet.toml", "retry_burst = 1 # \xE9\n");
+    flags.is_json = true;
+    EXPECT_EQ(run({"validate", folder.string()}), exit_code::invalid);
+    EXPECT_EQ(run({"diff", folder.string()}), exit_code::different);
+    EXPECT_EQ(run({"apply", folder.string()}), exit_code::invalid);
+    EXPECT_NE(output().find("malformed_toml"), std::string::npos);
+}
+
 // Guards against a fault in the store's old values that blocks every change.
 TEST_F(apply_test, is_not_stopped_by_problems_that_were_there_before)
 {
