--- a/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
+++ b/packages/settings/include/buckthornvale/settings/fleet/settings_set.hpp
@@ -2,7 +2,9 @@
 #define BUCKTHORNVALE_SETTINGS_FLEET_SETTINGS_SET_HPP
 
 #include <buckthornvale/settings/fleet/object.hpp>
+#include <buckthornvale/settings/fleet/settings_index.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/types/span.h>
 
 #include <cstdint>
@@ -11,7 +13,6 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace buckthornvale::settings
@@ -42,7 +43,7 @@
 class settings_set
 {
 public:
-    using hash_function = std::uint64_t (*)(std::string_view);
+    using hash_function = settings_index::hash_function;
 
     //! Tests pass a weak hash to get collisions.
     explicit settings_set(hash_function hash = &decision::stable_hash);
@@ -64,7 +65,7 @@
     decision::fleet_settings const& in_force() const { return settings_; }
 
     //! True once `settings/ranks` is in force.
-    bool is_complete() const { return versions_.count(object_path{}) > 0; }
+    bool is_complete() const { return has_ranks_; }
 
     //! Version in force of one object; 0 when there is none.
     std::uint64_t version_of(object_path const& path) const;
@@ -80,13 +81,12 @@
         bool is_removal = false;
         problem_list problems;
     };
-    struct owner
+    //! Versions of one path.
+    struct path_versions
     {
-        std::string name;
-        object_path path;
+        std::uint64_t latest = 0;   //!< also of values that were refused
+        std::uint64_t in_force = 0; //!< 0: not in force
     };
-    //! Kind of id and hash; ids of different kinds may be equal.
-    using id_key = std::pair<int, std::uint64_t>;
 
     bool is_stale(std::string const& path, std::uint64_t version);
     void submit(std::string const& path, held_change change,
@@ -99,24 +99,19 @@
     void check_references(settings_object const&, problem_list&) const;
     void check_reference(settings_object const&, reference const&,
                          problem_list&) const;
-    void check_dependents(object_path const&, object_value const* replacement,
-                          problem_list&) const;
-    void check_ids(settings_object const&, problem_list&) const;
-    void remove_from_indexes(object_path const&);
-    void add_to_indexes(settings_object const&);
+    void remove(object_path const&);
+    void store(settings_object const&);
     void store_value(settings_object const&);
     void drop_value(object_path const&);
     bool exists(object_path const&) const;
-    std::vector<std::pair<id_key, std::string>>
-    ids_of(object_path const&, object_value const&) const;
+    std::vector<object_path> paths_in_force() const;
 
-    hash_function hash_;
     decision::fleet_settings settings_;
-    std::map<object_path, std::uint64_t> versions_;
-    std::map<object_path, std::vector<reference>> references_;
-    std::map<object_path, std::set<object_path>> dependents_;
-    std::map<id_key, owner> owners_;
-    std::map<std::string, std::uint64_t> latest_; //!< also of removed objects
+    bool has_ranks_ = false;
+    bool has_fleet_ = false;
+    settings_index index_;
+    //! By the hash of the path, also of removed and refused ones.
+    absl::flat_hash_map<std::uint64_t, path_versions> versions_;
     std::map<std::string, held_change> held_;
     std::map<std::string, std::set<std::string>> blocked_; //!< by path
 };
--- a/packages/settings/src/fleet/settings_set.cpp
+++ b/packages/settings/src/fleet/settings_set.cpp
@@ -1,3 +1,4 @@
+#include "reference_check.hpp"
 #include <buckthornvale/settings/fleet/settings_set.hpp>
 
 #include <absl/strings/str_cat.h>
@@ -8,63 +9,12 @@
 namespace buckthornvale::settings
 {
 
-namespace
-{
-
-// Kinds of ids; the first three equal those of object_kind.
-constexpr int runner_ids = 100;
-
-problem make_problem(problem_kind kind, object_path const& path,
-                     std::string key, std::string message,
-                     std::string blocked_by)
-{
-    problem value;
-    value.kind = kind;
-    value.path = to_text(path);
-    value.key = std::move(key);
-    value.message = std::move(message);
-    value.remedy = std::string(traits_of(kind).remedy);
-    value.blocked_by = std::move(blocked_by);
-    return value;
-}
-
-// Checks what a stage needs of its pool.
-void check_pool(object_path const& path, reference const& needed,
-                decision::pool_settings const& pool, problem_list& problems)
-{
-    auto const add = [&](problem_kind kind, std::string message)
-    {
-        auto value = make_problem(kind, path, needed.key, std::move(message),
-                                  to_text(needed.target));
-        value.line = needed.line;
-        problems.push_back(std::move(value));
-    };
-    if (needed.is_engine && pool.kind != decision::runner_kind::engine)
-    {
-        add(problem_kind::inconsistent,
-            "the stage generates with a model, but pool '" + pool.name +
-                "' consists of services");
-    }
-    auto const& models = pool.models;
-    bool const is_listed =
-        needed.model.empty() || models.empty() ||
-        std::find(models.begin(), models.end(), needed.model) != models.end();
-    if (!is_listed)
-    {
-        add(problem_kind::unknown_reference, "pool '" + pool.name +
-                                                 "' does not list the model '" +
-                                                 needed.model + "'");
-    }
-}
-
-} // namespace
-
-settings_set::settings_set(hash_function hash) : hash_(hash) {}
+settings_set::settings_set(hash_function hash) : index_(hash) {}
 
 std::uint64_t settings_set::version_of(object_path const& path) const
 {
-    auto const it = versions_.find(path);
-    return it == versions_.end() ? 0 : it->second;
+    auto const it = versions_.find(decision::stable_hash(to_text(path)));
+    return it == versions_.end() ? 0 : it->second.in_force;
 }
 
 problem_list settings_set::held_problems() const
@@ -135,7 +85,7 @@
     for (auto const* it : ordered)
         add(put(it->path, it->version, it->value));
     std::vector<std::string> removed;
-    for (auto const& [path, version] : versions_)
+    for (auto const& path : paths_in_force())
     {
         auto text = to_text(path);
         if (listed.count(text) == 0)
@@ -150,7 +100,7 @@
 
 bool settings_set::is_stale(std::string const& path, std::uint64_t version)
 {
-    auto& latest = latest_[path];
+    auto& latest = versions_[decision::stable_hash(path)].latest;
     if (version <= latest)
         return true;
     latest = version;
@@ -237,6 +187,8 @@
 bool settings_set::try_apply(held_change const& change, object_path const& path,
                              problem_list& problems)
 {
+    if (!change.is_removal && !change.object)
+        return false;
     if (change.is_removal)
     {
         if (path.kind == object_kind::ranks)
@@ -245,27 +197,21 @@
                 problem_kind::missing_object, path, "",
                 "the ranks cannot be removed; the former ones stay", ""));
         }
-        check_dependents(path, nullptr, problems);
-        if (!problems.empty())
-            return false;
-        remove_from_indexes(path);
-        drop_value(path);
-        versions_.erase(path);
+        index_.check_removal(path, settings_, problems);
     }
     else
     {
-        if (!change.object)
-            return false;
         check_references(*change.object, problems);
-        check_dependents(path, &change.object->value, problems);
-        check_ids(*change.object, problems);
-        if (!problems.empty())
-            return false;
-        remove_from_indexes(path);
-        store_value(*change.object);
-        add_to_indexes(*change.object);
-        versions_[path] = change.version;
+        index_.check_change(*change.object, problems);
     }
+    if (!problems.empty())
+        return false;
+    if (change.is_removal)
+        remove(path);
+    else
+        store(*change.object);
+    versions_[decision::stable_hash(to_text(path))].in_force =
+        change.is_removal ? 0 : change.version;
     settings_.revision = std::max(settings_.revision, change.version);
     return true;
 }
@@ -303,118 +249,19 @@
     }
 }
 
-void settings_set::check_dependents(object_path const& path,
-                                    object_value const* replacement,
-                                    problem_list& problems) const
-{
-    auto const dependents = dependents_.find(path);
-    if (dependents == dependents_.end())
-        return;
-    for (auto const& it : dependents->second)
-    {
-        problem_list found;
-        for (auto const& needed : references_.at(it))
-        {
-            if (needed.target == path && replacement &&
-                path.kind == object_kind::pool)
-            {
-                check_pool(it, needed,
-                           std::get<decision::pool_settings>(*replacement),
-                           found);
-            }
-        }
-        if (replacement && found.empty())
-            continue;
-        auto const reason = found.empty() ? "" : ": " + found.front().message;
-        problems.push_back(make_problem(
-            problem_kind::still_referenced, path, "",
-            "'" + to_text(it) + "' needs the value in force" + reason,
-            to_text(it)));
-    }
-}
-
-void settings_set::check_ids(settings_object const& object,
-                             problem_list& problems) const
-{
-    std::map<id_key, std::string> own;
-    for (auto const& [id, name] : ids_of(object.path, object.value))
-    {
-        std::string other;
-        std::string other_path;
-        auto const found = owners_.find(id);
-        if (found != owners_.end() && !(found->second.path == object.path))
-        {
-            other = found->second.name;
-            other_path = to_text(found->second.path);
-        }
-        else if (auto const [it, is_new] = own.emplace(id, name); !is_new)
-        {
-            other = it->second;
-        }
-        if (other.empty())
-            continue;
-        bool const is_same = other == name;
-        auto message = is_same ? absl::StrCat("the name '", name,
-                                              "' is used in '", other_path, "'")
-                               : absl::StrCat("the ids of '", name, "' and '",
-                                              other, "' are equal");
-        problems.push_back(make_problem(is_same ? problem_kind::duplicate_name
-                                                : problem_kind::hash_collision,
-                                        object.path, "name", std::move(message),
-                                        other_path));
-    }
-}
-
-std::vector<std::pair<settings_set::id_key, std::string>>
-settings_set::ids_of(object_path const& path, object_value const& value) const
+void settings_set::remove(object_path const& path)
 {
-    std::vector<std::pair<id_key, std::string>> ids;
-    auto const add = [&](int kind, std::string const& name) {
-        ids.push_back({{kind, hash_(name)}, name});
-    };
-    if (!path.name.empty())
-        add(static_cast<int>(path.kind), path.name);
-    if (auto const* pool = std::get_if<decision::pool_settings>(&value))
-    {
-        for (auto const& it : pool->runners)
-            add(runner_ids, it.name);
-    }
-    return ids;
-}
-
-void settings_set::remove_from_indexes(object_path const& path)
-{
-    auto const references = references_.find(path);
-    if (references != references_.end())
-    {
-        for (auto const& it : references->second)
-        {
-            auto const dependents = dependents_.find(it.target);
-            if (dependents == dependents_.end())
-                continue;
-            dependents->second.erase(path);
-            if (dependents->second.empty())
-                dependents_.erase(dependents);
-        }
-        references_.erase(references);
-    }
-    // The value in force says which ids to give up.
-    if (versions_.count(path) == 0)
-        return;
-    object_value value;
-    if (path.kind == object_kind::pool)
-        value = settings_.pools.at(path.name);
-    for (auto const& [id, name] : ids_of(path, value))
-        owners_.erase(id);
+    if (exists(path))
+        index_.remove(path, settings_);
+    drop_value(path);
 }
 
-void settings_set::add_to_indexes(settings_object const& object)
+void settings_set::store(settings_object const& object)
 {
-    for (auto const& it : object.references)
-        dependents_[it.target].insert(object.path);
-    references_[object.path] = object.references;
-    for (auto const& [id, name] : ids_of(object.path, object.value))
-        owners_[id] = {name, object.path};
+    if (exists(object.path))
+        index_.remove(object.path, settings_);
+    store_value(object);
+    index_.add(object, settings_);
 }
 
 void settings_set::store_value(settings_object const& object)
@@ -425,9 +272,11 @@
     {
     case object_kind::ranks:
         settings_.ranks = std::get<decision::rank_table>(value);
+        has_ranks_ = true;
         break;
     case object_kind::fleet:
         settings_.fleet = std::get<decision::fleet_knobs>(value);
+        has_fleet_ = true;
         break;
     case object_kind::pool:
         settings_.pools[name] = std::get<decision::pool_settings>(value);
@@ -451,6 +300,7 @@
         break;
     case object_kind::fleet:
         settings_.fleet = {};
+        has_fleet_ = false;
         break;
     case object_kind::pool:
         settings_.pools.erase(path.name);
@@ -466,7 +316,39 @@
 
 bool settings_set::exists(object_path const& path) const
 {
-    return versions_.count(path) > 0;
+    switch (path.kind)
+    {
+    case object_kind::ranks:
+        return has_ranks_;
+    case object_kind::fleet:
+        return has_fleet_;
+    case object_kind::pool:
+        return settings_.pools.count(path.name) > 0;
+    case object_kind::pipeline:
+        return settings_.pipelines.count(path.name) > 0;
+    case object_kind::organisation:
+        break;
+    }
+    return settings_.organisations.count(path.name) > 0;
+}
+
+// In the order of object_kind.
+std::vector<object_path> settings_set::paths_in_force() const
+{
+    std::vector<object_path> paths;
+    if (has_ranks_)
+        paths.push_back({object_kind::ranks, ""});
+    if (has_fleet_)
+        paths.push_back({object_kind::fleet, ""});
+    auto const add = [&](object_kind kind, auto const& objects)
+    {
+        for (auto const& [name, value] : objects)
+            paths.push_back({kind, name});
+    };
+    add(object_kind::pool, settings_.pools);
+    add(object_kind::pipeline, settings_.pipelines);
+    add(object_kind::organisation, settings_.organisations);
+    return paths;
 }
 
 } // namespace buckthornvale::settings
