serving: end calls at their budget, and wake the watch for each change

The runner now waits for bytes and then resets, so the row tests what it names.

Change: the wake-up is computed under the lock, socket time-outs exceed the budget by 5 s, and the two tests are exact.

Conclusion: timed_out comes from the watch alone.

--- a/packages/serving/include/buckthornvale/serving/http/connection.hpp
+++ b/packages/serving/include/buckthornvale/serving/http/connection.hpp
@@ -14,8 +14,8 @@
 //! Limits on what one caller may send and on how long it may take.
 struct connection_limits
 {
-    std::size_t max_head_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_head_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
     //! Longest wait for the next request on an open connection.
     std::chrono::milliseconds idle{5000};
     //! Longest time from the first byte of a request to its last.
--- a/packages/serving/include/buckthornvale/serving/http/http_front.hpp
+++ b/packages/serving/include/buckthornvale/serving/http/http_front.hpp
@@ -27,7 +27,8 @@
     //! Callers that wait for a reply; must be below server.threads, so that
     //! health checks find a thread.
     std::size_t max_waiting = 128;
-    std::size_t max_pending_bytes = 1024 * 1024; //!< tokens of one caller
+    std::size_t max_pending_bytes =
+        std::size_t{1024} * 1024; //!< tokens of one caller
     server_limits server;
 };
 
--- a/packages/serving/include/buckthornvale/serving/upstream/bounded_fetch.hpp
+++ b/packages/serving/include/buckthornvale/serving/upstream/bounded_fetch.hpp
@@ -19,7 +19,7 @@
     std::string path;
     std::string body; //!< JSON; empty: none
     std::chrono::milliseconds timeout{1000};
-    std::size_t max_bytes = 1024 * 1024;
+    std::size_t max_bytes = std::size_t{1024} * 1024;
 };
 
 struct fetched
--- a/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
+++ b/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
@@ -17,8 +17,9 @@
 struct call_limits
 {
     std::chrono::milliseconds connect{1000};
-    std::size_t max_answer_bytes = 4 * 1024 * 1024; //!< not streamed
-    std::size_t max_event_bytes = 64 * 1024;        //!< one token event
+    std::size_t max_answer_bytes =
+        std::size_t{4} * 1024 * 1024;                     //!< not streamed
+    std::size_t max_event_bytes = std::size_t{64} * 1024; //!< one token event
 };
 
 //! Why a call was stopped from outside.
@@ -40,7 +41,8 @@
     runner_call(decision::requests::start_attempt attempt,
                 call_limits const& limits, token_handler on_token);
 
-    //! Performs the call; blocks until it ends.
+    //! Performs the call; blocks until it ends. The owner calls stop() with
+    //! `timed_out` at the deadline.
     decision::requests::attempt_ended run();
 
     //! Makes run() return early. Thread-safe. A stop that races with the
--- a/packages/serving/src/http/connection.cpp
+++ b/packages/serving/src/http/connection.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t chunk_framing_divisor = 8;
 
 constexpr std::chrono::milliseconds linger_time{1000};
-constexpr std::size_t linger_bytes = 4 * 1024 * 1024;
+constexpr std::size_t linger_bytes = std::size_t{4} * 1024 * 1024;
 
 int poll_milliseconds(steady::duration left)
 {
--- a/packages/serving/src/upstream/call_watch.cpp
+++ b/packages/serving/src/upstream/call_watch.cpp
@@ -99,14 +99,15 @@
             if (reason != stop_reason::none)
                 due.emplace_back(it.second.call, reason);
         }
-        auto const next = next_check(now);
         lock.unlock();
         for (auto const& it : due)
             it.first->stop(it.second);
         due.clear();
         lock.lock();
+        // Computed under the lock that the wait gives up: calls were added or
+        // cancelled meanwhile, and their notification was missed.
         if (!stopped_)
-            changed_.wait_until(lock, next);
+            changed_.wait_until(lock, next_check(steady::now()));
     }
 }
 
--- a/packages/serving/src/upstream/runner_call.cpp
+++ b/packages/serving/src/upstream/runner_call.cpp
@@ -22,6 +22,11 @@
 constexpr int ok_status = 200;
 constexpr int refused_status = 503;
 
+//! Added to the socket's time-outs, so that the owner's stop ends a call whose
+//! budget passed. A time-out of the socket looks like a lost connection, which
+//! would blame a slow runner for a crash.
+constexpr std::chrono::seconds io_margin{5};
+
 //! Most of a runner's error text that is kept for logs.
 constexpr std::size_t max_detail = 200;
 
@@ -115,8 +120,8 @@
                      "the budget passed before the call");
     client_.set_connection_timeout(
         std::min<std::chrono::microseconds>(left(), limits_.connect));
-    client_.set_read_timeout(left());
-    client_.set_write_timeout(left());
+    client_.set_read_timeout(left() + io_margin);
+    client_.set_write_timeout(left() + io_margin);
 
     exchange seen;
     event_parser events(limits_.max_event_bytes,
--- a/packages/serving/tests/http/http_front_test.cpp
+++ b/packages/serving/tests/http/http_front_test.cpp
@@ -296,7 +296,7 @@
         connection_row{"body_of_get",
                        "GET /healthz HTTP/1.1\r\nContent-Length: 30\r\n\r\n"
                        "GET /v1/status HTTP/1.1\r\n\r\n",
-                       "live"}),
+                       "\r\n\r\nlive\n"}),
     [](auto const& it) { return it.param.name; });
 
 // Guards against one VM that takes more callers than it has threads for.
@@ -364,7 +364,7 @@
     start_front(settings);
     raw_caller idle(front->port());
     idle.send("GET /healthz HTTP/1.1\r\n\r\n");
-    idle.read_until("live");
+    idle.read_until("\r\n\r\nlive\n");
     front->stop_accepting();
     EXPECT_EQ(idle.read_all(), "");
     front->finish();
--- a/packages/serving/tests/upstream/connection_proof_test.cpp
+++ b/packages/serving/tests/upstream/connection_proof_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -35,10 +36,15 @@
 
     std::uint16_t port() const { return ntohs(address_.sin_port); }
 
-    //! Takes one connection and its first bytes.
+    //! Takes one connection, waits until bytes have arrived, and reads at most
+    //! `bytes` of them.
     int accept_and_read(std::size_t bytes) const
     {
         auto const peer = ::accept(socket_, nullptr, nullptr);
+        // A reset before any byte was sent can also end the connect, which
+        // then proves that nothing was written.
+        pollfd arrived{peer, POLLIN, 0};
+        EXPECT_EQ(::poll(&arrived, 1, -1), 1);
         std::string buf(bytes, '\0');
         if (bytes > 0)
         {
@@ -96,8 +102,8 @@
 {
 };
 
-// Guards against I3: whatever happens after the connection was made, the
-// runner may hold the request.
+// Guards against I3: whatever happens after a byte was written, the runner
+// may hold the request.
 TEST_P(lost_connection, is_never_told_as_not_started)
 {
     raw_runner const runner(16);
--- a/standins/common/faults.cpp
+++ b/standins/common/faults.cpp
@@ -34,7 +34,7 @@
 faults fault_switch::for_call()
 {
     std::lock_guard lock(mutex_);
-    auto const value = value_;
+    auto value = value_;
     if (calls_left_ > 0 && --calls_left_ == 0)
         value_ = faults();
     return value;
--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -17,7 +17,7 @@
 {
 
 constexpr char json_type[] = "application/json";
-constexpr std::size_t max_input_bytes = 16 * 1024 * 1024;
+constexpr std::size_t max_input_bytes = std::size_t{16} * 1024 * 1024;
 constexpr int exit_status = 3;
 
 serving::http::server_limits limits_of_standin()
@@ -151,7 +151,7 @@
 std::shared_ptr<std::atomic<bool>>
 standin_server::track(std::string const& attempt_id)
 {
-    auto const flag = std::make_shared<std::atomic<bool>>(false);
+    auto flag = std::make_shared<std::atomic<bool>>(false);
     std::lock_guard lock(mutex_);
     for (auto it = in_flight_.begin(); it != in_flight_.end();)
         it = it->second.expired() ? in_flight_.erase(it) : std::next(it);
@@ -185,7 +185,7 @@
     auto const parsed = parse_call(request.body);
     if (!parsed)
         return refuse(400, R"({"error":"malformed call"})");
-    auto const mine = std::make_shared<admitted>();
+    auto mine = std::make_shared<admitted>();
     mine->given = *parsed;
     mine->active = faults_.for_call();
     mine->cancelled = track(parsed->attempt_id);
