decision: send whole isolation marks and demand between VMs

Cause: marks lost their remaining time on the way and were refused as expired, and costs by rank were missing from summaries, so a caller on several VMs was not seen as one. Change: the mark message carries all fields of a mark; summaries carry cost by rank and the bound of unlisted organisations; admission gets one summary for each link without this VM's own part; routing knows the fleet's size; prefix blocks depend on model and adapter.

--- a/packages/decision/include/buckthornvale/decision/fleet/summary.hpp
+++ b/packages/decision/include/buckthornvale/decision/fleet/summary.hpp
@@ -3,6 +3,7 @@
 
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/core/rank.hpp>
+#include <buckthornvale/decision/isolation/mark.hpp>
 
 #include <array>
 #include <cstddef>
@@ -31,14 +32,7 @@
     organisation_id organisation;
     double requests_per_second = 0.;
     double concurrent = 0.;
-};
-
-//! A recent isolation mark.
-struct isolation_mark
-{
-    std::uint64_t high = 0; //!< fingerprint of the content
-    std::uint64_t low = 0;
-    bool isolated = false; //!< false: suspect
+    std::array<double, rank_count> cost_rate{}; //!< see admission
 };
 
 //! Load of one VM, or the sum over several.
@@ -48,9 +42,15 @@
     std::uint64_t settings_revision = 0; //!< highest
     std::vector<pool_load> pools;
     std::vector<organisation_load> organisations; //!< heaviest first
-    std::vector<isolation_mark> marks;
+    std::array<double, rank_count> cost_rate{};   //!< of all organisations
+    //! Upper bound of the request rate of an organisation that is not listed.
+    double unlisted_request_rate = 0.;
+    std::vector<isolation::mark> marks; //!< recent ones
 };
 
+//! Takes `part` out of `sum`, as far as `sum` lists it.
+void subtract(load_summary& sum, load_summary const& part);
+
 //! Adds `other` to `sum`, within the bounds.
 void add(load_summary& sum, load_summary const& other);
 
--- a/packages/decision/include/buckthornvale/decision/fleet/summary_aggregator.hpp
+++ b/packages/decision/include/buckthornvale/decision/fleet/summary_aggregator.hpp
@@ -38,6 +38,13 @@
     summary_message message;
 };
 
+//! Load of the VMs behind one link.
+struct linked_load
+{
+    vm_id link;
+    load_summary load;
+};
+
 //! Sums summaries over the topology: upwards the sum of a subtree, downwards
 //! the sum of the fleet.
 class summary_aggregator
@@ -53,7 +60,10 @@
 
     //! Sum over the fleet as last known, this VM included.
     load_summary fleet(time_point now) const;
-    //! Sum over the others: what peers' demand adds to the local one.
+    //! What each fresh link tells of other VMs; no VM is in two of them, and
+    //! this VM is in none. A parent's sum comes without this VM's subtree.
+    std::vector<linked_load> others(time_point now) const;
+    //! VMs in the fleet's sum, this one included.
     std::uint32_t vms_known(time_point now) const;
     //! True when a linked VM's contribution is missing or too old.
     bool stale(time_point now) const;
--- a/packages/decision/include/buckthornvale/decision/reducer/peer_payload.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/peer_payload.hpp
@@ -28,11 +28,10 @@
 };
 
 //! What the reducers of two VMs say to each other.
-using peer_payload =
-    std::variant<fleet::summary_message, peer_ping, peer_ack,
-                 config::settings_have, config::settings_pull,
-                 config::settings_push, bookings::shard_update,
-                 bookings::update_answer, fleet::isolation_mark>;
+using peer_payload = std::variant<fleet::summary_message, peer_ping, peer_ack,
+                                  config::settings_have, config::settings_pull,
+                                  config::settings_push, bookings::shard_update,
+                                  bookings::update_answer, isolation::mark>;
 
 } // namespace buckthornvale::decision
 
--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -103,7 +103,7 @@
     void from_peer(vm_id, config::settings_push const&, time_point, effects&);
     void from_peer(vm_id, bookings::shard_update const&, time_point, effects&);
     void from_peer(vm_id, bookings::update_answer const&, time_point, effects&);
-    void from_peer(vm_id, fleet::isolation_mark const&, time_point, effects&);
+    void from_peer(vm_id, isolation::mark const&, time_point, effects&);
 
     //! Effects of the requests concern go through this to `flush`.
     requests::flow_output flow_output()
@@ -122,6 +122,7 @@
     void update_capacity(time_point now);
     void relink(time_point now, effects& out);
     void share_summaries(time_point now, effects& out);
+    void take_peer_demand(time_point now);
     void share_marks(time_point now, effects& out);
     fleet::load_summary local_summary(time_point now) const;
     void ask_service(bookings::ask_service const& question, effects& out);
--- a/packages/decision/src/fleet/summary.cpp
+++ b/packages/decision/src/fleet/summary.cpp
@@ -36,6 +36,20 @@
         loads.resize(most);
 }
 
+using amounts = std::array<double, rank_count>;
+
+void add_amounts(amounts& sum, amounts const& other)
+{
+    for (std::size_t i = 0; i < rank_count; ++i)
+        sum[i] += other[i];
+}
+
+void subtract_amounts(amounts& sum, amounts const& part)
+{
+    for (std::size_t i = 0; i < rank_count; ++i)
+        sum[i] = std::max(0., sum[i] - part[i]);
+}
+
 void add_pool(load_summary& sum, pool_load const& load)
 {
     auto const it = std::find_if(sum.pools.begin(), sum.pools.end(),
@@ -46,11 +60,8 @@
         sum.pools.push_back(load);
         return;
     }
-    for (std::size_t i = 0; i < rank_count; ++i)
-    {
-        it->in_flight[i] += load.in_flight[i];
-        it->demand[i] += load.demand[i];
-    }
+    add_amounts(it->in_flight, load.in_flight);
+    add_amounts(it->demand, load.demand);
 }
 
 void add_organisation(load_summary& sum, organisation_load const& load)
@@ -66,21 +77,30 @@
     }
     it->requests_per_second += load.requests_per_second;
     it->concurrent += load.concurrent;
+    add_amounts(it->cost_rate, load.cost_rate);
 }
 
-void add_mark(load_summary& sum, isolation_mark const& mark)
+void add_mark(load_summary& sum, isolation::mark const& mark)
 {
-    auto const it =
-        std::find_if(sum.marks.begin(), sum.marks.end(),
-                     [&](isolation_mark const& held) {
-                         return held.high == mark.high && held.low == mark.low;
-                     });
+    auto const it = std::find_if(sum.marks.begin(), sum.marks.end(),
+                                 [&](isolation::mark const& held)
+                                 { return held.content == mark.content; });
     if (it != sum.marks.end())
-        it->isolated = it->isolated || mark.isolated;
+        *it = isolation::merge(*it, mark);
     else if (sum.marks.size() < max_summary_marks)
         sum.marks.push_back(mark);
 }
 
+// A listed organisation that is missing from one part may still have had the
+// rate of that part's bound, so bounds add up.
+double unlisted_after_cut(std::vector<organisation_load> const& loads)
+{
+    double largest = 0.;
+    for (std::size_t i = max_summary_organisations; i < loads.size(); ++i)
+        largest = std::max(largest, loads[i].requests_per_second);
+    return largest;
+}
+
 } // namespace
 
 void add(load_summary& sum, load_summary const& other)
@@ -94,9 +114,43 @@
         add_organisation(sum, it);
     for (auto const& it : other.marks)
         add_mark(sum, it);
+    add_amounts(sum.cost_rate, other.cost_rate);
+    sum.unlisted_request_rate += other.unlisted_request_rate;
+    keep_heaviest(sum.organisations, sum.organisations.size(),
+                  &organisation_load::organisation);
+    sum.unlisted_request_rate += unlisted_after_cut(sum.organisations);
     keep_heaviest(sum.pools, max_summary_pools, &pool_load::pool);
     keep_heaviest(sum.organisations, max_summary_organisations,
                   &organisation_load::organisation);
 }
 
+void subtract(load_summary& sum, load_summary const& part)
+{
+    sum.vms -= std::min(sum.vms, part.vms);
+    subtract_amounts(sum.cost_rate, part.cost_rate);
+    for (auto& it : sum.pools)
+    {
+        auto const own = std::find_if(part.pools.begin(), part.pools.end(),
+                                      [&](pool_load const& other)
+                                      { return other.pool == it.pool; });
+        if (own == part.pools.end())
+            continue;
+        subtract_amounts(it.in_flight, own->in_flight);
+        subtract_amounts(it.demand, own->demand);
+    }
+    for (auto& it : sum.organisations)
+    {
+        auto const own =
+            std::find_if(part.organisations.begin(), part.organisations.end(),
+                         [&](organisation_load const& other)
+                         { return other.organisation == it.organisation; });
+        if (own == part.organisations.end())
+            continue;
+        it.requests_per_second =
+            std::max(0., it.requests_per_second - own->requests_per_second);
+        it.concurrent = std::max(0., it.concurrent - own->concurrent);
+        subtract_amounts(it.cost_rate, own->cost_rate);
+    }
+}
+
 } // namespace buckthornvale::decision::fleet
--- a/packages/decision/src/fleet/summary_aggregator.cpp
+++ b/packages/decision/src/fleet/summary_aggregator.cpp
@@ -124,6 +124,8 @@
     load.vms = message.load.vms;
     load.settings_revision = message.load.settings_revision;
     load.marks = message.load.marks;
+    load.cost_rate = message.load.cost_rate;
+    load.unlisted_request_rate = message.load.unlisted_request_rate;
     merge(load.pools, message.load.pools, &pool_load::pool);
     merge(load.organisations, message.load.organisations,
           &organisation_load::organisation);
@@ -164,6 +166,20 @@
     return sum;
 }
 
+std::vector<linked_load> summary_aggregator::others(time_point now) const
+{
+    std::vector<linked_load> loads;
+    for (auto const& it : links_)
+    {
+        if (!fresh(it, now))
+            continue;
+        loads.push_back({it.link.vm, it.contribution});
+        if (it.link.role == link_role::parent)
+            subtract(loads.back().load, subtree(now));
+    }
+    return loads;
+}
+
 std::uint32_t summary_aggregator::vms_known(time_point now) const
 {
     return fleet(now).vms;
@@ -207,6 +223,8 @@
     message.load.vms = load.vms;
     message.load.settings_revision = load.settings_revision;
     message.load.marks = load.marks;
+    message.load.cost_rate = load.cost_rate;
+    message.load.unlisted_request_rate = load.unlisted_request_rate;
     auto const pool_differs = [&](pool_load const& a, pool_load const& b)
     {
         bool changed = false;
--- a/packages/decision/src/reducer/reducer_peers.cpp
+++ b/packages/decision/src/reducer/reducer_peers.cpp
@@ -11,25 +11,30 @@
 namespace
 {
 
+template <class To, class From>
+std::array<To, rank_count> converted(std::array<From, rank_count> const& from)
+{
+    std::array<To, rank_count> to{};
+    std::transform(from.begin(), from.end(), to.begin(),
+                   [](From value) { return static_cast<To>(value); });
+    return to;
+}
+
 admission::demand_summary demand_of(fleet::load_summary const& load)
 {
     admission::demand_summary demand;
+    demand.vms = load.vms;
+    demand.cost_rate = converted<float>(load.cost_rate);
+    demand.unlisted_request_rate =
+        static_cast<float>(load.unlisted_request_rate);
     for (auto const& it : load.pools)
-    {
-        admission::pool_demand pool;
-        pool.pool = it.pool;
-        for (auto k : all_ranks)
-            pool.work_rate[index_of(k)] =
-                static_cast<float>(it.demand[index_of(k)]);
-        demand.pools.push_back(pool);
-    }
+        demand.pools.push_back({it.pool, converted<float>(it.demand)});
     for (auto const& it : load.organisations)
     {
-        admission::organisation_demand organisation;
-        organisation.organisation = it.organisation;
-        organisation.request_rate = static_cast<float>(it.requests_per_second);
-        organisation.in_flight = static_cast<float>(it.concurrent);
-        demand.heaviest.push_back(organisation);
+        demand.heaviest.push_back({it.organisation,
+                                   static_cast<float>(it.requests_per_second),
+                                   static_cast<float>(it.concurrent),
+                                   converted<float>(it.cost_rate)});
     }
     return demand;
 }
@@ -67,6 +72,7 @@
     }
     bookings_.set_live_vms(committers);
     admission_.set_fleet(std::max<std::size_t>(nodes.size(), 1), now);
+    router_.set_fleet(std::max<std::size_t>(nodes.size(), 1), now);
     auto const links = fleet::strategy_for(nodes.size()).links(self_, nodes);
     summaries_.set_links(links, now);
     topology_.clear();
@@ -155,14 +161,14 @@
 {
     summaries_.receive(from, value, now);
     for (auto const& it : value.load.marks)
-    {
-        isolation::mark mark;
-        mark.content = {it.high, it.low};
-        mark.state = it.isolated ? isolation::mark_state::isolated
-                                 : isolation::mark_state::suspect;
-        isolation_.apply_mark(mark, now);
-    }
-    admission_.peer_demand(from, demand_of(value.load), now);
+        isolation_.apply_mark(it, now);
+    take_peer_demand(now);
+}
+
+void reducer::take_peer_demand(time_point now)
+{
+    for (auto const& it : summaries_.others(now))
+        admission_.peer_demand(it.link, demand_of(it.load), now);
 }
 
 void reducer::from_peer(vm_id from, peer_ping const& value, time_point now,
@@ -211,14 +217,10 @@
     apply_claims(decided, now);
 }
 
-void reducer::from_peer(vm_id, fleet::isolation_mark const& value,
-                        time_point now, effects&)
+void reducer::from_peer(vm_id, isolation::mark const& value, time_point now,
+                        effects&)
 {
-    isolation::mark mark;
-    mark.content = {value.high, value.low};
-    mark.state = value.isolated ? isolation::mark_state::isolated
-                                : isolation::mark_state::suspect;
-    isolation_.apply_mark(mark, now);
+    isolation_.apply_mark(value, now);
 }
 
 void reducer::share_marks(time_point now, effects& out)
@@ -228,12 +230,7 @@
     for (auto const& it : marks)
     {
         for (auto peer : linked_)
-        {
-            out.push_back(send_peer{
-                peer, fleet::isolation_mark{
-                          it.content.high, it.content.low,
-                          it.state == isolation::mark_state::isolated}});
-        }
+            out.push_back(send_peer{peer, it});
     }
 }
 
@@ -242,19 +239,17 @@
     auto const demand = admission_.local_demand(now);
     fleet::load_summary load;
     load.settings_revision = config_.revision();
+    load.cost_rate = converted<double>(demand.cost_rate);
+    load.unlisted_request_rate = demand.unlisted_request_rate;
     for (auto const& it : demand.pools)
-    {
-        fleet::pool_load pool;
-        pool.pool = it.pool;
-        for (auto k : all_ranks)
-            pool.demand[index_of(k)] = it.work_rate[index_of(k)];
-        load.pools.push_back(pool);
-    }
+        load.pools.push_back({it.pool, {}, converted<double>(it.work_rate)});
     for (auto const& it : demand.heaviest)
     {
-        load.organisations.push_back(
-            {it.organisation, it.request_rate, it.in_flight});
+        load.organisations.push_back({it.organisation, it.request_rate,
+                                      it.in_flight,
+                                      converted<double>(it.cost_rate)});
     }
+    isolation_.recent_marks(now, fleet::max_summary_marks, load.marks);
     return load;
 }
 
--- a/packages/decision/src/requests/request_state.cpp
+++ b/packages/decision/src/requests/request_state.cpp
@@ -42,10 +42,12 @@
                         request.call.pipeline, "/", request.graph->at(n).name);
 }
 
-std::vector<std::uint64_t> prefix_blocks_of(std::string_view input)
+std::vector<std::uint64_t> prefix_blocks_of(std::string_view input,
+                                            stage_settings const& stage)
 {
     std::vector<std::uint64_t> blocks;
-    std::uint64_t previous = 0;
+    std::uint64_t previous =
+        stable_hash(absl::StrCat(stage.model, "/", stage.adapter));
     while (input.size() >= prefix_block_bytes &&
            blocks.size() < max_prefix_blocks)
     {
--- a/packages/decision/tests/fleet/topology_test.cpp
+++ b/packages/decision/tests/fleet/topology_test.cpp
@@ -140,7 +140,8 @@
     {
         other.pools.push_back({pool_id{i}, {1. * i, 0., 0.}, {}});
         other.organisations.push_back({organisation_id{i}, 1. * i, 0.});
-        other.marks.push_back({i, i, false});
+        other.marks.emplace_back();
+        other.marks.back().content = {i, i};
     }
     add(sum, other);
     EXPECT_EQ(sum.pools.size(), max_summary_pools);
--- a/packages/peer/include/buckthornvale/peer/codec/message.hpp
+++ b/packages/peer/include/buckthornvale/peer/codec/message.hpp
@@ -5,6 +5,7 @@
 #include <buckthornvale/decision/config/config_effects.hpp>
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/fleet/summary.hpp>
+#include <buckthornvale/decision/isolation/mark.hpp>
 
 #include <cstdint>
 #include <string>
@@ -44,7 +45,7 @@
     hello, decision::fleet::summary_message, ping, ack,
     decision::config::settings_have, decision::config::settings_pull,
     decision::config::settings_push, decision::bookings::shard_update,
-    decision::bookings::update_answer, decision::fleet::isolation_mark,
+    decision::bookings::update_answer, decision::isolation::mark,
     goodbye>;
 
 } // namespace buckthornvale::peer
--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -24,6 +24,7 @@
 namespace bookings = decision::bookings;
 namespace config = decision::config;
 namespace fleet = decision::fleet;
+namespace isolation = decision::isolation;
 
 constexpr std::uint64_t protocol_version = 1;
 constexpr std::size_t max_value_bytes = 1024 * 1024;
@@ -77,19 +78,49 @@
 
 // isolation marks
 
-json fields_of(fleet::isolation_mark const& value)
+json fields_of(isolation::mark const& value)
 {
+    using std::chrono::milliseconds;
+    auto const left = std::chrono::duration_cast<milliseconds>(value.remaining);
+    json crashes = json::array();
+    for (auto it : value.crash_ids)
+        crashes.push_back(it);
     return {{"t", "mark"},
-            {"h", value.high},
-            {"l", value.low},
-            {"i", value.isolated}};
-}
-
-void read(field_reader& in, fleet::isolation_mark& value)
-{
-    in.number("h", value.high);
-    in.number("l", value.low);
-    in.boolean("i", value.isolated);
+            {"h", value.content.high},
+            {"l", value.content.low},
+            {"s", static_cast<unsigned>(value.state)},
+            {"li", value.lifts},
+            {"cl", value.clears},
+            {"x", std::move(crashes)},
+            {"ms", static_cast<std::uint64_t>(
+                       std::max<std::int64_t>(left.count(), 0))}};
+}
+
+void read(field_reader& in, isolation::mark& value)
+{
+    constexpr std::uint64_t max_remaining_ms = 24ULL * 3600 * 1000;
+    std::uint64_t state = 0;
+    std::uint64_t ms = 0;
+    in.number("h", value.content.high);
+    in.number("l", value.content.low);
+    in.number("s", state);
+    in.number("li", value.lifts);
+    in.number("cl", value.clears);
+    in.number("ms", ms);
+    if (state > static_cast<unsigned>(isolation::mark_state::isolated))
+        in.fail("s");
+    value.state = static_cast<isolation::mark_state>(state);
+    value.remaining = std::chrono::milliseconds(std::min(ms, max_remaining_ms));
+    auto const* list = in.optional_array("x", isolation::most_crash_ids);
+    if (list == nullptr)
+        return;
+    for (auto const& it : *list)
+    {
+        if (it.is_number_unsigned())
+            value.crash_ids.push_back(it.get<std::uint64_t>());
+        else
+            in.fail("x");
+    }
 }
 
 // summaries
@@ -98,6 +129,9 @@
 // A thousandth is finer than any decision needs.
 constexpr double units = 1000.;
 
+// A light organisation costs far less than a thousandth of a pool a second.
+constexpr double cost_scale = 1000.;
+
 // The largest amount of thousandths that a double holds exactly.
 constexpr double max_units = 9007199254740992.;
 
@@ -154,21 +188,31 @@
     json organisations = json::array();
     for (auto const& it : value.load.organisations)
     {
-        organisations.push_back(json::array({it.organisation.value,
-                                             units_of(it.requests_per_second),
-                                             units_of(it.concurrent)}));
+        json load = json::array({it.organisation.value,
+                                 units_of(it.requests_per_second),
+                                 units_of(it.concurrent)});
+        for (auto cost : it.cost_rate)
+            load.push_back(units_of(cost * cost_scale));
+        organisations.push_back(std::move(load));
     }
     json marks = json::array();
     for (auto const& it : value.load.marks)
     {
-        marks.push_back({{"h", it.high}, {"l", it.low}, {"i", it.isolated}});
+        auto fields = fields_of(it);
+        fields.erase("t");
+        marks.push_back(std::move(fields));
     }
     json fields = {
         {"t", "summary"},
         {"n", value.sequence},
         {"k", (value.full ? full_flag : 0U) | (value.fleet ? fleet_flag : 0U)},
         {"c", value.load.vms},
-        {"r", value.load.settings_revision}};
+        {"r", value.load.settings_revision},
+        {"u", units_of(value.load.unlisted_request_rate)}};
+    json costs = json::array();
+    for (auto cost : value.load.cost_rate)
+        costs.push_back(units_of(cost * cost_scale));
+    fields["x"] = std::move(costs);
     // Most differences have none of the lists.
     if (!pools.empty())
         fields["p"] = std::move(pools);
@@ -179,6 +223,21 @@
     return fields;
 }
 
+void read_costs(field_reader& in,
+                std::array<double, decision::rank_count>& costs)
+{
+    auto const* list = in.optional_array("x", costs.size());
+    if (list == nullptr || list->size() != costs.size())
+        return in.fail("x");
+    for (std::size_t i = 0; i < costs.size(); ++i)
+    {
+        if (!(*list)[i].is_number_unsigned())
+            return in.fail("x");
+        auto const value = (*list)[i].get<std::uint64_t>();
+        costs[i] = static_cast<double>(value) / units / cost_scale;
+    }
+}
+
 void read(field_reader& in, fleet::summary_message& value)
 {
     std::uint64_t flags = 0;
@@ -186,6 +245,10 @@
     in.number("k", flags);
     in.number("c", value.load.vms);
     in.number("r", value.load.settings_revision);
+    std::uint64_t unlisted = 0;
+    in.number("u", unlisted);
+    value.load.unlisted_request_rate = static_cast<double>(unlisted) / units;
+    read_costs(in, value.load.cost_rate);
     if (flags > (full_flag | fleet_flag))
         in.fail("k");
     value.full = (flags & full_flag) != 0;
@@ -209,12 +272,15 @@
     {
         for (auto const& it : *list)
         {
-            std::array<double, 2> amounts{};
+            std::array<double, 2 + decision::rank_count> amounts{};
             fleet::organisation_load load;
             read_load(in, "o", it, load.organisation.value,
                       absl::MakeSpan(amounts));
             load.requests_per_second = amounts[0];
             load.concurrent = amounts[1];
+            std::transform(amounts.begin() + 2, amounts.end(),
+                           load.cost_rate.begin(),
+                           [](double cost) { return cost / cost_scale; });
             value.load.organisations.push_back(load);
         }
     }
@@ -223,7 +289,7 @@
         for (auto const& it : *list)
         {
             field_reader entry(it);
-            fleet::isolation_mark mark;
+            isolation::mark mark;
             read(entry, mark);
             in.check(entry);
             value.load.marks.push_back(mark);
@@ -469,7 +535,7 @@
     {"settings_push", read_message<config::settings_push>},
     {"claim", read_message<bookings::shard_update>},
     {"claim_answer", read_message<bookings::update_answer>},
-    {"mark", read_message<fleet::isolation_mark>},
+    {"mark", read_message<isolation::mark>},
     {"goodbye", read_message<goodbye>},
 };
 
--- a/packages/peer/tests/codec/codec_test.cpp
+++ b/packages/peer/tests/codec/codec_test.cpp
@@ -17,7 +17,8 @@
     fleet::summary_message summary;
     summary.load.pools = {{pool_id::of("gpu"), {1.5, 2., 0.}, {3., 0., .25}}};
     summary.load.organisations = {{organisation_id::of("moles"), 4., 2.}};
-    summary.load.marks = {{1, 2, true}};
+    summary.load.marks.emplace_back();
+    summary.load.marks.back().content = {1, 2};
     config::settings_push push;
     push.up_to = push.revision = 9;
     push.objects = {{"settings/fleet", 9, false, "a = 1\n"},
@@ -29,6 +30,13 @@
     answer.verdict = bookings::update_verdict::existing;
     answer.entry.state = bookings::claim_state::completed;
     answer.entry.result = update.result;
+    decision::isolation::mark mark;
+    mark.content = {5, 6};
+    mark.state = decision::isolation::mark_state::isolated;
+    mark.lifts = 1;
+    mark.clears = 2;
+    mark.crash_ids = {8, 9};
+    mark.remaining = std::chrono::milliseconds(10);
     return {hello{vm_id::of("a"), 7},
             summary,
             ping{vm_id::of("b"), 1},
@@ -38,7 +46,7 @@
             push,
             update,
             answer,
-            fleet::isolation_mark{5, 6, false},
+            mark,
             goodbye{}};
 }
 
