settings: put the fleet-wide values in force

Cause: settings/fleet was accepted and shown, but no concern read it. Change: retry share and burst, remote cost, warm-up, circuit breaker and runner queueing reach their concerns when they change; four periods that nothing can change at run time are no longer keys; defaults equal those of the concerns. Conclusion: an accepted value is in force.

--- a/packages/decision/include/buckthornvale/decision/admission/admission_controller.hpp
+++ b/packages/decision/include/buckthornvale/decision/admission/admission_controller.hpp
@@ -68,6 +68,9 @@
 
     void set_ranks(rank_table const& ranks);
 
+    //! Changes the queueing at runners that the backlog bound allows for.
+    void set_runner_queueing(duration value);
+
     //! Number of live entry VMs, this one included.
     void set_fleet(std::size_t live_vms, time_point now);
 
--- a/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
+++ b/packages/decision/include/buckthornvale/decision/core/settings_model.hpp
@@ -99,16 +99,12 @@
     double retry_share = 0.1;       //!< retries per first attempt
     double retry_burst = 10.;       //!< most saved retries, attempts
     double weight_store_rate = 0.2; //!< model loads per second, whole fleet
-    duration backlog_bound = std::chrono::milliseconds(250); //!< per pool
-    duration summary_period = std::chrono::seconds(1); //!< between summaries
-    duration load_period = std::chrono::milliseconds(500); //!< GET /v1/load
-    duration vm_list_period = std::chrono::seconds(1);     //!< GET /v1/vms
-    duration status_period = std::chrono::seconds(5); //!< between status writes
+    duration runner_queueing = std::chrono::milliseconds(150);  //!< admission
     duration remote_domain_cost = std::chrono::milliseconds(1); //!< routing
     duration warm_up = std::chrono::seconds(10); //!< ramp of a new runner
-    std::uint32_t breaker_failures = 5; //!< failures in a row that open it
-    duration breaker_open = std::chrono::seconds(5); //!< before a probe
-    double breaker_slowness = 4.; //!< times the pool's typical service time
+    std::uint32_t breaker_failures = 3; //!< failures in a row that open it
+    duration breaker_open = std::chrono::seconds(1); //!< before a probe
+    double breaker_slowness = 4.; //!< times the runner's predicted time
 };
 
 //! All fleet settings in force at one revision.
--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -116,6 +116,7 @@
     void emit_config(effects& out);
     void emit_changed(config::settings_changed const& changed, effects& out);
     void emit_detector(time_point now, effects& out);
+    void install_knobs(fleet_knobs const& knobs);
     void install_pool(std::string const& name, time_point now);
     void install_organisation(std::string const& name);
     void update_leaving(runner_id runner, time_point now);
--- a/packages/decision/include/buckthornvale/decision/retry/retry_budget.hpp
+++ b/packages/decision/include/buckthornvale/decision/retry/retry_budget.hpp
@@ -22,6 +22,9 @@
 public:
     explicit retry_budget(retry_budget_settings settings = {});
 
+    //! Changes the limits; tokens above the new bound are dropped.
+    void configure(retry_budget_settings settings);
+
     void first_attempt();
 
     //! Takes a token; false when there is none.
--- a/packages/decision/include/buckthornvale/decision/routing/router.hpp
+++ b/packages/decision/include/buckthornvale/decision/routing/router.hpp
@@ -44,6 +44,10 @@
     void set_runners(pool_id pool, absl::Span<runner_info const> runners,
                      time_point now);
 
+    //! Changes the parameters of further decisions. The strategy and the
+    //! bounds of the prefix index stay as constructed.
+    void configure(routing_settings const& settings);
+
     //! A leaving runner gets no new attempts; the ones it has go on.
     void set_leaving(runner_id runner, bool leaving, time_point now);
 
--- a/packages/decision/src/admission/admission_controller.cpp
+++ b/packages/decision/src/admission/admission_controller.cpp
@@ -209,6 +209,12 @@
     state_->changed = true;
 }
 
+void admission_controller::set_runner_queueing(duration value)
+{
+    state_->settings.runner_queueing = value;
+    state_->changed = true;
+}
+
 void admission_controller::set_fleet(std::size_t live_vms, time_point now)
 {
     state_->peers.set_fleet(live_vms, now);
--- a/packages/decision/src/reducer/reducer.cpp
+++ b/packages/decision/src/reducer/reducer.cpp
@@ -212,6 +212,8 @@
     {
         if (it.kind == requests::settings_kind::ranks)
             admission_.set_ranks(settings.ranks);
+        if (it.kind == requests::settings_kind::fleet)
+            install_knobs(settings.fleet);
         if (it.kind == requests::settings_kind::organisation)
             install_organisation(it.name);
         if (it.kind == requests::settings_kind::pool)
@@ -223,6 +225,24 @@
                                 static_cast<double>(value.changes.size())});
 }
 
+void reducer::install_knobs(fleet_knobs const& knobs)
+{
+    constexpr double thousandths = 1000.;
+    auto& routing = settings_.routing;
+    routing.remote_cost = knobs.remote_domain_cost;
+    routing.warm_up = knobs.warm_up;
+    routing.breaker.failures_to_open = knobs.breaker_failures;
+    routing.breaker.first_wait = knobs.breaker_open;
+    routing.breaker.slow_factor = knobs.breaker_slowness;
+    router_.configure(routing);
+    retry::retry_budget_settings retries;
+    retries.earned_per_first_attempt =
+        static_cast<std::int64_t>(knobs.retry_share * thousandths);
+    retries.most = static_cast<std::int64_t>(knobs.retry_burst * thousandths);
+    retry_budget_.configure(retries);
+    admission_.set_runner_queueing(knobs.runner_queueing);
+}
+
 void reducer::install_pool(std::string const& name, time_point now)
 {
     auto const& pools = view_.settings().pools;
--- a/packages/decision/src/retry/retry_budget.cpp
+++ b/packages/decision/src/retry/retry_budget.cpp
@@ -16,6 +16,12 @@
 {
 }
 
+void retry_budget::configure(retry_budget_settings settings)
+{
+    settings_ = settings;
+    tokens_ = std::min(tokens_, settings_.most);
+}
+
 void retry_budget::first_attempt()
 {
     ++first_attempts_;
--- a/packages/decision/src/routing/router.cpp
+++ b/packages/decision/src/routing/router.cpp
@@ -29,6 +29,15 @@
     flights_.reserve(expected_flights);
 }
 
+void router::configure(routing_settings const& settings)
+{
+    auto const strategy = settings_.strategy;
+    auto const prefix = settings_.prefix;
+    settings_ = settings;
+    settings_.strategy = strategy;
+    settings_.prefix = prefix;
+}
+
 void router::set_runners(pool_id pool, absl::Span<runner_info const> runners,
                          time_point now)
 {
