--- /dev/null
+++ b/packages/decision/src/admission/rank_scheduler.cpp
@@ -0,0 +1,78 @@
+#include <buckthornvale/decision/admission/rank_scheduler.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::admission
+{
+
+namespace
+{
+
+//! A rank without a guaranteed share still gets a finite counter.
+constexpr double smallest_share = 1e-3;
+
+//! A rank that uses less than this is not predicted to wait for ever.
+constexpr double smallest_slots = 1e-2;
+
+//! Whether a request fits into a bound of which `slots` are the rate.
+bool fits(double backlog, double work, double bound, double slots,
+          duration since_last)
+{
+    if (backlog + 0.5 * work <= bound)
+        return true;
+    return backlog <= 0.0 && to_seconds(since_last) * slots >= work;
+}
+
+} // namespace
+
+pool_access rank_scheduler::access(pool_backlog const& pool, rank r,
+                                   double work, duration runner_queueing,
+                                   bool shares, double part,
+                                   time_point now) const
+{
+    if (!pool.fleet_slots())
+        return pool_access::guaranteed;
+    if (*pool.fleet_slots() <= 0.0)
+        return pool_access::blocked;
+    auto const guaranteed = part * pool.guaranteed_bound(r, runner_queueing);
+    if (shares && fits(pool.backlog(r), work, guaranteed,
+                       part * pool.share().guaranteed[index_of(r)],
+                       now - pool.last_commit(r)))
+        return pool_access::guaranteed;
+    auto const bound = std::min(part, 1.0) * pool.bound(runner_queueing);
+    return fits(pool.total_backlog(), work, bound, pool.share().slots,
+                now - pool.last_commit())
+               ? pool_access::lent
+               : pool_access::blocked;
+}
+
+double rank_scheduler::expected_slots(pool_backlog const& pool, rank r,
+                                      duration memory, time_point now) const
+{
+    auto const& share = pool.share();
+    double slots = share.slots;
+    for (auto other : all_ranks)
+    {
+        if (other == r)
+            continue;
+        auto const used = pool.started(other, memory, now);
+        slots -= other < r ? used
+                           : std::min(used, share.guaranteed[index_of(other)]);
+    }
+    return std::max({slots, share.guaranteed[index_of(r)], smallest_slots});
+}
+
+void rank_scheduler::charge(rank r, double cost)
+{
+    auto& counter = counter_[index_of(r)];
+    virtual_time_ = std::max(virtual_time_, tag(r));
+    counter = tag(r) + cost / std::max(ranks_[index_of(r)].guaranteed_share,
+                                       smallest_share);
+}
+
+double rank_scheduler::tag(rank r) const
+{
+    return std::max(counter_[index_of(r)], virtual_time_);
+}
+
+} // namespace buckthornvale::decision::admission
