--- a/packages/decision/tests/bookings/booking_table_test.cpp
+++ b/packages/decision/tests/bookings/booking_table_test.cpp
@@ -209,6 +209,33 @@
     EXPECT_EQ(all<read_object>(out).size(), 1U);
 }
 
+// Guards against a result taken as written because a committer's cached shard,
+// older than the claim, does not have it: the claim would be run again.
+TEST_F(booking_table_test, does_not_trust_a_cached_shard_for_a_missing_claim)
+{
+    auto const write = write_of(0, 1);
+    answer(write.token, store_status::ok, 1);
+    auto const mine = request(5);
+    shard_update update;
+    update.kind = update_kind::completed;
+    update.id = id_of(mine.key);
+    update.shard.window =
+        static_cast<std::uint64_t>(wall.time_since_epoch() / settings().window);
+    update.nonce = 77;
+    out.clear();
+    table.peer_claim(vm_id{2}, update, now, wall, out);
+    booking_effects seen = out;
+    for (int i = 0; i < 3; ++i)
+    {
+        advance(milliseconds(500));
+        seen.insert(seen.end(), out.begin(), out.end());
+    }
+    EXPECT_TRUE(all<answer_peer>(seen).empty());
+    ASSERT_EQ(all<write_object>(seen).size(), 1U);
+    answer(all<write_object>(seen)[0].token, store_status::ok, 2);
+    EXPECT_EQ(all<answer_peer>(out).size(), 1U);
+}
+
 // Guards against memory that grows with the callers or with results.
 TEST_F(booking_table_test, bounds_records_and_results)
 {
