daemon: tell the booking table when a peer cannot be reached

Cause: a claim forwarded to a committer without a link waited for its timeout. Change: a message that could not be handed over is an event; the table then commits the claim itself. Conclusion: a missing link costs no wait.

--- a/bench/reducer/main.cpp
+++ b/bench/reducer/main.cpp
@@ -374,8 +374,12 @@
 void peer_mark(benchmark::State& state)
 {
     peer_sends(state,
-               [](target_vm&, std::uint64_t sequence) {
-                   return fleet::isolation_mark{sequence, 1, false};
+               [](target_vm&, std::uint64_t sequence)
+               {
+                   isolation::mark mark;
+                   mark.content = {sequence, 1};
+                   mark.remaining = std::chrono::minutes(1);
+                   return mark;
                });
 }
 
--- a/packages/daemon/src/peer_gateway.cpp
+++ b/packages/daemon/src/peer_gateway.cpp
@@ -60,7 +60,8 @@
                                std::uint64_t incarnation) {
         events.post(decision::peer_link_changed{peer, what, incarnation});
     };
-    handlers.not_sent = [](decision::vm_id) {};
+    handlers.not_sent = [&events](decision::vm_id peer)
+    { events.post(decision::peer_not_reached{peer}); };
     return handlers;
 }
 
--- a/packages/decision/include/buckthornvale/decision/reducer/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/event.hpp
@@ -41,6 +41,12 @@
     std::uint64_t incarnation = 0; //!< with `connected`
 };
 
+//! A message could not be handed to a peer.
+struct peer_not_reached
+{
+    vm_id peer;
+};
+
 //! A peer's message arrived.
 struct peer_received
 {
@@ -68,7 +74,7 @@
                  requests::settings_installed, bookings::store_answer,
                  config::list_answer, config::watch_answer, watch_lost,
                  settings_call_failed, vm_list_read, peer_link_changed,
-                 peer_received, drain_started, ticked>;
+                 peer_not_reached, peer_received, drain_started, ticked>;
 
 } // namespace buckthornvale::decision
 
--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -91,6 +91,7 @@
     void on(settings_call_failed const&, time_point, effects&);
     void on(vm_list_read const&, time_point, effects&);
     void on(peer_link_changed const&, time_point, effects&);
+    void on(peer_not_reached const&, time_point, effects&);
     void on(peer_received const&, time_point, effects&);
     void on(drain_started const&, time_point, effects&);
     void on(ticked const&, time_point, effects&);
--- a/packages/decision/include/buckthornvale/decision/requests/request_state.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/request_state.hpp
@@ -40,7 +40,6 @@
     std::string runner; //!< name of the one whose output is used
     stage_output_ptr output;
     token_sequence tokens;
-    std::vector<std::uint64_t> prefix_blocks; //!< of an engine's prompt
 };
 
 //! Progress of a request.
@@ -63,6 +62,7 @@
     time_point deadline{};
     wall_time received_at{};
     isolation::fingerprint content;
+    std::vector<std::uint64_t> prefix_blocks; //!< of the input
     std::vector<stage_state> stages;
     std::size_t claims_open = 0; //!< claims without a decision yet
     bool answered = false;       //!< only outstanding outcomes are awaited
@@ -82,11 +82,9 @@
 //! organisations, pipelines and stages.
 std::string service_key_of(request_state const& request, stage_index n);
 
-//! Chained hashes of the input's blocks, for prompt-prefix affinity. Equal
-//! prefixes of two inputs give equal leading blocks when the stages use the
-//! same model and adapter: an engine's cache is of no use to another.
-std::vector<std::uint64_t> prefix_blocks_of(std::string_view input,
-                                            stage_settings const& stage);
+//! Identities of the input's prefixes: the stable hash of its first 256, 512,
+//! ... bytes, as engines name them in their cache events.
+std::vector<std::uint64_t> prefix_blocks_of(std::string_view input);
 
 //! Marks the stages that the answer still depends on as waiting, all others
 //! that are not done as unneeded.
--- a/packages/decision/src/reducer/reducer_peers.cpp
+++ b/packages/decision/src/reducer/reducer_peers.cpp
@@ -146,6 +146,13 @@
     }
 }
 
+void reducer::on(peer_not_reached const& value, time_point now, effects&)
+{
+    bookings::booking_effects decided;
+    bookings_.peer_unreachable(value.peer, now, wall_, decided);
+    apply_claims(decided, now);
+}
+
 void reducer::on(peer_received const& value, time_point now, effects& out)
 {
     detector_.link(value.from, fleet::link_event::message, now,
--- a/packages/decision/src/requests/executor.cpp
+++ b/packages/decision/src/requests/executor.cpp
@@ -81,7 +81,7 @@
     auto const& settings = request.graph->at(n);
     query.pool = request.graph->pool_of(n);
     query.local_domain = local_domain_;
-    query.prefix_blocks = request.stages[n].prefix_blocks;
+    query.prefix_blocks = request.prefix_blocks;
     query.model = settings.model.empty() ? 0 : stable_hash(settings.model);
     query.adapter =
         settings.adapter.empty() ? 0 : stable_hash(settings.adapter);
--- a/packages/decision/src/requests/request_flow.cpp
+++ b/packages/decision/src/requests/request_flow.cpp
@@ -88,12 +88,8 @@
     state.deadline = now + event.call.deadline;
     state.received_at = event.received_at;
     state.content = content;
+    state.prefix_blocks = prefix_blocks_of(event.call.input);
     state.stages.resize(state.graph->size());
-    for (stage_index n = 0; n < state.graph->size(); ++n)
-    {
-        state.stages[n].prefix_blocks =
-            prefix_blocks_of(event.call.input, state.graph->at(n));
-    }
     return state;
 }
 
--- a/packages/decision/src/requests/request_state.cpp
+++ b/packages/decision/src/requests/request_state.cpp
@@ -42,18 +42,18 @@
                         request.call.pipeline, "/", request.graph->at(n).name);
 }
 
-std::vector<std::uint64_t> prefix_blocks_of(std::string_view input,
-                                            stage_settings const& stage)
+std::vector<std::uint64_t> prefix_blocks_of(std::string_view input)
 {
     std::vector<std::uint64_t> blocks;
-    std::uint64_t previous =
-        stable_hash(absl::StrCat(stage.model, "/", stage.adapter));
+    // A running hash: its value after each block is that of all bytes so far.
+    std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> const state(
+        XXH3_createState(), &XXH3_freeState);
+    XXH3_64bits_reset(state.get());
     while (input.size() >= prefix_block_bytes &&
            blocks.size() < max_prefix_blocks)
     {
-        previous =
-            XXH3_64bits_withSeed(input.data(), prefix_block_bytes, previous);
-        blocks.push_back(previous);
+        XXH3_64bits_update(state.get(), input.data(), prefix_block_bytes);
+        blocks.push_back(XXH3_64bits_digest(state.get()));
         input.remove_prefix(prefix_block_bytes);
     }
     return blocks;
