decision: hold pool leases and give engine orders

Cause: leases and the order planner were tested alone, no VM used them. Change: three candidates for each engine pool whose settings name models try to hold leases/<pool>; the holder loads models that pipelines use, paced by the weight store's rate, with the lease's version as fencing number; orders are sent only while the lease check is fresh; failed orders are planned again. Conclusion: models are warm before the first request.

--- a/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
@@ -18,9 +18,12 @@
 #include <asio/steady_timer.hpp>
 
 #include <atomic>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <utility>
 
 namespace buckthornvale::daemon
 {
@@ -68,6 +71,7 @@
     void step(decision::event const& value);
     void execute(decision::effects& effects);
     void execute(decision::apply_settings const& change);
+    void execute(decision::send_order const& order);
     void install(decision::requests::settings_installed const& installed);
     void schedule_tick();
     void begin_drain();
@@ -91,6 +95,11 @@
     serving::upstream::load_poller poller_;
     peer_gateway peers_;
     store_gateway store_;
+    std::mutex orders_mutex_;
+    //! Orders without an answer yet, by runner and model.
+    std::map<std::pair<decision::runner_id, std::uint64_t>,
+             decision::send_order>
+        open_orders_;
     std::thread finisher_; //!< waits for the last caller of a drain
     std::atomic<bool> ready_{false};
     std::atomic<bool> draining_{false};
--- a/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
@@ -30,6 +30,8 @@
     void execute(decision::bookings::read_object call);
     void execute(decision::bookings::write_object call);
     void execute(decision::bookings::delete_object call);
+    void execute(decision::read_lease_object call);
+    void execute(decision::write_lease_object call);
     void execute(decision::config::list_objects call);
     void execute(decision::config::watch_objects call);
 
@@ -59,6 +61,7 @@
     asio::thread_pool claims_;
     asio::thread_pool settings_;
     asio::thread_pool status_;
+    asio::thread_pool leases_;
     std::thread vm_list_;
 };
 
--- a/packages/daemon/src/entry_node.cpp
+++ b/packages/daemon/src/entry_node.cpp
@@ -182,6 +182,8 @@
                 else if constexpr (std::is_same_v<kind,
                                                   decision::set_peer_targets>)
                     peers_.execute(it);
+                else if constexpr (std::is_same_v<kind, decision::send_order>)
+                    execute(it);
                 else
                 {
                     metrics_.count(requests::event_counted{
@@ -328,7 +330,39 @@
     post(std::move(message));
 }
 
-void entry_node::ordered(serving::upstream::order_answered) {}
+void entry_node::execute(decision::send_order const& order)
+{
+    serving::upstream::engine_order call;
+    call.runner = order.order.runner;
+    call.host = order.host;
+    call.port = order.port;
+    call.fencing = order.order.fencing;
+    bool const load = order.order.kind == decision::leases::order_kind::load;
+    call.kind = load ? "load" : "unload";
+    call.name = order.model;
+    call.valid_for = order.valid_for;
+    {
+        std::lock_guard const lock(orders_mutex_);
+        open_orders_[{call.runner, order.order.model}] = order;
+    }
+    upstream_.order(std::move(call));
+}
+
+void entry_node::ordered(serving::upstream::order_answered message)
+{
+    decision::send_order order;
+    {
+        std::lock_guard const lock(orders_mutex_);
+        auto const it = open_orders_.find(
+            {message.order.runner, decision::stable_hash(message.order.name)});
+        if (it == open_orders_.end())
+            return;
+        order = it->second;
+        open_orders_.erase(it);
+    }
+    if (message.result != serving::upstream::order_result::accepted)
+        post(decision::order_failed{order.pool, order.order});
+}
 
 void entry_node::reported(requests::runner_reported message)
 {
--- a/packages/daemon/src/store_gateway.cpp
+++ b/packages/daemon/src/store_gateway.cpp
@@ -42,6 +42,21 @@
     return bookings::store_status::unknown;
 }
 
+decision::leases::lease_status lease_status_of(call_status status)
+{
+    switch (status)
+    {
+    case call_status::done:
+        return decision::leases::lease_status::ok;
+    case call_status::not_found:
+        return decision::leases::lease_status::absent;
+    case call_status::conflict:
+        return decision::leases::lease_status::conflict;
+    default:
+        return decision::leases::lease_status::unknown;
+    }
+}
+
 config::settings_object object_of(platform::object value, bool deleted)
 {
     return {std::move(value.path), value.version, deleted,
@@ -68,7 +83,7 @@
                              platform::shared_store_budget& budget,
                              event_queue& events)
     : api_(api), budget_(budget), events_(events), claims_(claim_threads),
-      settings_(1), status_(1)
+      settings_(1), status_(1), leases_(1)
 {
 }
 
@@ -82,6 +97,7 @@
     claims_.stop();
     settings_.stop();
     status_.stop();
+    leases_.stop();
     // A watch that is just starting can miss the cancel; the loop ends when
     // its thread has.
     std::atomic<bool> joined{false};
@@ -99,6 +115,7 @@
     canceller.join();
     claims_.join();
     status_.join();
+    leases_.join();
     if (vm_list_.joinable())
         vm_list_.join();
 }
@@ -191,6 +208,51 @@
                });
 }
 
+void store_gateway::execute(decision::read_lease_object call)
+{
+    asio::post(leases_,
+               [this, call = std::move(call)]
+               {
+                   decision::lease_call_answered answer;
+                   answer.pool = call.pool;
+                   answer.call = call.call;
+                   if (permitted(call_purpose::lease, call_direction::read))
+                   {
+                       auto result = api_.get(call.path);
+                       report(call_purpose::lease, result.status);
+                       answer.status = lease_status_of(result.status);
+                       answer.version = result.value.version;
+                       answer.value = std::move(result.value.value);
+                   }
+                   events_.post(std::move(answer));
+               });
+}
+
+void store_gateway::execute(decision::write_lease_object call)
+{
+    asio::post(leases_,
+               [this, call = std::move(call)]
+               {
+                   decision::lease_call_answered answer;
+                   answer.pool = call.pool;
+                   answer.call = call.call;
+                   if (permitted(call_purpose::lease, call_direction::write))
+                   {
+                       auto const result = api_.put(
+                           call.path, call.expected_version, call.value);
+                       report(call_purpose::lease, result.status);
+                       answer.status = lease_status_of(result.status);
+                       answer.version = result.version;
+                       if (result.current)
+                       {
+                           answer.version = result.current->version;
+                           answer.value = result.current->value;
+                       }
+                   }
+                   events_.post(std::move(answer));
+               });
+}
+
 void store_gateway::execute(config::list_objects call)
 {
     asio::post(settings_,
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/leases/lease_codec.hpp
@@ -0,0 +1,21 @@
+#ifndef BUCKTHORNVALE_DECISION_LEASES_LEASE_CODEC_HPP
+#define BUCKTHORNVALE_DECISION_LEASES_LEASE_CODEC_HPP
+
+#include <buckthornvale/decision/leases/lease_effects.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace buckthornvale::decision::leases
+{
+
+//! JSON text of a lease object.
+std::string encode(lease_value const& value);
+
+//! Parses a lease object; nothing when it is damaged.
+std::optional<lease_value> decode_lease(std::string_view text);
+
+} // namespace buckthornvale::decision::leases
+
+#endif
--- a/packages/decision/include/buckthornvale/decision/reducer/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/effect.hpp
@@ -3,6 +3,7 @@
 
 #include <buckthornvale/decision/bookings/booking_effects.hpp>
 #include <buckthornvale/decision/config/config_effects.hpp>
+#include <buckthornvale/decision/leases/order_planner.hpp>
 #include <buckthornvale/decision/reducer/peer_payload.hpp>
 #include <buckthornvale/decision/requests/effect.hpp>
 
@@ -43,6 +44,36 @@
     std::vector<peer_target> peers;
 };
 
+//! Read the lease object of a pool.
+struct read_lease_object
+{
+    pool_id pool;
+    std::uint64_t call = 0; //!< repeated in the answer
+    std::string path;
+};
+
+//! Write the lease object of a pool when its version is the expected one.
+struct write_lease_object
+{
+    pool_id pool;
+    std::uint64_t call = 0;
+    std::string path;
+    std::uint64_t expected_version = 0;
+    std::string value;
+};
+
+//! Send an order to an engine, unless `valid_for` has passed by then: the
+//! right to give orders ends with the lease.
+struct send_order
+{
+    pool_id pool;
+    leases::engine_order order;
+    std::string model; //!< name of the order's model
+    std::string host;  //!< IP number
+    std::uint16_t port = 0;
+    duration valid_for{};
+};
+
 //! Everything that the reducer asks its shells to do.
 using effect = std::variant<
     requests::send_answer, requests::send_token, requests::start_attempt,
@@ -50,7 +81,8 @@
     requests::request_counted, requests::stage_counted, requests::event_counted,
     requests::state_logged, bookings::read_object, bookings::write_object,
     bookings::delete_object, config::list_objects, config::watch_objects,
-    apply_settings, send_peer, set_peer_targets>;
+    apply_settings, send_peer, set_peer_targets, read_lease_object,
+    write_lease_object, send_order>;
 
 //! Effects in the order in which they were decided.
 using effects = std::vector<effect>;
--- a/packages/decision/include/buckthornvale/decision/reducer/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/event.hpp
@@ -4,11 +4,14 @@
 #include <buckthornvale/decision/bookings/booking_effects.hpp>
 #include <buckthornvale/decision/config/config_effects.hpp>
 #include <buckthornvale/decision/fleet/member.hpp>
+#include <buckthornvale/decision/leases/lease_effects.hpp>
+#include <buckthornvale/decision/leases/order_planner.hpp>
 #include <buckthornvale/decision/reducer/peer_payload.hpp>
 #include <buckthornvale/decision/requests/attempt_messages.hpp>
 #include <buckthornvale/decision/requests/caller_messages.hpp>
 #include <buckthornvale/decision/requests/settings_view.hpp>
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -27,6 +30,23 @@
     config::call_token token = 0;
 };
 
+//! Answer to a call for a lease object.
+struct lease_call_answered
+{
+    pool_id pool;
+    leases::lease_status status = leases::lease_status::unknown;
+    std::uint64_t call = 0;
+    std::uint64_t version = 0;
+    std::string value;
+};
+
+//! An engine did not take an order, or it is not known that it did.
+struct order_failed
+{
+    pool_id pool;
+    leases::engine_order order;
+};
+
 //! The platform's list of VMs was read.
 struct vm_list_read
 {
@@ -74,7 +94,8 @@
                  requests::settings_installed, bookings::store_answer,
                  config::list_answer, config::watch_answer, watch_lost,
                  settings_call_failed, vm_list_read, peer_link_changed,
-                 peer_not_reached, peer_received, drain_started, ticked>;
+                 peer_not_reached, lease_call_answered, order_failed,
+                 peer_received, drain_started, ticked>;
 
 } // namespace buckthornvale::decision
 
--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -8,6 +8,7 @@
 #include <buckthornvale/decision/fleet/membership.hpp>
 #include <buckthornvale/decision/fleet/summary_aggregator.hpp>
 #include <buckthornvale/decision/isolation/crash_isolation.hpp>
+#include <buckthornvale/decision/leases/pool_orders.hpp>
 #include <buckthornvale/decision/reducer/effect.hpp>
 #include <buckthornvale/decision/reducer/event.hpp>
 #include <buckthornvale/decision/requests/request_flow.hpp>
@@ -20,6 +21,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -91,6 +93,8 @@
     void on(settings_call_failed const&, time_point, effects&);
     void on(vm_list_read const&, time_point, effects&);
     void on(peer_link_changed const&, time_point, effects&);
+    void on(lease_call_answered const&, time_point, effects&);
+    void on(order_failed const&, time_point, effects&);
     void on(peer_not_reached const&, time_point, effects&);
     void on(peer_received const&, time_point, effects&);
     void on(drain_started const&, time_point, effects&);
@@ -122,6 +126,10 @@
     void install_organisation(std::string const& name);
     void update_leaving(runner_id runner, time_point now);
     void update_capacity(time_point now);
+    void install_orders(pool_settings const& pool);
+    void tick_orders(time_point now, effects& out);
+    void emit_lease_call(leases::pool_orders const& orders,
+                         leases::lease_effect const& call, effects& out);
     void relink(time_point now, effects& out);
     void share_summaries(time_point now, effects& out);
     void take_peer_demand(time_point now);
@@ -157,6 +165,9 @@
     fleet::summary_aggregator summaries_;
     requests::request_flow flow_;
 
+    //! Engine pools whose settings name models, by id.
+    std::map<pool_id, leases::pool_orders> orders_;
+    time_point next_orders_{};
     absl::flat_hash_map<runner_id, leaving_reasons> leaving_;
     std::vector<vm_id> linked_; //!< peers of the topology with an open link
     std::vector<vm_id> topology_;
--- a/packages/decision/include/buckthornvale/decision/requests/executor.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/executor.hpp
@@ -15,6 +15,7 @@
 #include <buckthornvale/decision/retry/retry_policy.hpp>
 #include <buckthornvale/decision/routing/router.hpp>
 
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -90,6 +91,10 @@
     //! The request of an attempt in flight; null when there is none.
     attempt_state const* find(attempt_id id) { return attempts_.find(id); }
 
+    //! Attempts in flight that use a model, by the model's hash.
+    std::map<std::uint64_t, double>
+    attempts_by_model(request_table const& requests) const;
+
     std::size_t attempts_in_flight() const { return attempts_.size(); }
 
 private:
--- a/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
@@ -69,6 +69,12 @@
 
     std::size_t in_flight() const { return requests_.size(); }
 
+    //! Attempts in flight that use a model, by the model's hash.
+    std::map<std::uint64_t, double> attempts_by_model() const
+    {
+        return executor_.attempts_by_model(requests_);
+    }
+
     //! The runner that can tell the outcome of a claim, by the id that the
     //! claim was made with; empty when there is none.
     std::optional<outcome_source> outcome_source_of(request_id claim) const;
--- a/packages/decision/src/reducer/reducer.cpp
+++ b/packages/decision/src/reducer/reducer.cpp
@@ -180,6 +180,14 @@
     for (auto const& it : value.adapters)
         adapters.push_back(stable_hash(it));
     router_.report_resident(value.runner, models, adapters, now);
+    auto const* const entry = view_.runners().find(value.runner);
+    auto const orders =
+        entry == nullptr ? orders_.end() : orders_.find(entry->pool);
+    if (orders != orders_.end())
+    {
+        orders->second.report(value.runner, value.models, value.slots,
+                              value.leaving, now);
+    }
 }
 
 void reducer::on(requests::runner_cache_changed const& value, time_point now,
@@ -248,7 +256,10 @@
     auto const& pools = view_.settings().pools;
     auto const found = pools.find(name);
     if (found == pools.end())
+    {
+        orders_.erase(pool_id::of(name));
         return router_.set_runners(pool_id::of(name), {}, now);
+    }
     auto const& pool = found->second;
     std::vector<routing::runner_info> runners;
     for (auto const& it : pool.runners)
@@ -262,6 +273,7 @@
         runners.push_back(info);
     }
     router_.set_runners(pool_id::of(pool.name), runners, now);
+    install_orders(pool);
     for (auto const& it : pool.runners)
     {
         auto const id = runner_id::of(it.name);
@@ -400,6 +412,7 @@
     emit_detector(now, out);
     share_summaries(now, out);
     share_marks(now, out);
+    tick_orders(now, out);
     isolation_.expire(now);
 }
 
--- /dev/null
+++ b/packages/decision/src/reducer/reducer_orders.cpp
@@ -0,0 +1,133 @@
+#include <buckthornvale/decision/leases/lease_codec.hpp>
+#include <buckthornvale/decision/reducer/reducer.hpp>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace buckthornvale::decision
+{
+
+namespace
+{
+
+// VMs that try to hold one pool's lease; the store's calls for leases then do
+// not grow with the fleet.
+constexpr std::size_t lease_candidates = 3;
+
+constexpr duration orders_period = std::chrono::milliseconds(250);
+
+// How long after the lease check an order may still be sent. The successor's
+// first order comes 7 s after the holder's last check at the earliest.
+constexpr duration order_validity = std::chrono::seconds(1);
+
+} // namespace
+
+void reducer::install_orders(pool_settings const& pool)
+{
+    auto const id = pool_id::of(pool.name);
+    if (pool.kind != runner_kind::engine || pool.models.empty())
+    {
+        orders_.erase(id);
+        return;
+    }
+    auto const held = orders_.try_emplace(
+        id, pool.name, self_, settings_.incarnation, settings_.seed ^ id.value);
+    std::vector<std::string> warm;
+    for (auto const& it : view_.settings().pipelines)
+    {
+        for (auto const& stage : it.second.stages)
+        {
+            if (stage.pool == pool.name && !stage.model.empty())
+                warm.push_back(stage.model);
+        }
+    }
+    held.first->second.configure(pool, warm,
+                                 view_.settings().fleet.weight_store_rate);
+}
+
+void reducer::tick_orders(time_point now, effects& out)
+{
+    if (orders_.empty() || now < next_orders_)
+        return;
+    next_orders_ = now + orders_period;
+    std::vector<vm_id> live;
+    for (auto const& it : members_.live_entries())
+        live.push_back(it.id);
+    if (live.empty())
+        live.push_back(self_);
+    // The balancer spreads requests evenly, so the fleet's use of a model is
+    // taken as this VM's times the number of VMs.
+    auto const demand = flow_.attempts_by_model();
+    for (auto& [id, orders] : orders_)
+    {
+        orders.set_candidate(
+            leases::is_candidate(self_, id, live, lease_candidates), now);
+        for (auto const& [model, slots] : demand)
+        {
+            if (!orders.name_of(model).empty())
+                orders.set_demand(
+                    model, slots * static_cast<double>(live.size()), now);
+        }
+        std::vector<leases::lease_effect> calls;
+        std::vector<leases::engine_order> due;
+        orders.tick(now, calls, due);
+        for (auto const& it : calls)
+            emit_lease_call(orders, it, out);
+        for (auto const& it : due)
+        {
+            auto const* const runner = view_.runners().find(it.runner);
+            if (runner == nullptr)
+                continue;
+            out.push_back(send_order{id, it, orders.name_of(it.model),
+                                     runner->host, runner->port,
+                                     order_validity});
+            request_effects_.push_back(
+                requests::event_counted{requests::counter::order_sent, 1.});
+        }
+    }
+}
+
+void reducer::emit_lease_call(leases::pool_orders const& orders,
+                              leases::lease_effect const& call, effects& out)
+{
+    auto const path = absl::StrCat("leases/", orders.pool());
+    if (auto const* const read = std::get_if<leases::read_lease>(&call))
+        out.push_back(read_lease_object{read->pool, read->call, path});
+    else if (auto const* const write = std::get_if<leases::write_lease>(&call))
+    {
+        out.push_back(write_lease_object{write->pool, write->call, path,
+                                         write->expected_version,
+                                         leases::encode(write->value)});
+    }
+}
+
+void reducer::on(lease_call_answered const& value, time_point now, effects&)
+{
+    auto const it = orders_.find(value.pool);
+    if (it == orders_.end())
+        return;
+    leases::lease_answer answer;
+    answer.call = value.call;
+    answer.status = value.status;
+    answer.version = value.version;
+    // A damaged object is nobody's lease; the next write replaces it.
+    answer.value =
+        leases::decode_lease(value.value).value_or(leases::lease_value{});
+    bool const held = it->second.holds();
+    it->second.answer(answer, now);
+    if (held != it->second.holds())
+    {
+        log(absl::StrCat("lease of pool ", it->second.pool(),
+                         held ? " lost" : " acquired"));
+    }
+}
+
+void reducer::on(order_failed const& value, time_point, effects&)
+{
+    auto const it = orders_.find(value.pool);
+    if (it != orders_.end())
+        it->second.failed(value.order);
+}
+
+} // namespace buckthornvale::decision
--- a/packages/decision/src/requests/executor.cpp
+++ b/packages/decision/src/requests/executor.cpp
@@ -420,6 +420,23 @@
     }
 }
 
+std::map<std::uint64_t, double>
+executor::attempts_by_model(request_table const& requests) const
+{
+    std::map<std::uint64_t, double> counts;
+    for (auto const& [id, request] : requests)
+    {
+        for (stage_index n = 0; n < request.stages.size(); ++n)
+        {
+            auto const& model = request.graph->at(n).model;
+            auto const running = request.stages[n].attempts.size();
+            if (!model.empty() && running > 0)
+                counts[stable_hash(model)] += static_cast<double>(running);
+        }
+    }
+    return counts;
+}
+
 void executor::tick(request_table& requests, time_point now, effect_list& out,
                     std::vector<stage_result>& results)
 {
--- /dev/null
+++ b/packages/decision/tests/reducer/orders_test.cpp
@@ -0,0 +1,87 @@
+#include "support/vm_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::decision
+{
+namespace
+{
+
+using testing::fake_store;
+using testing::vm_fixture;
+
+void report_engines(vm_fixture& it, std::vector<std::string> const& models)
+{
+    for (int n = 1; n <= 3; ++n)
+    {
+        requests::runner_reported report;
+        report.runner = runner_id::of("engines-" + std::to_string(n));
+        report.reachable = true;
+        report.sequence =
+            static_cast<std::uint64_t>(it.now.time_since_epoch().count());
+        report.slots = 8.;
+        report.models = models;
+        it.post(report);
+    }
+}
+
+void run_for(std::vector<vm_fixture*> const& vms, duration length,
+             std::vector<std::string> const& models)
+{
+    constexpr duration step = std::chrono::milliseconds(100);
+    for (duration done{}; done < length; done += step)
+    {
+        for (auto* it : vms)
+        {
+            report_engines(*it, models);
+            it->advance(step);
+        }
+    }
+}
+
+// Guards against a cold start: a model that a pipeline uses is loaded before
+// the first request comes.
+TEST(engine_orders, load_a_model_that_no_engine_holds)
+{
+    fake_store store;
+    vm_fixture it(store);
+    run_for({&it}, std::chrono::seconds(30), {});
+    ASSERT_FALSE(it.orders.empty());
+    EXPECT_EQ(it.orders[0].model, "small");
+    EXPECT_EQ(it.orders[0].order.kind, leases::order_kind::load);
+    EXPECT_GT(it.orders[0].order.fencing, 0u);
+}
+
+// Guards against orders that change nothing and cost the weight store.
+TEST(engine_orders, are_not_given_when_the_model_is_warm)
+{
+    fake_store store;
+    vm_fixture it(store);
+    run_for({&it}, std::chrono::seconds(30), {"small"});
+    EXPECT_TRUE(it.orders.empty());
+}
+
+// Guards against two VMs that give orders for one pool at once.
+TEST(engine_orders, come_from_the_holder_of_the_lease_only)
+{
+    fake_store store;
+    vm_fixture first(store, "vm-1");
+    vm_fixture second(store, "vm-2");
+    run_for({&first, &second}, std::chrono::seconds(60), {});
+    EXPECT_NE(first.orders.empty(), second.orders.empty());
+}
+
+// Guards against an order of a holder that cannot renew its lease any more.
+TEST(engine_orders, stop_while_the_store_is_out)
+{
+    fake_store store;
+    vm_fixture it(store);
+    run_for({&it}, std::chrono::seconds(30), {"small"});
+    store.outage = true;
+    run_for({&it}, std::chrono::seconds(10), {"small"});
+    run_for({&it}, std::chrono::seconds(60), {});
+    EXPECT_TRUE(it.orders.empty());
+}
+
+} // namespace
+} // namespace buckthornvale::decision
--- a/packages/decision/tests/reducer/support/vm_fixture.cpp
+++ b/packages/decision/tests/reducer/support/vm_fixture.cpp
@@ -132,11 +132,13 @@
         settings.ranks[index_of(it)].guaranteed_share = 0.3;
     }
     settings.pools["engines"] = pool("engines", runner_kind::engine, runners);
+    settings.pools["engines"].models = {"small"};
     settings.pools["services"] =
         pool("services", runner_kind::service, runners);
 
     auto generate = stage("generate", "engines", {"encode"});
     generate.stream = true;
+    generate.model = "small";
     settings.pipelines["answer"] =
         pipeline("answer", {stage("encode", "engines", {}), generate});
     settings.pipelines["fan"] = pipeline(
@@ -217,12 +219,47 @@
         else if (auto* const write =
                      std::get_if<bookings::write_object>(&effect))
             post(store_.apply(*write));
+        else if (auto* const lease = std::get_if<read_lease_object>(&effect))
+            answer_lease(lease->pool, lease->call,
+                         store_.apply(bookings::read_object{0, lease->path}));
+        else if (auto* const renew = std::get_if<write_lease_object>(&effect))
+            answer_lease(
+                renew->pool, renew->call,
+                store_.apply(bookings::write_object{
+                    0, renew->path, renew->expected_version, renew->value}));
+        else if (auto* const order = std::get_if<send_order>(&effect))
+            orders.push_back(*order);
         else if (auto* const remove =
                      std::get_if<bookings::delete_object>(&effect))
             post(store_.apply(*remove));
     }
 }
 
+void vm_fixture::answer_lease(pool_id pool, std::uint64_t call,
+                              bookings::store_answer const& answer)
+{
+    lease_call_answered event;
+    event.pool = pool;
+    event.call = call;
+    event.version = answer.version;
+    event.value = answer.value;
+    switch (answer.status)
+    {
+    case bookings::store_status::ok:
+        event.status = leases::lease_status::ok;
+        break;
+    case bookings::store_status::absent:
+        event.status = leases::lease_status::absent;
+        break;
+    case bookings::store_status::conflict:
+        event.status = leases::lease_status::conflict;
+        break;
+    default:
+        event.status = leases::lease_status::unknown;
+    }
+    post(event);
+}
+
 request_id vm_fixture::send(std::string const& pipeline, std::string const& key,
                             bool stream, std::string const& input)
 {
--- a/packages/decision/tests/reducer/support/vm_fixture.hpp
+++ b/packages/decision/tests/reducer/support/vm_fixture.hpp
@@ -81,12 +81,15 @@
     std::vector<requests::send_token> tokens;
     std::vector<requests::start_attempt> attempts;
     std::vector<requests::cancel_attempt> cancels;
+    std::vector<send_order> orders;
     time_point now{std::chrono::seconds(1)};
     wall_time wall{std::chrono::hours(500000)};
     reducer vm;
 
 private:
     void execute(effects& out);
+    void answer_lease(pool_id pool, std::uint64_t call,
+                      bookings::store_answer const& answer);
 
     fake_store& store_;
     fleet_settings settings_;
