fuzz: add targets and corpus tests for the parsers of untrusted input

Cause: damaged input was tested in single cases only; nothing searched for inputs that crash a parser or make it allocate without bound.

Change: nine targets, each one function over bytes, for the peer codec, object paths, settings objects, process settings, claim shards, object API responses, caller requests, runner responses and server-sent events. corpus_tests runs them over a committed corpus in the normal build; BUCKTHORNVALE_FUZZ builds a libFuzzer program for each. The bodies of object API responses are now parsed by object_codec, apart from cpp-httplib, so that a target can reach them; behaviour is unchanged.

Conclusion: the parsers' known cases are repeated by each build.

--- /dev/null
+++ b/fuzz/targets/all.cpp
@@ -0,0 +1,22 @@
+#include <targets/targets.hpp>
+
+namespace buckthornvale::fuzz
+{
+
+absl::Span<target const> all_targets()
+{
+    static constexpr target targets[] = {
+        {"peer_message", peer_message},
+        {"object_path", object_path},
+        {"settings_object", settings_object},
+        {"process_settings", process_settings},
+        {"claim_shard", claim_shard},
+        {"object_answer", object_answer},
+        {"caller_request", caller_request},
+        {"runner_answer", runner_answer},
+        {"event_stream", event_stream},
+    };
+    return targets;
+}
+
+} // namespace buckthornvale::fuzz
--- /dev/null
+++ b/fuzz/targets/caller_request.cpp
@@ -0,0 +1,31 @@
+#include <buckthornvale/serving/http/caller_codec.hpp>
+#include <buckthornvale/serving/http/json_text.hpp>
+
+#include <targets/input.hpp>
+#include <targets/targets.hpp>
+
+namespace buckthornvale::fuzz
+{
+
+bool caller_request(std::string_view bytes)
+{
+    namespace http = serving::http;
+    auto body = bytes;
+    auto const pipeline = take_line(body);
+    auto const authorization = take_line(body);
+    auto const parsed =
+        http::parse_caller_request(pipeline, authorization, body);
+    auto const* call = std::get_if<decision::requests::caller_request>(&parsed);
+    if (call == nullptr)
+        return false;
+    require(http::is_plain_name(call->organisation), "plain organisation");
+    require(call->deadline > decision::duration::zero(), "positive deadline");
+    // The input is cut out of the text; a wrong cut would run another input.
+    auto const document = http::parse_json(body);
+    auto const input = http::parse_json(call->input);
+    require(input.has_value(), "the input is JSON");
+    require(*input == document->at("input"), "the input is that of the body");
+    return true;
+}
+
+} // namespace buckthornvale::fuzz
--- /dev/null
+++ b/fuzz/targets/input.hpp
@@ -0,0 +1,32 @@
+#ifndef BUCKTHORNVALE_FUZZ_TARGETS_INPUT_HPP
+#define BUCKTHORNVALE_FUZZ_TARGETS_INPUT_HPP
+
+#include <cstdio>
+#include <cstdlib>
+#include <string_view>
+
+namespace buckthornvale::fuzz
+{
+
+//! Removes the first line from `rest` and returns it without its end.
+inline std::string_view take_line(std::string_view& rest)
+{
+    auto const end = rest.find('\n');
+    auto const line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    return line;
+}
+
+//! Aborts when `holds` is false, so that both libFuzzer and the corpus tests
+//! report the input.
+inline void require(bool holds, char const* rule)
+{
+    if (holds)
+        return;
+    std::fprintf(stderr, "broken rule: %s\n", rule);
+    std::abort();
+}
+
+} // namespace buckthornvale::fuzz
+
+#endif
--- a/packages/platform/src/objects/http_object_api.cpp
+++ b/packages/platform/src/objects/http_object_api.cpp
@@ -1,7 +1,7 @@
 #include <buckthornvale/platform/objects/http_object_api.hpp>
+#include <buckthornvale/platform/objects/object_codec.hpp>
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
 
 namespace buckthornvale::platform
 {
@@ -9,8 +9,6 @@
 namespace
 {
 
-using nlohmann::json;
-
 // A watch's response may be this much later than its timeout.
 constexpr auto watch_margin = std::chrono::seconds(5);
 
@@ -60,61 +58,9 @@
             "connection: " + httplib::to_string(error)};
 }
 
-object object_from(json const& value)
-{
-    return {value.at("path").get<std::string>(),
-            value.at("version").get<std::uint64_t>(),
-            value.at("value").get<std::string>()};
-}
-
-object_page page_from(json const& value)
-{
-    object_page page;
-    page.revision = value.at("revision").get<std::uint64_t>();
-    if (value.contains("next"))
-        page.next = value["next"].get<std::string>();
-    for (auto const& it : value.at("items"))
-        page.items.push_back(object_from(it));
-    return page;
-}
-
-object_changes changes_from(json const& value)
-{
-    object_changes changes;
-    changes.revision = value.at("revision").get<std::uint64_t>();
-    for (auto const& it : value.at("events"))
-    {
-        object_event event;
-        event.is_delete = it.at("kind").get<std::string>() == "delete";
-        event.changed.path = it.at("path").get<std::string>();
-        event.changed.version = it.at("version").get<std::uint64_t>();
-        event.changed.value = it.value("value", "");
-        changes.events.push_back(std::move(event));
-    }
-    return changes;
-}
-
-std::vector<platform_vm> vms_from(json const& value)
-{
-    std::vector<platform_vm> vms;
-    for (auto const& it : value.at("vms"))
-    {
-        platform_vm vm;
-        vm.id = it.at("id").get<std::string>();
-        vm.role = it.value("role", "entry") == "runner" ? vm_role::runner
-                                                        : vm_role::entry;
-        vm.address = it.value("address", "");
-        vm.peer_address = it.value("peer_address", "");
-        vm.failure_domain = it.value("failure_domain", "");
-        vm.is_leaving = it.value("state", "live") == "leaving";
-        vms.push_back(std::move(vm));
-    }
-    return vms;
-}
-
 template <class Value>
 read_result<Value> read_from(httplib::Result const& result,
-                             Value (*parse)(json const&))
+                             Value (*parse)(std::string_view))
 {
     auto [status, detail] = classify(result);
     read_result<Value> value{status, {}, std::move(detail)};
@@ -122,12 +68,12 @@
         return value;
     try
     {
-        value.value = parse(json::parse(result->body));
+        value.value = parse(result->body);
     }
-    catch (json::exception const& error)
+    catch (malformed_response const& error)
     {
         value.status = call_status::unknown;
-        value.detail = std::string("malformed response: ") + error.what();
+        value.detail = error.what();
     }
     return value;
 }
@@ -136,22 +82,17 @@
 {
     auto [status, detail] = classify(result);
     write_result value{status, 0, std::nullopt, std::move(detail)};
-    if (status != call_status::done && status != call_status::conflict)
-        return value;
     try
     {
-        auto const body = json::parse(result->body);
-        auto const version = body.at("version").get<std::uint64_t>();
         if (status == call_status::done)
-            value.version = version;
-        else if (version != 0)
-            value.current =
-                object{path, version, body.at("value").get<std::string>()};
+            value.version = parse_written_version(result->body);
+        else if (status == call_status::conflict)
+            value.current = parse_conflict(result->body, path);
     }
-    catch (json::exception const& error)
+    catch (malformed_response const& error)
     {
         value.status = call_status::unknown;
-        value.detail = std::string("malformed response: ") + error.what();
+        value.detail = error.what();
     }
     return value;
 }
@@ -189,7 +130,7 @@
 read_result<object> http_object_api::get(std::string const& path)
 {
     auto const client = connect(limits_.read);
-    return read_from(client->Get(object_route(path)), &object_from);
+    return read_from(client->Get(object_route(path)), &parse_stored_object);
 }
 
 write_result http_object_api::put(std::string const& path,
@@ -218,7 +159,7 @@
         {"prefix", prefix}, {"after", after}, {"limit", std::to_string(limit)}};
     auto const client = connect(limits_.read);
     return read_from(client->Get("/v1/list", params, httplib::Headers{}),
-                     &page_from);
+                     &parse_page);
 }
 
 read_result<object_changes> http_object_api::watch(std::string const& prefix,
@@ -240,13 +181,13 @@
         std::lock_guard const lock(mutex_);
         watching_.erase(client.get());
     }
-    return read_from(result, &changes_from);
+    return read_from(result, &parse_changes);
 }
 
 read_result<std::vector<platform_vm>> http_object_api::vms()
 {
     auto const client = connect(limits_.read);
-    return read_from(client->Get("/v1/vms"), &vms_from);
+    return read_from(client->Get("/v1/vms"), &parse_vms);
 }
 
 void http_object_api::cancel_watches()
