settings, bookings, platform: refuse values that were silently changed

The inputs are in the corpus.

Conclusion: a damaged value is reported instead of taken as another one.

--- a/packages/decision/src/bookings/shard_document.cpp
+++ b/packages/decision/src/bookings/shard_document.cpp
@@ -1,13 +1,17 @@
 #include <buckthornvale/decision/bookings/shard_document.hpp>
 #include <buckthornvale/decision/core/text.hpp>
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/status/status.h>
 #include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <functional>
+#include <limits>
 #include <optional>
+#include <string>
 
 namespace buckthornvale::decision::bookings
 {
@@ -94,6 +98,17 @@
     return true;
 }
 
+bool parse_deadline(json const& value, wall_time& out)
+{
+    constexpr auto latest =
+        static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
+    if (!value.is_number_integer() ||
+        (value.is_number_unsigned() && value.get<std::uint64_t>() > latest))
+        return false;
+    out = wall_time(std::chrono::milliseconds(value.get<std::int64_t>()));
+    return true;
+}
+
 bool decode_result(json const& value, booking_result& result)
 {
     if (!parse_digest_field(value[digest_field], result.digest) ||
@@ -122,15 +137,41 @@
         !parse_number(value[owner_field], entry.owner.value) ||
         !parse_number(value[incarnation_field], entry.incarnation) ||
         !parse_number(value[nonce_field], entry.nonce) ||
-        !value[deadline_field].is_number_integer())
+        !parse_deadline(value[deadline_field], entry.deadline))
         return false;
-    entry.deadline = wall_time(
-        std::chrono::milliseconds(value[deadline_field].get<std::int64_t>()));
     if (entry.state != claim_state::completed)
         return value.size() == plain_fields;
     return value.size() == all_fields && decode_result(value, entry.result);
 }
 
+// Notes whether a member of the document or a claim's id is there twice. The
+// parser keeps the last of two members, which would drop a claim silently.
+class duplicate_check
+{
+public:
+    bool operator()(int depth, json::parse_event_t event, json const& parsed)
+    {
+        if (event != json::parse_event_t::key)
+            return true;
+        if (depth == document_depth)
+            found_ =
+                !members_.insert(parsed.get<std::string>()).second || found_;
+        else if (depth == claims_depth)
+            found_ = !ids_.insert(parsed.get<std::string>()).second || found_;
+        return true;
+    }
+
+    bool found() const { return found_; }
+
+private:
+    static constexpr int document_depth = 1;
+    static constexpr int claims_depth = 2;
+
+    absl::flat_hash_set<std::string> members_;
+    absl::flat_hash_set<std::string> ids_;
+    bool found_ = false;
+};
+
 absl::Status damaged(std::string_view what)
 {
     return absl::DataLossError(
@@ -142,9 +183,12 @@
 
 absl::StatusOr<shard_document> shard_document::decode(std::string_view value)
 {
-    auto const parsed = json::parse(value, nullptr, false);
+    duplicate_check duplicates;
+    auto const parsed = json::parse(value, std::ref(duplicates), false);
     if (parsed.is_discarded() || !parsed.is_object())
         return damaged("not a JSON object");
+    if (duplicates.found())
+        return damaged("a member is there twice");
     auto const version = parsed.find("v");
     if (version == parsed.end() || *version != format_version)
         return damaged("unknown format version");
--- a/packages/platform/src/objects/object_codec.cpp
+++ b/packages/platform/src/objects/object_codec.cpp
@@ -10,17 +10,35 @@
 
 using nlohmann::json;
 
+// nlohmann-json would convert a negative number or a fraction, and the result
+// would be taken for a version.
+std::uint64_t number_from(json const& value, char const* name)
+{
+    auto const& number = value.at(name);
+    if (!number.is_number_unsigned())
+        throw malformed_response(std::string("malformed response: '") + name +
+                                 "' is not a whole number up to 2^64 - 1");
+    return number.get<std::uint64_t>();
+}
+
+bool is_delete(json const& event)
+{
+    auto const& kind = event.at("kind").get_ref<std::string const&>();
+    if (kind != "put" && kind != "delete")
+        throw malformed_response("malformed response: unknown kind of event");
+    return kind == "delete";
+}
+
 object object_from(json const& value)
 {
-    return {value.at("path").get<std::string>(),
-            value.at("version").get<std::uint64_t>(),
+    return {value.at("path").get<std::string>(), number_from(value, "version"),
             value.at("value").get<std::string>()};
 }
 
 object_page page_from(json const& value)
 {
     object_page page;
-    page.revision = value.at("revision").get<std::uint64_t>();
+    page.revision = number_from(value, "revision");
     if (value.contains("next"))
         page.next = value["next"].get<std::string>();
     for (auto const& it : value.at("items"))
@@ -31,14 +49,15 @@
 object_changes changes_from(json const& value)
 {
     object_changes changes;
-    changes.revision = value.at("revision").get<std::uint64_t>();
+    changes.revision = number_from(value, "revision");
     for (auto const& it : value.at("events"))
     {
         object_event event;
-        event.is_delete = it.at("kind").get<std::string>() == "delete";
+        event.is_delete = is_delete(it);
         event.changed.path = it.at("path").get<std::string>();
-        event.changed.version = it.at("version").get<std::uint64_t>();
-        event.changed.value = it.value("value", "");
+        event.changed.version = number_from(it, "version");
+        if (!event.is_delete)
+            event.changed.value = it.at("value").get<std::string>();
         changes.events.push_back(std::move(event));
     }
     return changes;
@@ -78,7 +97,7 @@
 
 std::uint64_t version_from(json const& value)
 {
-    return value.at("version").get<std::uint64_t>();
+    return number_from(value, "version");
 }
 
 // The path is not part of this body.
--- a/packages/settings/src/schema/detail/read.cpp
+++ b/packages/settings/src/schema/detail/read.cpp
@@ -62,7 +62,15 @@
         return std::nullopt;
     }
     auto const value = node.value<double>();
-    if (!value || !check_range(into, node, rule, *value))
+    if (!value)
+    {
+        // toml++ gives nothing for an integer that no double holds exactly.
+        into.add(problem_kind::out_of_range, line_of(&node), rule.key,
+                 "the integer is too large",
+                 absl::StrCat("choose a value from ", describe(rule)));
+        return std::nullopt;
+    }
+    if (!check_range(into, node, rule, *value))
         return std::nullopt;
     return value;
 }
