--- a/cmake/buckthornvale_package.cmake
+++ b/cmake/buckthornvale_package.cmake
@@ -35,7 +35,9 @@
   string(APPEND lines
     "include(\${CMAKE_CURRENT_LIST_DIR}/${config_name}-targets.cmake)\n")
   file(WRITE ${config} "${lines}")
-  install(FILES ${config}
+  set(version ${CMAKE_CURRENT_BINARY_DIR}/${config_name}-config-version.cmake)
+  write_basic_package_version_file(${version} COMPATIBILITY SameMinorVersion)
+  install(FILES ${config} ${version}
           DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/${config_name})
 endfunction()
 
--- /dev/null
+++ b/examples/use_package/serving.cpp
@@ -0,0 +1,12 @@
+#include <buckthornvale/serving/http/caller_codec.hpp>
+#include <buckthornvale/serving/http/http_front.hpp>
+
+#include <type_traits>
+
+int main()
+{
+    // The header of the front end includes those of cpp-httplib.
+    using buckthornvale::serving::http::http_front;
+    static_assert(!std::is_copy_constructible_v<http_front>);
+    return buckthornvale::serving::http::is_plain_name("clearers") ? 0 : 1;
+}
