demo: add a load with a burn report, share the start of the fleet

A reader could not get a burn report of load that ran on the own machine, and demo/run.sh held the whole start of the fleet, so a second script would have copied it.

The page has no unclosed element and no outside reference; it was not seen in a browser.

Conclusion: one command leads to a report of the reader's own run.

--- /dev/null
+++ b/demo/fleet.sh
@@ -0,0 +1,147 @@
+# Library of the demo scripts: starts stand-ins for the platform and the
+# runners and three entry VMs on loopback, and stops them on exit. Source it
+# from the repository's root; the binaries are those in `build`.
+
+work=$(mktemp -d)
+pids=()
+http_ports=()
+platform=
+domains=(north south east west)
+
+stop_fleet() {
+    if [ "${#pids[@]}" -gt 0 ]; then
+        kill -TERM "${pids[@]}" 2>/dev/null || true
+        wait "${pids[@]}" 2>/dev/null || true
+    fi
+    rm -rf "$work"
+}
+trap stop_fleet EXIT
+
+# Builds only the programs that the demos start; the tests take far longer.
+build_fleet() {
+    bash tools/install_dependencies.sh
+    cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
+    cmake --build build --target buckthornvaled buckthornvalectl \
+        platform_standin buckthornvale_standin_engine \
+        buckthornvale_standin_service
+}
+
+# start NAME COMMAND...: runs a program until the end of the script.
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    pids+=("$!")
+}
+
+# await_line NAME PATTERN: prints the first line of NAME's output that matches.
+await_line() {
+    local tries=0
+    until grep -m1 -E "$2" "$work/$1.out" 2>/dev/null; do
+        tries=$((tries + 1))
+        if [ "$tries" -gt 300 ]; then
+            echo "$1 did not start; its log:" >&2
+            cat "$work/$1.log" >&2
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+port_of() {
+    await_line "$1" '^listening' | sed -E 's/.*127\.0\.0\.1:([0-9]+).*/\1/'
+}
+
+# add_pool NAME KIND COUNT EXTRA-TOML FLAGS...: starts runners and writes the
+# pool's settings with their ports.
+add_pool() {
+    local pool=$1 kind=$2 count=$3 extra=$4
+    shift 4
+    local file="$work/objects/settings/pools/$pool.toml"
+    local n name
+    printf 'kind = "%s"\n%s\n' "$kind" "$extra" >"$file"
+    for n in $(seq 1 "$count"); do
+        name="$pool-$n"
+        start "$name" "build/standins/$kind/buckthornvale_standin_$kind" \
+            --name "$name" "$@"
+        printf '\n[[runners]]\nname = "%s"\nhost = "127.0.0.1"\nport = %s\nfailure_domain = "%s"\nslots = 4\n' \
+            "$name" "$(port_of "$name")" "${domains[$((n % 4))]}" >>"$file"
+    done
+}
+
+start_runners() {
+    mkdir -p "$work/objects/settings"
+    cp -r demo/settings/. "$work/objects/settings/"
+    mkdir -p "$work/objects/settings/pools"
+    add_pool encoders engine 2 '' --work_ms 5
+    add_pool retrievers engine 2 '' --work_ms 8
+    add_pool rerankers engine 2 '' --work_ms 8
+    add_pool assistants engine 4 'resumes_streams = true' --token_ms 5 \
+        --models assistant-small
+    add_pool bookings service 2 'answers_outcomes = true' --work_ms 10
+}
+
+start_platform() {
+    start platform build/standins/platform/platform_standin \
+        --load "$work/objects"
+    platform=127.0.0.1:$(port_of platform)
+    echo "platform stand-in on $platform"
+}
+
+# start_vm NUMBER: starts one entry VM and lists it on the platform.
+start_vm() {
+    local n=$1 line http peer
+    cat >"$work/vm-$n.toml" <<TOML
+vm = "vm-$n"
+failure_domain = "${domains[$n]}"
+region = "demo"
+[platform]
+address = "$platform"
+[shutdown]
+notice_ms = 200
+TOML
+    start "vm-$n" build/packages/daemon/buckthornvaled \
+        --config "$work/vm-$n.toml"
+    line=$(await_line "vm-$n" '^listening http')
+    http=$(sed -E 's/.*http ([0-9.:]+) .*/\1/' <<<"$line")
+    peer=$(sed -E 's/.*peer ([0-9.:]+)$/\1/' <<<"$line")
+    http_ports+=("${http##*:}")
+    curl -sS -o /dev/null -X POST "http://$platform/vms" -d \
+        "{\"id\":\"vm-$n\",\"role\":\"entry\",\"address\":\"$http\",\"peer_address\":\"$peer\",\"failure_domain\":\"${domains[$n]}\",\"state\":\"live\"}"
+}
+
+await_ready() {
+    local port tries
+    for port in "${http_ports[@]}"; do
+        tries=0
+        until curl -sf -o /dev/null "http://127.0.0.1:$port/readyz"; do
+            tries=$((tries + 1))
+            if [ "$tries" -gt 200 ]; then
+                echo "the VM on port $port did not become ready" >&2
+                return 1
+            fi
+            sleep 0.1
+        done
+    done
+    echo "three VMs are ready on ports ${http_ports[*]}"
+}
+
+start_fleet() {
+    start_runners
+    start_platform
+    local n
+    for n in 1 2 3; do
+        start_vm "$n"
+    done
+    await_ready
+}
+
+# send VM PIPELINE ORGANISATION BODY-FIELDS: one request.
+send() {
+    local port=${http_ports[$(($1 - 1))]}
+    curl -sSN -X POST "http://127.0.0.1:$port/v1/pipelines/$2/requests" \
+        -H "Authorization: Bearer $3-demo-key" \
+        -H 'Content-Type: application/json' \
+        -d "{\"organisation\":\"$3\",\"deadline_ms\":4000,$4}"
+    echo
+}
--- /dev/null
+++ b/demo/load.sh
@@ -0,0 +1,96 @@
+#!/usr/bin/env bash
+# Sends a bounded load to the demo fleet and writes its burn report.
+#
+#   bash demo/load.sh FOLDER
+#
+# Writes FOLDER/burn.jsonl (snapshots), FOLDER/burn.json and FOLDER/burn.html.
+# The same requests are sent on each run: a few loops in parallel, each
+# sending a fixed number of requests one after the other.
+set -euo pipefail
+if [ "$#" -ne 1 ]; then
+    echo "usage: bash demo/load.sh FOLDER" >&2
+    exit 2
+fi
+mkdir -p "$1"
+folder=$(cd "$1" && pwd)
+cd "$(dirname "$0")/.."
+source demo/fleet.sh
+
+readonly loop_count=6
+readonly requests_per_loop=50
+readonly request_count=$((loop_count * requests_per_loop))
+snapshots=$folder/burn.jsonl
+# Snapshots of an earlier fleet would count as traffic of this one.
+if [ -e "$snapshots" ]; then
+    echo "$snapshots exists; name another folder" >&2
+    exit 2
+fi
+
+build_fleet
+start_fleet
+
+ctl() {
+    build/packages/ctl/buckthornvalectl --platform "$platform" "$@"
+}
+
+take_snapshot() {
+    if ! ctl report burn --record "$snapshots" \
+        >/dev/null 2>"$work/snapshot.log"; then
+        cat "$work/snapshot.log" >&2
+        return 1
+    fi
+}
+
+ranks=(urgent standard background)
+organisations=(clearers grinders)
+
+# send_loop NUMBER: the rank, organisation and VM of each request follow from
+# the loop's and the request's numbers alone.
+send_loop() {
+    local loop=$1 n rank organisation
+    for n in $(seq 1 "$requests_per_loop"); do
+        rank=${ranks[$(((loop + n) % 3))]}
+        organisation=${organisations[$((loop % 2))]}
+        send "$((n % 3 + 1))" answer "$organisation" \
+            "\"rank\":\"$rank\",\"input\":{\"question\":\"round $loop-$n\"}" \
+            >>"$work/answers-$loop"
+    done
+}
+
+echo "sending $request_count requests"
+take_snapshot
+loops=()
+for loop in $(seq 1 "$loop_count"); do
+    send_loop "$loop" &
+    loops+=("$!")
+done
+# Until the loops have ended, a failure of this script stops them as well.
+fleet=("${pids[@]}")
+pids+=("${loops[@]}")
+# Seconds between snapshots during the load; the VMs' counters have no history.
+snapshot_period=1
+is_sending() {
+    local pid
+    for pid in "${loops[@]}"; do
+        kill -0 "$pid" 2>/dev/null && return 0
+    done
+    return 1
+}
+while is_sending; do
+    sleep "$snapshot_period"
+    take_snapshot
+done
+wait "${loops[@]}"
+pids=("${fleet[@]}")
+take_snapshot
+
+echo "outcomes:"
+grep -ohE '"outcome":"[a-z_]+"' "$work"/answers-* | sort | uniq -c
+answered=$(cat "$work"/answers-* | grep -c '"outcome":')
+if [ "$answered" -ne "$request_count" ]; then
+    echo "only $answered of $request_count requests were answered" >&2
+    exit 1
+fi
+ctl report burn --from "$snapshots" --output json >"$folder/burn.json"
+ctl report burn --from "$snapshots" --html "$folder/burn.html"
+echo "$(wc -l <"$snapshots") snapshots in $snapshots"
