fleet: work out the local summary once per period, not at each tick

Cause: each tick (100/s) summed the local demand over all pools and the heaviest organisations, sorted and bounded the sum, and kept it; summaries are sent once a second, so 99 of 100 sums were thrown away.

Change: the reducer asks the aggregator whether the next tick sends and works the local load out only then.

--- a/packages/decision/include/buckthornvale/decision/fleet/summary_aggregator.hpp
+++ b/packages/decision/include/buckthornvale/decision/fleet/summary_aggregator.hpp
@@ -47,6 +47,8 @@
 
     void set_links(absl::Span<topology_link const> links, time_point now);
     void set_local(load_summary summary);
+    //! True when the next `tick` sends; only then does it read the local load.
+    bool due(time_point now) const { return !started_ || now >= next_; }
     void receive(vm_id from, summary_message const& message, time_point now);
     //! Appends one message per link once per period.
     void tick(time_point now, std::vector<outgoing_summary>& out);
--- a/packages/decision/src/fleet/summary_aggregator.cpp
+++ b/packages/decision/src/fleet/summary_aggregator.cpp
@@ -260,11 +260,11 @@
 void summary_aggregator::tick(time_point now,
                               std::vector<outgoing_summary>& out)
 {
+    if (!due(now))
+        return;
     if (!started_)
         next_ = now;
     started_ = true;
-    if (now < next_)
-        return;
     next_ = std::max(next_ + settings_.period, now);
     for (auto& it : links_)
     {
--- a/packages/decision/src/reducer/reducer_peers.cpp
+++ b/packages/decision/src/reducer/reducer_peers.cpp
@@ -260,6 +260,10 @@
 
 void reducer::share_summaries(time_point now, effects& out)
 {
+    // The local load is a sum over all pools and the heaviest organisations;
+    // it is worked out once per period, not at each tick.
+    if (!summaries_.due(now))
+        return;
     summaries_.set_local(local_summary(now));
     std::vector<fleet::outgoing_summary> messages;
     summaries_.tick(now, messages);
