standins: count cancels and add an outage of the objects alone

Cause: scenarios on real processes cannot see whether an engine was sent a cancel, and an outage also hides the list of VMs, so that a starting VM cannot find its peers. Change: GET /executions gains 'cancels', POST /faults of the platform gains 'object_outage', which leaves GET /v1/vms readable.

--- a/standins/common/executions.cpp
+++ b/standins/common/executions.cpp
@@ -16,10 +16,17 @@
         ++by_key_[idempotency_key];
 }
 
+void executions::add_cancel()
+{
+    std::lock_guard lock(mutex_);
+    ++cancels_;
+}
+
 std::string executions::to_json() const
 {
     std::lock_guard lock(mutex_);
     nlohmann::json const value = {{"total", total_},
+                                  {"cancels", cancels_},
                                   {"by_request", by_request_},
                                   {"by_attempt", by_attempt_},
                                   {"by_key", by_key_}};
--- a/standins/common/executions.hpp
+++ b/standins/common/executions.hpp
@@ -17,7 +17,10 @@
     void add(std::string const& request, std::string const& attempt,
              std::string const& idempotency_key);
 
-    //! Body of GET /executions: {"total","by_request":{id:count},
+    //! Counts one POST /v1/cancel.
+    void add_cancel();
+
+    //! Body of GET /executions: {"total","cancels","by_request":{id:count},
     //! "by_attempt":{..},"by_key":{..}}.
     std::string to_json() const;
     std::uint64_t total() const;
@@ -27,6 +30,7 @@
 
     mutable std::mutex mutex_;
     std::uint64_t total_ = 0;
+    std::uint64_t cancels_ = 0;
     counts by_request_;
     counts by_attempt_;
     counts by_key_;
--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -161,6 +161,7 @@
 
 void standin_server::cancel(std::string const& attempt_id)
 {
+    executions_.add_cancel();
     {
         std::lock_guard lock(mutex_);
         auto const it = in_flight_.find(attempt_id);
--- a/standins/platform/fault_gate.cpp
+++ b/standins/platform/fault_gate.cpp
@@ -18,6 +18,12 @@
     is_outage_ = value;
 }
 
+void fault_gate::set_object_outage(bool value)
+{
+    std::lock_guard const lock(mutex_);
+    is_object_outage_ = value;
+}
+
 void fault_gate::set_delay(std::chrono::milliseconds value)
 {
     std::lock_guard const lock(mutex_);
@@ -43,7 +49,7 @@
 {
     std::lock_guard const lock(mutex_);
     ++counts_.by_kind[static_cast<std::size_t>(kind)];
-    if (is_outage_)
+    if (is_outage_ || (is_object_outage_ && kind != call_kind::vms))
     {
         ++counts_.refused_by_outage;
         return admission::outage;
@@ -74,7 +80,7 @@
 bool fault_gate::is_outage() const
 {
     std::lock_guard const lock(mutex_);
-    return is_outage_;
+    return is_outage_ || is_object_outage_;
 }
 
 std::chrono::milliseconds fault_gate::delay() const
--- a/standins/platform/fault_gate.hpp
+++ b/standins/platform/fault_gate.hpp
@@ -57,6 +57,9 @@
     using clock = std::chrono::steady_clock;
 
     void set_outage(bool value);
+
+    //! An outage that leaves the list of VMs readable.
+    void set_object_outage(bool value);
     void set_delay(std::chrono::milliseconds value);
     void set_budget(call_budget value);
 
@@ -84,6 +87,7 @@
 
     mutable std::mutex mutex_;
     bool is_outage_ = false;
+    bool is_object_outage_ = false;
     std::chrono::milliseconds delay_{0};
     std::int64_t lost_answers_ = 0;
     call_budget budget_;
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -286,6 +286,8 @@
         using std::chrono::milliseconds;
         if (faults.contains("outage"))
             gate_.set_outage(faults["outage"].get<bool>());
+        if (faults.contains("object_outage"))
+            gate_.set_object_outage(faults["object_outage"].get<bool>());
         if (faults.contains("delay_ms"))
             gate_.set_delay(milliseconds(faults["delay_ms"].get<int>()));
         if (faults.contains("lose_answers"))
@@ -301,7 +303,7 @@
         if (faults.value("compact", false))
             store_.compact();
         // An outage also ends the watches that wait.
-        if (faults.value("outage", false))
+        if (gate_.is_outage())
             store_.interrupt();
     }
 
