tests: add system scenarios on real processes

Cause: no test ran the daemon as a process, so that a fault between the packages or at a signal could not be seen. Before: no scenario.

--- /dev/null
+++ b/tests/system/settings_test.cpp
@@ -0,0 +1,90 @@
+// Guards against a settings change that misses a VM, reverts, or is taken from
+// two operators at once (I7).
+#include "support/await.hpp"
+#include "support/fleet.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+namespace buckthornvale::tests
+{
+
+TEST(settings_change, reaches_every_vm_and_never_falls)
+{
+    fleet under_test(3);
+    std::atomic<bool> done{false};
+    std::thread sampler(
+        [&]
+        {
+            std::vector<std::uint64_t> highest(under_test.vms.size(), 0);
+            while (!done)
+            {
+                for (std::size_t n = 0; n < highest.size(); ++n)
+                {
+                    auto const seen = under_test.revision_of(under_test.vms[n]);
+                    EXPECT_GE(seen, highest[n]) << under_test.vms[n].name;
+                    highest[n] = std::max(highest[n], seen);
+                }
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            }
+        });
+    for (int n = 0; n < 3; ++n)
+        under_test.await_revision(under_test.put_pool("encoders"));
+
+    // Two VMs cannot see the write before the outage; they get the change
+    // from the third.
+    under_test.vms[1].program->signal(SIGSTOP);
+    under_test.vms[2].program->signal(SIGSTOP);
+    auto const during = under_test.put_pool("encoders");
+    await("the change on one VM",
+          [&] { return under_test.revision_of(under_test.vms[0]) >= during; });
+    under_test.platform_faults({{"outage", true}});
+    under_test.vms[1].program->signal(SIGCONT);
+    under_test.vms[2].program->signal(SIGCONT);
+    under_test.await_revision(during);
+    under_test.platform_faults({{"outage", false}});
+    under_test.await_revision(under_test.put_pool("encoders"));
+    done = true;
+    sampler.join();
+}
+
+TEST(racing_operators, one_wins_and_the_other_gets_a_conflict)
+{
+    fleet under_test(2);
+    std::string const path = "settings/pipelines/raced";
+    std::uint64_t version = 0;
+    for (int round = 0; round < 10; ++round)
+    {
+        std::array<reply, 2> told;
+        generate_load(2, 2,
+                      [&](std::size_t i)
+                      {
+                          auto const text =
+                              "deadline_ms = " + std::to_string(1000 + i) +
+                              "\n[[stages]]\nname = \"encode\"\n"
+                              "pool = \"encoders\"\n";
+                          told[i] = put_object(under_test.platform(), path,
+                                               version, text);
+                      });
+        std::size_t const winner = told[0].status == 200 ? 0 : 1;
+        ASSERT_EQ(told[winner].status, 200);
+        ASSERT_EQ(told[1 - winner].status, 412);
+        version = told[winner].body["version"];
+        // The loser is told the winner's write.
+        EXPECT_EQ(told[1 - winner].body["version"], version);
+        // Only the winner's deadline is in force: 1001 ms are accepted when
+        // the second operator won.
+        under_test.await_revision(version);
+        for (auto const& it : under_test.vms)
+        {
+            auto const asked = send_request(
+                it.http(), "raced", {{"input", round}, {"deadline_ms", 1001}});
+            EXPECT_EQ(asked.status, winner == 1 ? 200 : 400) << asked.body;
+        }
+    }
+}
+
+} // namespace buckthornvale::tests
--- /dev/null
+++ b/tests/system/support/booking_log.cpp
@@ -0,0 +1,98 @@
+#include "support/booking_log.hpp"
+
+#include "support/await.hpp"
+
+namespace buckthornvale::tests
+{
+
+namespace
+{
+
+bool is_settled(reply const& last)
+{
+    return last.outcome() == "completed" ||
+           (last.outcome() == "unknown" && last.status != 202);
+}
+
+} // namespace
+
+reply booking_log::send(booking const& what, vm const& through)
+{
+    auto const told = send_request(through.http(), "booking", what.body());
+    std::lock_guard const lock(mutex_);
+    auto& entry = histories_[what.key];
+    entry.what = what;
+    entry.replies.push_back(told);
+    return told;
+}
+
+void booking_log::settle()
+{
+    std::vector<vm const*> running;
+    for (auto& it : fleet_.vms)
+    {
+        if (it.program->running())
+            running.push_back(&it);
+    }
+    std::size_t n = 0;
+    for (auto const& [key, entry] : histories_)
+    {
+        if (is_settled(entry.replies.back()))
+            continue;
+        auto const what = entry.what;
+        await("the outcome of " + key,
+              [&]
+              {
+                  auto const& through = *running[n++ % running.size()];
+                  return is_settled(send(what, through));
+              });
+    }
+}
+
+void booking_log::check()
+{
+    auto const by_key = fleet_.executions("bookings", "by_key");
+    auto const by_request = fleet_.executions("bookings", "by_request");
+    std::uint64_t executed = 0;
+    for (auto const& [key, n] : by_key)
+    {
+        EXPECT_EQ(n, 1U) << "I4: " << key << " ran more than once";
+        executed += n;
+    }
+    std::size_t completed = 0;
+    std::size_t unknown = 0;
+    for (auto const& [key, entry] : histories_)
+    {
+        json result;
+        bool may_have_run = false;
+        for (auto const& it : entry.replies)
+        {
+            if (it.outcome() == "not_run")
+            {
+                EXPECT_EQ(by_request.count(it.id()), 0U)
+                    << "I3: not_run, yet executed: " << it.body.dump();
+            }
+            may_have_run |= it.outcome() != "not_run" && !it.refused;
+            if (it.outcome() != "completed")
+                continue;
+            EXPECT_TRUE(result.is_null() || result == it.body["result"])
+                << "I1: two results for " << key;
+            result = it.body["result"];
+        }
+        completed += result.is_null() ? 0 : 1;
+        unknown += result.is_null() && may_have_run ? 1 : 0;
+    }
+    EXPECT_GE(executed, completed) << "a completed booking was not executed";
+    EXPECT_LE(executed, completed + unknown)
+        << "I3: a booking ran whose every reply was not_run";
+}
+
+std::size_t booking_log::count(std::string const& outcome) const
+{
+    std::size_t n = 0;
+    for (auto const& it : histories_)
+        n += it.second.replies.back().outcome() == outcome ? 1 : 0;
+    return n;
+}
+
+} // namespace buckthornvale::tests
--- /dev/null
+++ b/tests/system/support/fleet.cpp
@@ -0,0 +1,291 @@
+#include "support/fleet.hpp"
+
+#include "support/await.hpp"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <thread>
+
+namespace buckthornvale::tests
+{
+
+namespace
+{
+
+constexpr std::array<char const*, 4> domains = {"north", "south", "east",
+                                                "west"};
+
+constexpr char ranks[] = "[urgent]\ntarget_ms = 800\nguaranteed_share = 0.5\n"
+                         "[standard]\ntarget_ms = 2000\n"
+                         "[background]\ntarget_ms = 3000\n";
+
+// SHA-256 of the bearer key "grinders-demo-key".
+constexpr char limits[] =
+    "key_sha256 = "
+    "\"e51f1982049b0b5614bdcec3c80e31ce015d7cc9aa6f43b9b3355b31cb0f2229\"\n";
+
+std::string stage(std::string const& name, std::string const& pool,
+                  std::string const& extra)
+{
+    return "[[stages]]\nname = \"" + name + "\"\npool = \"" + pool + "\"\n" +
+           extra + "expected_ms = 10\n";
+}
+
+bool is_ready(vm const& which, std::size_t running)
+{
+    if (get(which.http(), "/readyz").status != 200)
+        return false;
+    auto const status = get(which.http(), "/v1/status").body;
+    if (!status.is_object() || !status.contains("members"))
+        return false;
+    std::size_t live = 0;
+    for (auto const& it : status["members"])
+        live += it["role"] == "entry" && it["state"] == "live" ? 1 : 0;
+    return live >= running;
+}
+
+} // namespace
+
+fleet::fleet(std::size_t count, std::size_t runners_per_pool)
+{
+    auto folder =
+        (std::filesystem::temp_directory_path() / "system_XXXXXX").string();
+    if (mkdtemp(folder.data()) == nullptr)
+        throw std::runtime_error("mkdtemp failed");
+    folder_ = folder;
+    platform_ = std::make_unique<process>(
+        std::vector<std::string>{SYSTEM_PLATFORM}, log_of("platform"));
+    put("settings/ranks", ranks);
+    put("settings/organisations/grinders/limits", limits);
+    add_pool("encoders", "engine", "", runners_per_pool, {"--work_ms=5"});
+    add_pool("retrievers", "engine", "", 1, {"--work_ms=2"});
+    add_pool("rerankers", "engine", "", 1, {"--work_ms=2"});
+    add_pool("assistants", "engine", "resumes_streams = true\n",
+             runners_per_pool, {"--token_ms=2"});
+    add_pool("bookings", "service", "answers_outcomes = true\n",
+             runners_per_pool, {"--work_ms=10"});
+    std::string const deadline = "deadline_ms = 10000\n";
+    auto const book = "repeatable = false\n";
+    auto const after = [](std::string const& earlier)
+    { return "after = [\"" + earlier + "\"]\n"; };
+    put("settings/pipelines/lookup",
+        deadline + stage("encode", "encoders", ""));
+    put("settings/pipelines/booking",
+        deadline + stage("book", "bookings", book));
+    put("settings/pipelines/talk",
+        "deadline_ms = 600000\n" +
+            stage("generate", "assistants", "stream = true\n"));
+    put("settings/pipelines/answer",
+        deadline + stage("encode", "encoders", "") +
+            stage("retrieve", "retrievers", after("encode")) +
+            stage("rerank", "rerankers", after("retrieve")) +
+            stage("generate", "assistants",
+                  after("rerank") + "stream = true\n"));
+    for (std::size_t n = 0; n < count; ++n)
+        start_vm();
+    await_ready();
+}
+
+fleet::~fleet()
+{
+    vms.clear();
+    pools.clear();
+    platform_.reset();
+    // The logs of the processes stay for a look when asked for.
+    std::error_code ec;
+    if (std::getenv("SYSTEM_KEEP_LOGS") == nullptr)
+        std::filesystem::remove_all(folder_, ec);
+}
+
+std::string fleet::log_of(std::string const& name) const
+{
+    return folder_ + "/" + name + ".log";
+}
+
+void fleet::add_pool(std::string const& name, std::string const& kind,
+                     std::string const& settings, std::size_t count,
+                     std::vector<std::string> const& flags)
+{
+    auto& added = pools[name];
+    added.kind = kind;
+    added.settings = settings;
+    for (std::size_t n = 1; n <= count; ++n)
+    {
+        runner made;
+        made.name = name + "-" + std::to_string(n);
+        std::vector<std::string> arguments = {kind == "engine" ? SYSTEM_ENGINE
+                                                               : SYSTEM_SERVICE,
+                                              "--name=" + made.name};
+        arguments.insert(arguments.end(), flags.begin(), flags.end());
+        made.program = std::make_unique<process>(arguments, log_of(made.name));
+        added.runners.push_back(std::move(made));
+    }
+    put_pool(name);
+}
+
+vm& fleet::start_vm()
+{
+    vm made;
+    made.name = "vm-" + std::to_string(next_vm_);
+    made.failure_domain = domains[next_vm_++ % domains.size()];
+    auto const file = folder_ + "/" + made.name + ".toml";
+    std::ofstream(file) << "vm = \"" << made.name << "\"\nfailure_domain = \""
+                        << made.failure_domain << "\"\nregion = \"test\"\n"
+                        << "[platform]\naddress = \"" << platform()
+                        << "\"\n[shutdown]\nnotice_ms = 300\n";
+    made.program = std::make_unique<process>(
+        std::vector<std::string>{SYSTEM_DAEMON, "--config=" + file},
+        log_of(made.name));
+    list_vm(made, "live");
+    vms.push_back(std::move(made));
+    return vms.back();
+}
+
+void fleet::list_vm(vm const& which, std::string const& state)
+{
+    post(platform(), "/vms",
+         {{"id", which.name},
+          {"role", "entry"},
+          {"address", which.http()},
+          {"peer_address", which.program->address_after("peer")},
+          {"failure_domain", which.failure_domain},
+          {"state", state}});
+}
+
+void fleet::await_ready()
+{
+    std::size_t running = 0;
+    for (auto& it : vms)
+        running += it.program->running() ? 1 : 0;
+    for (auto& it : vms)
+    {
+        if (it.program->running())
+            await(it.name + " to be ready",
+                  [&] { return is_ready(it, running); });
+    }
+}
+
+std::uint64_t fleet::put(std::string const& path, std::string const& value)
+{
+    auto const now = get(platform(), "/v1/objects/" + path);
+    auto const version =
+        now.status == 200 ? now.body["version"].get<std::uint64_t>() : 0;
+    auto const written = put_object(platform(), path, version, value);
+    if (written.status != 200)
+        throw std::runtime_error("cannot write " + path);
+    return written.body["version"];
+}
+
+std::uint64_t fleet::put_pool(std::string const& name)
+{
+    auto const& written = pools.at(name);
+    std::ostringstream text;
+    text << "kind = \"" << written.kind << "\"\n" << written.settings;
+    std::size_t n = 0;
+    for (auto const& it : written.runners)
+    {
+        auto const address = it.address();
+        text << "[[runners]]\nname = \"" << it.name
+             << "\"\nhost = \"127.0.0.1\"\nport = "
+             << address.substr(address.rfind(':') + 1)
+             << "\nfailure_domain = \"" << domains[n++ % domains.size()]
+             << "\"\nslots = 4\nleaving = " << (it.leaving ? "true" : "false")
+             << "\n";
+    }
+    return put("settings/pools/" + name, text.str());
+}
+
+std::uint64_t fleet::revision_of(vm const& which) const
+{
+    auto const status = get(which.http(), "/v1/status").body;
+    return status.is_object()
+               ? status.value("settings_revision", std::uint64_t{0})
+               : 0;
+}
+
+void fleet::await_revision(std::uint64_t at_least)
+{
+    for (auto& it : vms)
+    {
+        if (it.program->running())
+            await("a settings revision on " + it.name,
+                  [&] { return revision_of(it) >= at_least; });
+    }
+}
+
+std::string fleet::platform() const
+{
+    return platform_->address_after("listening");
+}
+
+void fleet::platform_faults(json const& body) const
+{
+    if (post(platform(), "/faults", body).status != 200)
+        throw std::runtime_error("POST /faults failed");
+}
+
+void fleet::faults(runner const& which, json const& body)
+{
+    if (post(which.address(), "/faults", body).status != 200)
+        throw std::runtime_error("POST /faults failed");
+}
+
+std::map<std::string, std::uint64_t>
+fleet::executions(std::string const& pool_name, char const* member) const
+{
+    std::map<std::string, std::uint64_t> sum;
+    for (auto const& it : pools.at(pool_name).runners)
+    {
+        if (!it.program->running())
+            continue;
+        auto const counts = get(it.address(), "/executions");
+        if (counts.status != 200)
+            throw std::runtime_error("GET /executions failed");
+        for (auto const& [id, n] : counts.body.at(member).items())
+            sum[id] += n.get<std::uint64_t>();
+    }
+    return sum;
+}
+
+std::uint64_t fleet::total(runner const& which)
+{
+    return get(which.address(), "/executions").body.at("total");
+}
+
+json booking::body() const
+{
+    return {{"idempotency_key", key},
+            {"issued_at_ms", issued_at_ms},
+            {"input", {{"round", key}}}};
+}
+
+booking make_booking(std::string const& key)
+{
+    using namespace std::chrono;
+    auto const now = system_clock::now().time_since_epoch();
+    return {key, duration_cast<milliseconds>(now).count()};
+}
+
+void generate_load(std::size_t threads, std::size_t count,
+                   std::function<void(std::size_t)> const& action)
+{
+    std::atomic<std::size_t> next{0};
+    std::vector<std::thread> callers;
+    for (std::size_t n = 0; n < threads; ++n)
+    {
+        callers.emplace_back(
+            [&]
+            {
+                for (auto i = next++; i < count; i = next++)
+                    action(i);
+            });
+    }
+    for (auto& it : callers)
+        it.join();
+}
+
+} // namespace buckthornvale::tests
--- /dev/null
+++ b/tests/system/support/fleet.hpp
@@ -0,0 +1,106 @@
+#ifndef BUCKTHORNVALE_TESTS_SYSTEM_SUPPORT_FLEET_HPP
+#define BUCKTHORNVALE_TESTS_SYSTEM_SUPPORT_FLEET_HPP
+
+#include "support/client.hpp"
+#include "support/process.hpp"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace buckthornvale::tests
+{
+
+//! A runner stand-in with its entry of the pool's settings.
+struct runner
+{
+    std::string name;
+    bool leaving = false;
+    std::unique_ptr<process> program;
+
+    std::string address() const { return program->address_after("listening"); }
+};
+
+struct pool
+{
+    std::string kind; //!< engine, service
+    std::string settings;
+    std::vector<runner> runners;
+};
+
+struct vm
+{
+    std::string name;
+    std::string failure_domain;
+    std::unique_ptr<process> program;
+
+    std::string http() const { return program->address_after("http"); }
+};
+
+//! A platform stand-in, pools of runner stand-ins and entry VMs. The pools are
+//! `encoders`, `retrievers`, `rerankers`, `assistants` (engines) and
+//! `bookings` (services); the pipelines `lookup` (encode), `booking` (book),
+//! `talk` (generate) and `answer` (four stages).
+class fleet
+{
+public:
+    explicit fleet(std::size_t vms, std::size_t runners_per_pool = 2);
+    ~fleet();
+
+    //! Starts one more VM without waiting until it is ready.
+    vm& start_vm();
+    //! Waits until each running VM is ready and sees all of them as live.
+    void await_ready();
+    void list_vm(vm const& which, std::string const& state);
+
+    //! Writes an object over its present version. Gives the new version.
+    std::uint64_t put(std::string const& path, std::string const& value);
+    //! Writes the settings of a pool. Gives the new version.
+    std::uint64_t put_pool(std::string const& name);
+    void await_revision(std::uint64_t at_least);
+    std::uint64_t revision_of(vm const& which) const;
+
+    std::string platform() const;
+    void platform_faults(json const& body) const;
+    static void faults(runner const& which, json const& body);
+
+    //! GET /executions of all running runners of a pool, summed by `member`
+    //! (by_request, by_key).
+    std::map<std::string, std::uint64_t>
+    executions(std::string const& pool_name, char const* member) const;
+    static std::uint64_t total(runner const& which);
+
+    std::map<std::string, pool> pools;
+    std::vector<vm> vms;
+
+private:
+    void add_pool(std::string const& name, std::string const& kind,
+                  std::string const& settings, std::size_t count,
+                  std::vector<std::string> const& flags);
+    std::string log_of(std::string const& name) const;
+
+    std::string folder_;
+    std::unique_ptr<process> platform_;
+    std::size_t next_vm_ = 1;
+};
+
+//! A booking's key and time of issue, equal over its repeats.
+struct booking
+{
+    std::string key;
+    std::int64_t issued_at_ms;
+
+    json body() const;
+};
+
+booking make_booking(std::string const& key);
+
+//! Calls `action(i)` for 0 <= i < count from a few threads, in order of i.
+void generate_load(std::size_t threads, std::size_t count,
+                   std::function<void(std::size_t)> const& action);
+
+} // namespace buckthornvale::tests
+
+#endif
