requests: address questions to services before their claim ends

Cause: an unknown claim's question to the service was addressed when effects were flushed. By then the decision in the same batch had removed the claim from the registry, so that the question was dropped and the claim stayed unknown. Change: request_flow addresses questions before it applies the decisions of the batch and before it ends the claims of a finished request. Before: dropped_answer.is_settled_where_the_service_can_be_asked did not settle within 20 s (stopped there). After: passes in 4.4 s; 163 of 163 decision tests pass. Conclusion: claims are settled where the service can be asked. GET /v1/outcomes still asks nobody, as it does not know the pipeline.

--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -124,7 +124,6 @@
     void share_summaries(time_point now, effects& out);
     void share_marks(time_point now, effects& out);
     fleet::load_summary local_summary(time_point now) const;
-    void ask_service(bookings::ask_service const& question, effects& out);
     void log(std::string text);
 
     //! Reasons for which a runner is leaving; any one is enough.
--- a/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/request_flow.hpp
@@ -110,7 +110,10 @@
                   time_point now, flow_output out);
     void finish(request_state& request, answer body, time_point now,
                 flow_output out);
-    void settle_claims(request_state& request, time_point now);
+    void settle_claims(request_state& request, time_point now, flow_output out);
+    // Addresses the questions to services in `batch`; the claims that they
+    // name must still be registered.
+    void resolve_questions(bookings::booking_effects& batch, flow_output out);
     void erase_if_settled(request_id id);
     void answer_query(request_id query, answer body, flow_output out);
 
--- a/packages/decision/src/reducer/reducer.cpp
+++ b/packages/decision/src/reducer/reducer.cpp
@@ -89,8 +89,6 @@
                     out.push_back(send_peer{one.to, std::move(one.update)});
                 else if constexpr (std::is_same_v<kind, bookings::answer_peer>)
                     out.push_back(send_peer{one.to, std::move(one.answer)});
-                else if constexpr (std::is_same_v<kind, bookings::ask_service>)
-                    ask_service(one, out);
                 else if constexpr (std::is_constructible_v<effect, kind>)
                     out.push_back(std::move(one));
             },
@@ -99,20 +97,6 @@
     store_effects_.clear();
 }
 
-void reducer::ask_service(bookings::ask_service const& question, effects& out)
-{
-    auto const source = flow_.outcome_source_of(question.request);
-    if (!source)
-        return;
-    requests::ask_service_outcome query;
-    query.claim = question.id;
-    query.idempotency_key = source->service_key;
-    query.runner = source->runner.id;
-    query.host = source->runner.host;
-    query.port = source->runner.port;
-    out.push_back(std::move(query));
-}
-
 void reducer::apply_claims(bookings::booking_effects& decided, time_point now)
 {
     flow_.claims_decided(decided, now, flow_output());
--- a/packages/decision/src/requests/request_flow.cpp
+++ b/packages/decision/src/requests/request_flow.cpp
@@ -265,7 +265,7 @@
 {
     if (!request.answered)
         return conclude(request, result.failure, {}, now, out);
-    settle_claims(request, now);
+    settle_claims(request, now, out);
     erase_if_settled(request.id);
 }
 
@@ -293,13 +293,14 @@
     out.requests.push_back(send_answer{request.id, std::move(body)});
     request.answered = true;
     parts_.admission.finished(request.id, now);
-    settle_claims(request, now);
+    settle_claims(request, now, out);
     drain_claims(now, out);
     erase_if_settled(id);
 }
 
 // Ends every claim whose attempts have all ended; the others wait for theirs.
-void request_flow::settle_claims(request_state& request, time_point now)
+void request_flow::settle_claims(request_state& request, time_point now,
+                                 flow_output out)
 {
     for (stage_index n = 0; n < request.stages.size(); ++n)
     {
@@ -311,6 +312,7 @@
             parts_.bookings.not_run(*claim, now, decided_);
         else
             parts_.bookings.failed_unknown(*claim, now, decided_);
+        resolve_questions(decided_, out);
         claims_.remove(*claim);
     }
 }
--- a/packages/decision/src/requests/request_flow_claims.cpp
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -1,9 +1,11 @@
 #include <buckthornvale/decision/requests/answers.hpp>
 #include <buckthornvale/decision/requests/request_flow.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace buckthornvale::decision::requests
 {
@@ -44,7 +46,9 @@
 {
     while (!decided_.empty())
     {
-        auto const batch = std::exchange(decided_, {});
+        auto batch = std::exchange(decided_, {});
+        // Before the decisions, which end the claims and their requests.
+        resolve_questions(batch, out);
         for (auto const& item : batch)
         {
             std::visit(
@@ -193,6 +197,26 @@
                  not_run_answer({error_kind::unknown_key, {}}, {}), out);
 }
 
+void request_flow::resolve_questions(bookings::booking_effects& batch,
+                                     flow_output out)
+{
+    auto const resolve = [&](auto const& it)
+    {
+        auto const* const question = std::get_if<bookings::ask_service>(&it);
+        if (question == nullptr)
+            return false;
+        if (auto const source = outcome_source_of(question->request))
+        {
+            out.requests.push_back(ask_service_outcome{
+                question->id, source->service_key, source->runner.id,
+                source->runner.host, source->runner.port});
+        }
+        return true;
+    };
+    batch.erase(std::remove_if(batch.begin(), batch.end(), resolve),
+                batch.end());
+}
+
 std::optional<outcome_source>
 request_flow::outcome_source_of(request_id claim) const
 {
