--- /dev/null
+++ b/tests/system/runner_faults_test.cpp
@@ -0,0 +1,228 @@
+// Guards against results that reach another request, gaps in streams, bookings
+// that run again after a lost answer, requests that crash every runner, and
+// work that goes on after its caller has left (I1, I2, I3, I4).
+#include "support/await.hpp"
+#include "support/booking_log.hpp"
+
+#include <mutex>
+
+namespace buckthornvale::tests
+{
+
+namespace
+{
+
+json digest_of(reply const& told)
+{
+    auto const& body = told.body;
+    return body.is_object() && body.contains("result")
+               ? body["result"].value("digest", "")
+               : "";
+}
+
+reply look_up(vm const& through, std::size_t n, int deadline_ms = 5000)
+{
+    return send_request(
+        through.http(), "lookup",
+        {{"input", {{"number", n}}}, {"deadline_ms", deadline_ms}});
+}
+
+// Digest of the output for each input, from runners without faults.
+std::vector<json> expected_digests(fleet& under_test, std::size_t count)
+{
+    std::vector<json> digests;
+    for (std::size_t n = 0; n < count; ++n)
+        digests.push_back(digest_of(look_up(under_test.vms[0], n)));
+    return digests;
+}
+
+// Each first attempt earns a tenth of a retry; a new VM has none.
+void earn_retries(fleet& under_test)
+{
+    auto const n = under_test.vms.size();
+    generate_load(4, 40 * n,
+                  [&](std::size_t i) { look_up(under_test.vms[i % n], i); });
+}
+
+} // namespace
+
+TEST(crossed_answer, never_reaches_another_request)
+{
+    fleet under_test(2);
+    auto const expected = expected_digests(under_test, 40);
+    EXPECT_NE(expected[0], expected[1]);
+    for (auto const& it : under_test.pools.at("encoders").runners)
+        fleet::faults(it, {{"cross", true}, {"cross_wait_ms", 100}});
+    std::size_t completed = 0;
+    std::mutex mutex;
+    generate_load(8, 40,
+                  [&](std::size_t i)
+                  {
+                      auto const told = look_up(under_test.vms[i % 2], i);
+                      EXPECT_NE(told.outcome(), "");
+                      EXPECT_NE(told.outcome(), "not_run") << told.body;
+                      if (told.outcome() != "completed")
+                          return;
+                      EXPECT_EQ(digest_of(told), expected[i]);
+                      std::lock_guard const lock(mutex);
+                      ++completed;
+                  });
+    EXPECT_GT(completed, 0U);
+}
+
+TEST(late_answer, is_told_unknown_and_reaches_nobody_else)
+{
+    fleet under_test(2);
+    auto const expected = expected_digests(under_test, 12);
+    auto const& encoders = under_test.pools.at("encoders").runners;
+    for (auto const& it : encoders)
+        fleet::faults(it, {{"delay_ms", 600}});
+    generate_load(4, 4,
+                  [&](std::size_t i)
+                  {
+                      auto const told =
+                          look_up(under_test.vms[i % 2], 100 + i, 200);
+                      EXPECT_EQ(told.outcome(), "unknown") << told.body;
+                      // The attempt's budget ends with the deadline, so that
+                      // either of the two may be noticed first.
+                      EXPECT_TRUE(told.status == 504 || told.status == 502)
+                          << told.status;
+                      EXPECT_EQ(told.body.value("safe_to_repeat", false), true);
+                  });
+    for (auto const& it : encoders)
+        fleet::faults(it, json::object());
+    generate_load(4, expected.size(),
+                  [&](std::size_t i)
+                  {
+                      auto const told = look_up(under_test.vms[i % 2], i);
+                      EXPECT_EQ(told.outcome(), "completed") << told.body;
+                      EXPECT_EQ(digest_of(told), expected[i]);
+                  });
+}
+
+TEST(broken_stream, resumes_on_another_engine_without_a_gap)
+{
+    fleet under_test(1);
+    auto const& through = under_test.vms[0].http();
+    json const body = {{"input", {{"tokens", 30}}}};
+    auto const whole = send_streamed(through, "talk", body);
+    ASSERT_EQ(whole.events.size(), 31U);
+    earn_retries(under_test);
+    fleet::faults(under_test.pools.at("assistants").runners[0],
+                  {{"break_after", 7}});
+    std::size_t resumed = 0;
+    for (int n = 0; n < 20 && resumed == 0; ++n)
+    {
+        auto const told = send_streamed(through, "talk", body);
+        ASSERT_EQ(told.end().value("outcome", ""), "completed") << told.end();
+        EXPECT_EQ(told.text(), whole.text());
+        for (std::size_t i = 0; i + 1 < told.events.size(); ++i)
+            EXPECT_EQ(told.events[i].second["index"], i);
+        resumed += told.end()["stages"][0]["attempts"] == 2 ? 1 : 0;
+    }
+    EXPECT_GT(resumed, 0U);
+}
+
+TEST(dropped_answer, of_a_booking_is_told_unknown_and_runs_once)
+{
+    fleet under_test(2);
+    booking_log bookings(under_test);
+    auto& services = under_test.pools.at("bookings");
+    // Without the question by key the outcome can only stay unknown.
+    services.settings = "";
+    under_test.await_revision(under_test.put_pool("bookings"));
+    for (auto const& it : services.runners)
+        fleet::faults(it, {{"drop_after", true}});
+    auto const what = make_booking("dropped");
+    auto const told = bookings.send(what, under_test.vms[0]);
+    EXPECT_EQ(told.outcome(), "unknown") << told.body;
+    EXPECT_EQ(told.body.value("safe_to_repeat", true), false);
+    for (auto const& it : services.runners)
+        fleet::faults(it, json::object());
+    for (int n = 0; n < 4; ++n)
+        EXPECT_EQ(bookings.send(what, under_test.vms[n % 2]).outcome(),
+                  "unknown");
+    EXPECT_EQ(ask_outcome(under_test.vms[1].http(), what.key, what.issued_at_ms)
+                  .outcome(),
+              "unknown");
+    bookings.check();
+    EXPECT_EQ(under_test.executions("bookings", "by_request").size(), 1U);
+}
+
+TEST(dropped_answer, is_settled_where_the_service_can_be_asked)
+{
+    // One service, as instances that answer by key share their records.
+    fleet under_test(2, 1);
+    booking_log bookings(under_test);
+    for (auto const& it : under_test.pools.at("bookings").runners)
+        fleet::faults(it, {{"drop_after", true}});
+    auto const what = make_booking("asked");
+    bookings.send(what, under_test.vms[0]);
+    await("the outcome by key",
+          [&] {
+              return bookings.send(what, under_test.vms[1]).outcome() ==
+                     "completed";
+          });
+    bookings.check();
+}
+
+TEST(crashing_request, kills_at_most_three_engines)
+{
+    fleet under_test(3, 8);
+    auto& encoders = under_test.pools.at("encoders").runners;
+    under_test.await_links();
+    earn_retries(under_test);
+    for (auto const& it : encoders)
+        fleet::faults(it, {{"exit_marker", "poison"}});
+    std::vector<reply> told;
+    for (std::size_t i = 0; i < 12; ++i)
+        told.push_back(send_request(under_test.vms[i % 3].http(), "lookup",
+                                    {{"input", "poison"}}));
+    std::size_t dead = 0;
+    for (auto& it : encoders)
+        dead += it.program->running() ? 0 : 1;
+    EXPECT_GE(dead, 1U);
+    EXPECT_LE(dead, 3U);
+    EXPECT_NE(told[0].outcome(), "not_run") << told[0].body;
+    for (std::size_t i = 6; i < told.size(); ++i)
+    {
+        EXPECT_EQ(told[i].outcome(), "not_run") << told[i].body;
+        EXPECT_EQ(told[i].error_kind(), "isolated");
+    }
+    for (std::size_t i = 0; i < 30; ++i)
+        EXPECT_EQ(look_up(under_test.vms[i % 3], i).outcome(), "completed");
+}
+
+TEST(hang_up, cancels_the_engine_call)
+{
+    fleet under_test(1);
+    auto const& engines = under_test.pools.at("assistants").runners;
+    for (auto const& it : engines)
+        fleet::faults(it, {{"token_delay_ms", 50}});
+    // The stream would take 200 s and its deadline is later still, so that
+    // only the cancel can end it within the limit of a wait.
+    send_streamed(under_test.vms[0].http(), "talk",
+                  {{"input", {{"tokens", 4000}}}, {"deadline_ms", 600'000}},
+                  [n = 0](std::string const&) mutable { return ++n == 3; });
+    await("a cancel",
+          [&]
+          {
+              std::uint64_t cancels = 0;
+              for (auto const& it : engines)
+                  cancels += get(it.address(), "/executions")
+                                 .body.at("cancels")
+                                 .get<std::uint64_t>();
+              return cancels == 1;
+          });
+    await("idle engines",
+          [&]
+          {
+              int running = 0;
+              for (auto const& it : engines)
+                  running +=
+                      get(it.address(), "/v1/load").body["running"].get<int>();
+              return running == 0;
+          });
+}
+
+} // namespace buckthornvale::tests
--- a/tests/system/support/fleet.cpp
+++ b/tests/system/support/fleet.cpp
@@ -169,6 +169,20 @@
     }
 }
 
+void fleet::await_links()
+{
+    auto const messages = 6 * (vms.size() - 1);
+    for (auto& it : vms)
+    {
+        await("the peer links of " + it.name,
+              [&]
+              {
+                  auto const status = get(it.http(), "/v1/status").body;
+                  return status["peer_link"]["received"] >= messages;
+              });
+    }
+}
+
 std::uint64_t fleet::put(std::string const& path, std::string const& value)
 {
     auto const now = get(platform(), "/v1/objects/" + path);
--- a/tests/system/support/fleet.hpp
+++ b/tests/system/support/fleet.hpp
@@ -53,6 +53,8 @@
     vm& start_vm();
     //! Waits until each running VM is ready and sees all of them as live.
     void await_ready();
+    //! Waits until the peer links have carried several rounds of messages.
+    void await_links();
     void list_vm(vm const& which, std::string const& state);
 
     //! Writes an object over its present version. Gives the new version.
--- a/tests/system/vm_loss_test.cpp
+++ b/tests/system/vm_loss_test.cpp
@@ -96,6 +96,16 @@
         EXPECT_EQ(bookings.send(sent.back(), under_test.vms[i % 3]).outcome(),
                   "completed");
     }
+    // A result is safe from the loss of its VM once it is in the claim.
+    for (std::size_t i = 0; i < sent.size(); ++i)
+    {
+        await("a result in its claim",
+              [&]
+              {
+                  auto const& other = under_test.vms[(i + 1) % 3];
+                  return bookings.send(sent[i], other).status != 202;
+              });
+    }
     auto const revision = under_test.put_pool("bookings");
     under_test.await_revision(revision);
     for (auto& it : under_test.vms)
