--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -164,6 +164,7 @@
             "application/json");
         request_result result;
         result.rank = request.rank;
+        result.is_booking = request.is_booking;
         result.took = steady::now() - due;
         read_response(response, result);
         results_.add(result);
--- a/bench/load/report.cpp
+++ b/bench/load/report.cpp
@@ -54,6 +54,7 @@
     std::lock_guard const lock(mutex_);
     auto& sums = ranks_[result.rank];
     ++sums.sent;
+    bookings_ += result.is_booking ? 1 : 0;
     ++sums.outcomes[result.outcome];
     ++statuses_[std::to_string(result.status)];
     if (!result.error.empty())
@@ -84,6 +85,7 @@
 {
     std::lock_guard const lock(mutex_);
     nlohmann::json body = {{"seconds", seconds},
+                           {"bookings", bookings_},
                            {"errors", errors_},
                            {"statuses", statuses_},
                            {"ranks", nlohmann::json::object()}};
--- a/bench/load/report.hpp
+++ b/bench/load/report.hpp
@@ -18,6 +18,7 @@
 struct request_result
 {
     std::size_t rank = 0;
+    bool is_booking = false;
     std::string outcome; //!< as the response says; "none" without a response
     int status = 0;      //!< HTTP status; 0 without a response
     std::string error;   //!< kind of the error; empty when completed
@@ -59,6 +60,7 @@
     static nlohmann::json to_json(rank_sums const& sums);
 
     mutable std::mutex mutex_;
+    std::uint64_t bookings_ = 0;
     std::vector<rank_sums> ranks_;
     std::map<std::string, std::uint64_t> errors_;
     std::map<std::string, std::uint64_t> statuses_;
--- a/tools/measure/processes.py
+++ b/tools/measure/processes.py
@@ -34,7 +34,8 @@
     """Returns (status, body) of one HTTP call."""
     data = body.encode() if isinstance(body, str) else body
     call = urllib.request.Request(url, data=data, method=method,
-                                  headers=headers or {})
+                                  headers={"Content-Type": "application/json",
+                                           **(headers or {})})
     try:
         with urllib.request.urlopen(call, timeout=timeout) as response:
             return response.status, response.read().decode()
@@ -215,6 +216,25 @@
                 "links": links,
                 "calls": self.store_calls()}
 
+    def list_runners(self, count):
+        """Puts runners on the platform's list; returns the bytes of the list.
+        No settings name them, so that no VM calls them."""
+        with_runners = get_json(f"http://{self.platform}/v1/vms")["vms"]
+        with_runners += [
+            {"id": f"listed-runner-{n}", "role": "runner",
+             "address": "127.0.0.1:9", "state": "live",
+             "failure_domain": DOMAINS[n % len(DOMAINS)]}
+            for n in range(count)]
+        status, body = request("POST", f"http://{self.platform}/vms",
+                               json.dumps({"vms": with_runners}))
+        if status != 200:
+            raise RuntimeError(f"the list of VMs was refused: {body}")
+        return len(request("GET", f"http://{self.platform}/v1/vms")[1])
+
+    def stored_status_bytes(self):
+        url = f"http://{self.platform}/v1/objects/status/{self.vms[0].name}"
+        return len(get_json(url)["value"])
+
     def store_calls(self):
         return get_json(f"http://{self.platform}/stats")["calls"]
 
