decision: compile settings_state with clang

Cause: clang 14 takes a nested struct with member initialisers as not default-constructible inside its class, so that optional::emplace() without arguments did not compile and no libFuzzer target could be built.

Change: assign an empty value instead; behaviour is unchanged.

--- a/packages/decision/src/config/settings_state.cpp
+++ b/packages/decision/src/config/settings_state.cpp
@@ -157,7 +157,7 @@
 void settings_state::start_list(time_point now, config_effects& out)
 {
     if (!list_)
-        list_.emplace();
+        list_ = snapshot{};
     phase_ = store_phase::listing;
     call_deadline_ = now + settings_.call_grace;
     ++counters_.lists;
@@ -346,12 +346,12 @@
                                 config_effects& out)
 {
     if (!pull_)
-        pull_.emplace();
+        pull_ = pull_state{};
     pull_->peer = peer;
     pull_->from = from;
     pull_->started = now;
     if (from == 0 && !pull_->full)
-        pull_->full.emplace();
+        pull_->full = snapshot{};
     if (!pull_->full)
         pull_->base = from;
     ++counters_.pulls;
