peer: refuse CBOR items of indefinite length

Cause: nlohmann-json 3.11.2 calls itself for each string of indefinite length that is nested in another one, without telling its visitor, so that depth_check did not bound them. corpus_tests with clang and the address sanitizer ended with a stack overflow on damaged_deep_texts (20,000 bytes of 0x7f); a message may have 2 MB.

Change: has_definite_lengths walks over the items without recursion before the parser runs. Our encoder writes definite lengths only.

Conclusion: a damaged message from a peer no longer ends the process. The libFuzzer run missed it because its -max_len was 4096.

--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -1,4 +1,5 @@
 #include "depth_check.hpp"
+#include "length_check.hpp"
 #include "reader.hpp"
 #include <buckthornvale/decision/core/text.hpp>
 #include <buckthornvale/peer/codec/codec.hpp>
@@ -554,6 +555,8 @@
     if (bytes.size() > max_message_bytes)
         return absl::ResourceExhaustedError(
             "peer message exceeds the size limit");
+    if (!detail::has_definite_lengths(bytes))
+        return absl::InvalidArgumentError("peer message is not valid CBOR");
     detail::depth_check check;
     if (!json::sax_parse(bytes.begin(), bytes.end(), &check,
                          json::input_format_t::cbor))
--- /dev/null
+++ b/packages/peer/src/codec/length_check.hpp
@@ -0,0 +1,17 @@
+#ifndef BUCKTHORNVALE_PEER_SRC_CODEC_LENGTH_CHECK_HPP
+#define BUCKTHORNVALE_PEER_SRC_CODEC_LENGTH_CHECK_HPP
+
+#include <string_view>
+
+namespace buckthornvale::peer::detail
+{
+
+//! False for an item of indefinite length (RFC 8949, 3.2) or one that reaches
+//! past the end. nlohmann-json calls itself for each nested string of
+//! indefinite length without telling its visitor, so that depth_check cannot
+//! bound them; its encoder writes definite lengths only.
+bool has_definite_lengths(std::string_view cbor);
+
+} // namespace buckthornvale::peer::detail
+
+#endif
