serving: refuse JSON with a NUL byte

Cause: nlohmann-json takes a NUL byte for the end of the text and ignores what follows, but raw_member goes on and finds members behind it. A body with a second "input" behind a NUL was checked for one input and run with another; a runner's output could be text that is not JSON.

Change: parse_json refuses a text with a NUL byte.

Conclusion: the input that runs is the one that was checked.

--- a/packages/serving/src/http/json_text.cpp
+++ b/packages/serving/src/http/json_text.cpp
@@ -77,7 +77,9 @@
 
 std::optional<nlohmann::json> parse_json(std::string_view text)
 {
-    if (nested_too_deeply(text))
+    // nlohmann-json takes a NUL byte for the end of the text, but raw_member
+    // would go on and find members behind it. JSON has no raw NUL.
+    if (text.find('\0') != std::string_view::npos || nested_too_deeply(text))
         return std::nullopt;
     auto value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded())
