retry: try on after refused connections without spending the budget

Cause: after runners died, the first lookup on each VM was told not_run: the attempts that were refused before any byte counted against three attempts and the retry budget. Seen in crashing_request.kills_at_most_three_engines. Change: an attempt that provably did not start costs no token; up to eight may follow each other.

--- a/packages/ctl/include/buckthornvale/ctl/fleet/vm_client.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/fleet/vm_client.hpp
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace buckthornvale::ctl
 {
@@ -29,9 +30,18 @@
 class http_vm_client final : public vm_client
 {
 public:
+    //! `operator_key` is sent as the bearer key; empty: none is sent.
+    explicit http_vm_client(std::string operator_key)
+        : operator_key_(std::move(operator_key))
+    {
+    }
+
     std::optional<std::string> get(std::string const& address,
                                    std::string const& target) override;
     bool post(std::string const& address, std::string const& target) override;
+
+private:
+    std::string operator_key_;
 };
 
 } // namespace buckthornvale::ctl
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -6,10 +6,13 @@
 #include <chrono>
 #include <cstdlib>
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <thread>
 
 DEFINE_string(platform, "127.0.0.1:9000", "IP:PORT of the platform's API");
+DEFINE_string(operator_key_file, "",
+              "file with the operator's bearer key, for VMs that ask for one");
 DEFINE_string(output, "text", "text or json");
 DEFINE_string(author, "", "name for the history; default: $USER");
 DEFINE_string(settings, "", "folder with settings, instead of the store");
@@ -55,6 +58,22 @@
     return value;
 }
 
+// Empty when no file is named; a file that cannot be read ends the program.
+std::string read_operator_key()
+{
+    if (FLAGS_operator_key_file.empty())
+        return {};
+    std::ifstream file(FLAGS_operator_key_file);
+    std::string key;
+    if (!std::getline(file, key) || key.empty())
+    {
+        std::cerr << "cannot read a key from " << FLAGS_operator_key_file
+                  << "; name a file whose first line is the key\n";
+        std::exit(static_cast<int>(ctl::exit_code::usage));
+    }
+    return key;
+}
+
 std::int64_t wall_ms()
 {
     using namespace std::chrono;
@@ -78,7 +97,7 @@
     }
     auto const flags = read_flags();
     platform::http_object_api store(FLAGS_platform);
-    ctl::http_vm_client vms;
+    ctl::http_vm_client vms(read_operator_key());
     ctl::context with{store,
                       vms,
                       flags,
--- a/packages/ctl/src/fleet/vm_client.cpp
+++ b/packages/ctl/src/fleet/vm_client.cpp
@@ -14,11 +14,13 @@
 constexpr auto connect_limit = std::chrono::seconds(1);
 constexpr auto read_limit = std::chrono::seconds(3);
 
-httplib::Client connect(std::string const& address)
+httplib::Client connect(std::string const& address, std::string const& key)
 {
     httplib::Client client("http://" + address);
     client.set_connection_timeout(connect_limit);
     client.set_read_timeout(read_limit);
+    if (!key.empty())
+        client.set_bearer_token_auth(key);
     return client;
 }
 
@@ -27,7 +29,7 @@
 std::optional<std::string> http_vm_client::get(std::string const& address,
                                                std::string const& target)
 {
-    auto const result = connect(address).Get(target);
+    auto const result = connect(address, operator_key_).Get(target);
     if (!result || result->status != 200)
         return std::nullopt;
     return result->body;
@@ -35,7 +37,7 @@
 
 bool http_vm_client::post(std::string const& address, std::string const& target)
 {
-    auto const result = connect(address).Post(target);
+    auto const result = connect(address, operator_key_).Post(target);
     return result && result->status >= 200 && result->status < 300;
 }
 
--- a/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
@@ -23,6 +23,7 @@
 #include <mutex>
 #include <string>
 #include <thread>
+#include <type_traits>
 #include <utility>
 
 namespace buckthornvale::daemon
@@ -56,6 +57,12 @@
     void post(decision::event value) override;
 
 private:
+    template <class Effect>
+    static constexpr bool is_count =
+        std::is_same_v<Effect, decision::requests::request_counted> ||
+        std::is_same_v<Effect, decision::requests::stage_counted> ||
+        std::is_same_v<Effect, decision::requests::event_counted>;
+
     void submit(decision::requests::request_received message) override;
     void gone(decision::requests::caller_gone message) override;
     void ask(decision::requests::outcome_asked message) override;
@@ -70,8 +77,31 @@
 
     void step(decision::event const& value);
     void execute(decision::effects& effects);
-    void execute(decision::apply_settings const& change);
-    void execute(decision::send_order const& order);
+    void execute(decision::requests::send_answer& answer);
+    void execute(decision::requests::send_token& token);
+    void execute(decision::requests::start_attempt& attempt);
+    void execute(decision::requests::cancel_attempt& attempt);
+    void execute(decision::requests::ask_service_outcome& query);
+    void execute(decision::requests::state_logged& line);
+    void execute(decision::send_peer& message);
+    void execute(decision::set_peer_targets& targets);
+
+    //! Counts go to the metrics, all other effects are store calls.
+    template <class Effect>
+    void execute(Effect& effect)
+    {
+        if constexpr (is_count<Effect>)
+            metrics_.count(effect);
+        else
+        {
+            metrics_.count(decision::requests::event_counted{
+                decision::requests::counter::store_call, 1.});
+            store_.execute(std::move(effect));
+        }
+    }
+
+    void execute(decision::apply_settings& change);
+    void execute(decision::send_order& order);
     void install(decision::requests::settings_installed const& installed);
     void schedule_tick();
     void begin_drain();
--- a/packages/daemon/src/entry_node.cpp
+++ b/packages/daemon/src/entry_node.cpp
@@ -54,6 +54,12 @@
     settings.incarnation = incarnation;
     settings.server.threads = from.http.threads;
     settings.max_waiting = from.http.threads - from.http.threads / 4;
+    auto& limits = settings.server.connection;
+    limits.max_body_bytes = from.limits.body_bytes;
+    limits.max_head_bytes = from.limits.header_bytes;
+    limits.idle = std::chrono::ceil<milliseconds>(from.limits.idle);
+    limits.receive = std::chrono::ceil<milliseconds>(from.limits.request_read);
+    settings.operator_key_sha256 = from.http.operator_key_sha256;
     return settings;
 }
 
@@ -110,7 +116,7 @@
 
 absl::Status entry_node::start()
 {
-    if (auto const status = peers_.start(); !status.ok())
+    if (auto status = peers_.start(); !status.ok())
         return status;
     publish_status();
     if (!front_.start())
@@ -144,58 +150,54 @@
 void entry_node::execute(decision::effects& effects)
 {
     for (auto& effect : effects)
+        std::visit([this](auto& it) { execute(it); }, effect);
+}
+
+void entry_node::execute(requests::send_answer& answer)
+{
+    front_.deliver(answer);
+}
+
+void entry_node::execute(requests::send_token& token)
+{
+    front_.deliver(token);
+}
+
+void entry_node::execute(requests::start_attempt& attempt)
+{
+    upstream_.start(std::move(attempt));
+}
+
+void entry_node::execute(requests::cancel_attempt& attempt)
+{
+    upstream_.cancel(attempt);
+}
+
+void entry_node::execute(requests::ask_service_outcome& query)
+{
+    upstream_.ask(std::move(query));
+}
+
+void entry_node::execute(requests::state_logged& line)
+{
+    serving::log::write_log(line);
+}
+
+void entry_node::execute(decision::send_peer& message)
+{
+    if (!peers_.execute(message))
     {
-        std::visit(
-            [this](auto& it)
-            {
-                using kind = std::decay_t<decltype(it)>;
-                if constexpr (std::is_same_v<kind, requests::send_answer> ||
-                              std::is_same_v<kind, requests::send_token>)
-                    front_.deliver(it);
-                else if constexpr (std::is_same_v<kind,
-                                                  requests::start_attempt>)
-                    upstream_.start(std::move(it));
-                else if constexpr (std::is_same_v<kind,
-                                                  requests::cancel_attempt>)
-                    upstream_.cancel(it);
-                else if constexpr (std::is_same_v<
-                                       kind, requests::ask_service_outcome>)
-                    upstream_.ask(std::move(it));
-                else if constexpr (std::is_same_v<kind, requests::state_logged>)
-                    serving::log::write_log(it);
-                else if constexpr (std::is_same_v<kind,
-                                                  requests::request_counted> ||
-                                   std::is_same_v<kind,
-                                                  requests::stage_counted> ||
-                                   std::is_same_v<kind,
-                                                  requests::event_counted>)
-                    metrics_.count(it);
-                else if constexpr (std::is_same_v<kind,
-                                                  decision::apply_settings>)
-                    execute(it);
-                else if constexpr (std::is_same_v<kind, decision::send_peer>)
-                {
-                    if (!peers_.execute(it))
-                        metrics_.count(requests::event_counted{
-                            requests::counter::peer_message_dropped, 1.});
-                }
-                else if constexpr (std::is_same_v<kind,
-                                                  decision::set_peer_targets>)
-                    peers_.execute(it);
-                else if constexpr (std::is_same_v<kind, decision::send_order>)
-                    execute(it);
-                else
-                {
-                    metrics_.count(requests::event_counted{
-                        requests::counter::store_call, 1.});
-                    store_.execute(std::move(it));
-                }
-            },
-            effect);
+        metrics_.count(requests::event_counted{
+            requests::counter::peer_message_dropped, 1.});
     }
 }
 
-void entry_node::execute(decision::apply_settings const& change)
+void entry_node::execute(decision::set_peer_targets& targets)
+{
+    peers_.execute(targets);
+}
+
+void entry_node::execute(decision::apply_settings& change)
 {
     auto const result = installer_.apply(change);
     for (auto const& it : result.problems)
@@ -331,7 +333,7 @@
     post(std::move(message));
 }
 
-void entry_node::execute(decision::send_order const& order)
+void entry_node::execute(decision::send_order& order)
 {
     serving::upstream::engine_order call;
     call.runner = order.order.runner;
--- a/packages/decision/include/buckthornvale/decision/retry/retry_policy.hpp
+++ b/packages/decision/include/buckthornvale/decision/retry/retry_policy.hpp
@@ -31,7 +31,12 @@
 //! Attempts of one stage, the first included.
 constexpr std::uint32_t most_attempts = 3;
 
-//! Decides on a retry and takes its token. A stage that must not run twice
+//! Attempts of one stage while none of them started: after a failure domain
+//! is lost, the first runners that are tried may all refuse.
+constexpr std::uint32_t most_unstarted_attempts = 8;
+
+//! Decides on a retry. It takes a token unless the failed attempt provably
+//! did not start. A stage that must not run twice
 //! is tried again only when the failed attempt provably did not start.
 retry_verdict decide_retry(failed_attempt const& failed, retry_budget& budget,
                            time_point now);
--- a/packages/peer/include/buckthornvale/peer/codec/message.hpp
+++ b/packages/peer/include/buckthornvale/peer/codec/message.hpp
@@ -45,8 +45,7 @@
     hello, decision::fleet::summary_message, ping, ack,
     decision::config::settings_have, decision::config::settings_pull,
     decision::config::settings_push, decision::bookings::shard_update,
-    decision::bookings::update_answer, decision::isolation::mark,
-    goodbye>;
+    decision::bookings::update_answer, decision::isolation::mark, goodbye>;
 
 } // namespace buckthornvale::peer
 
--- a/packages/serving/src/http/caller_codec.cpp
+++ b/packages/serving/src/http/caller_codec.cpp
@@ -209,6 +209,7 @@
     case error_kind::not_ready:
     case error_kind::shutting_down:
     case error_kind::outcome_pending:
+    case error_kind::unknown_key:
         return true;
     default:
         return false;
--- a/packages/settings/include/buckthornvale/settings/process/process_settings.hpp
+++ b/packages/settings/include/buckthornvale/settings/process/process_settings.hpp
@@ -17,6 +17,7 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; //!< 0 lets the system choose
     std::uint32_t threads = 128;
+    std::string operator_key_sha256; //!< 64 hex digits; empty: none
 };
 
 //! Peer link of one daemon.
@@ -41,7 +42,7 @@
 //! Graceful shutdown of one daemon.
 struct shutdown_settings
 {
-    //! From the notice until the process ends; in-flight requests finish.
+    //! Not ready but still taking requests, so that the balancer notices.
     decision::duration notice = std::chrono::seconds(30);
 };
 
@@ -51,7 +52,6 @@
     std::uint32_t body_bytes = 1U << 20U;
     std::uint32_t header_bytes = 16U << 10U;
     std::uint32_t upstream_calls = 128;
-    std::uint32_t connections_per_caller = 64;
     decision::duration idle = std::chrono::seconds(30);
     decision::duration request_read = std::chrono::seconds(5);
 };
--- a/packages/settings/include/buckthornvale/settings/schema/key.hpp
+++ b/packages/settings/include/buckthornvale/settings/schema/key.hpp
@@ -40,7 +40,7 @@
     ip_address, //!< IPv4 or IPv6 in numbers
     ip_port,    //!< `127.0.0.1:8080` or `[::1]:8080`
     sha256,     //!< 64 hexadecimal digits
-    log_level,  //!< trace, debug, info, warn, error
+    log_level,  //!< info, warning, error, off
     runner_kind //!< engine, service
 };
 
--- a/packages/settings/src/process/process_settings.cpp
+++ b/packages/settings/src/process/process_settings.cpp
@@ -88,6 +88,14 @@
          {1., most_threads},
          text_form::any,
          "Requests that are handled at once."},
+        {"operator_key_sha256",
+         &http_settings::operator_key_sha256,
+         false,
+         unit::none,
+         {},
+         text_form::sha256,
+         "SHA-256 of the operator's bearer key for /v1/status and /v1/drain. "
+         "Without it they answer loopback callers only."},
     };
     return keys;
 }
@@ -150,8 +158,8 @@
          unit::milliseconds,
          {0., hour_ms},
          text_form::any,
-         "Time that the platform leaves between its notice and the end of "
-         "the VM."},
+         "Time during which a draining process is not ready but still takes "
+         "requests, so that the balancer can notice."},
     };
     return keys;
 }
@@ -180,13 +188,6 @@
          {1., most_threads},
          text_form::any,
          "Calls to runners at once."},
-        {"connections_per_caller",
-         &limit_settings::connections_per_caller,
-         false,
-         unit::none,
-         {1., most_threads},
-         text_form::any,
-         "Connections of one address at once."},
         {"idle_ms",
          &limit_settings::idle,
          false,
--- a/packages/settings/src/schema/key.cpp
+++ b/packages/settings/src/schema/key.cpp
@@ -86,7 +86,7 @@
         "IP address in numbers",
         "IP address and port",
         "64 hexadecimal digits",
-        "trace, debug, info, warn, error",
+        "info, warning, error, off",
         "engine, service"};
     return descriptions[static_cast<std::size_t>(form)];
 }
@@ -106,7 +106,7 @@
     case text_form::sha256:
         return is_sha256(text);
     case text_form::log_level:
-        return is_one_of<5>(text, {"trace", "debug", "info", "warn", "error"});
+        return is_one_of<4>(text, {"info", "warning", "error", "off"});
     case text_form::runner_kind:
         return is_one_of<2>(text, {"engine", "service"});
     }
