reducer: keep links to listed VMs that look dead

Cause: paused_vm.runs_no_booking_again_when_it_returns failed: after SIGCONT the VM was never taken back. Peers had judged it dead, so they neither dialled it nor accepted its connections, and only a hello could make it live again. Ruled out: the event loop (its timer ran), settings (ready stayed true). Change: all VMs that the platform lists are reachable; in a full mesh their links stay, in a tree a VM without any link dials its neighbours itself. Conclusion: a paused or cut-off VM comes back by itself.

--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -131,6 +131,8 @@
     void emit_lease_call(leases::pool_orders const& orders,
                          leases::lease_effect const& call, effects& out);
     void relink(time_point now, effects& out);
+    void set_links(std::vector<fleet::member> const& live, time_point now,
+                   effects& out);
     void share_summaries(time_point now, effects& out);
     void take_peer_demand(time_point now);
     void share_marks(time_point now, effects& out);
@@ -171,6 +173,7 @@
     std::vector<vm_id> linked_; //!< peers of the topology with an open link
     std::vector<vm_id> topology_;
     std::uint64_t linked_generation_ = 0;
+    bool cut_off_ = true; //!< no link was open when links were last set
     requests::effect_list request_effects_; //!< reused between steps
     bookings::booking_effects store_effects_;
     config::config_effects config_effects_;
--- a/packages/decision/src/reducer/reducer_peers.cpp
+++ b/packages/decision/src/reducer/reducer_peers.cpp
@@ -57,27 +57,47 @@
 
 void reducer::relink(time_point now, effects& out)
 {
-    if (members_.generation() == linked_generation_)
+    bool const cut_off = linked_.empty();
+    if (members_.generation() == linked_generation_ && cut_off == cut_off_)
         return;
     linked_generation_ = members_.generation();
+    cut_off_ = cut_off;
     auto const live = members_.live_entries();
-    std::vector<fleet::topology_node> nodes;
     std::vector<bookings::live_vm> committers;
     for (auto const& it : live)
     {
-        nodes.push_back({it.id, it.domain});
         auto const incarnation =
             it.id == self_ ? settings_.incarnation : it.incarnation;
         committers.push_back({it.id, incarnation});
     }
     bookings_.set_live_vms(committers);
-    admission_.set_fleet(std::max<std::size_t>(nodes.size(), 1), now);
-    router_.set_fleet(std::max<std::size_t>(nodes.size(), 1), now);
-    auto const links = fleet::strategy_for(nodes.size()).links(self_, nodes);
+    auto const live_vms = std::max<std::size_t>(live.size(), 1);
+    admission_.set_fleet(live_vms, now);
+    router_.set_fleet(live_vms, now);
+    set_links(live, now, out);
+}
+
+// A VM that looks dead or paused stays reachable while the platform lists it:
+// otherwise it could never show that it is back. In a full mesh its links are
+// kept too; in a tree a VM that lost all links dials every neighbour itself.
+void reducer::set_links(std::vector<fleet::member> const& live, time_point now,
+                        effects& out)
+{
+    std::vector<fleet::member> listed;
+    for (auto const& it : members_.members())
+    {
+        if (it.listed.role == fleet::member_role::entry && !it.listed.leaving)
+            listed.push_back(it);
+    }
+    bool const mesh = listed.size() <= fleet::max_mesh_vms;
+    std::vector<fleet::topology_node> nodes;
+    for (auto const& it : mesh ? listed : live)
+        nodes.push_back({it.id, it.domain});
+    auto const links = fleet::strategy_for(listed.size()).links(self_, nodes);
     summaries_.set_links(links, now);
     topology_.clear();
     set_peer_targets targets;
-    for (auto const& it : live)
+    for (auto const& it : listed)
     {
         if (it.id == self_)
             continue;
@@ -87,8 +107,8 @@
         bool const linked = link != links.end();
         if (linked)
             topology_.push_back(it.id);
-        targets.peers.push_back(
-            {it.id, it.listed.peer_address, linked, linked && link->dial});
+        bool const dial = linked && (link->dial || (cut_off_ && !mesh));
+        targets.peers.push_back({it.id, it.listed.peer_address, linked, dial});
     }
     detector_.set_peers(topology_, now);
     out.push_back(std::move(targets));
--- /dev/null
+++ b/packages/decision/tests/reducer/peers_test.cpp
@@ -0,0 +1,61 @@
+#include "support/vm_fixture.hpp"
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::decision
+{
+namespace
+{
+
+using testing::fake_store;
+using testing::vm_fixture;
+
+vm_list_read list_of(int vms)
+{
+    vm_list_read list;
+    for (int n = 1; n <= vms; ++n)
+    {
+        fleet::listed_vm vm;
+        vm.name = "vm-" + std::to_string(n);
+        vm.peer_address = "127.0.0.1:" + std::to_string(9000 + n);
+        vm.failure_domain = "north";
+        list.vms.push_back(vm);
+    }
+    return list;
+}
+
+// Guards against a paused VM that its peers never take back: its links were
+// dropped when it looked dead, so it could not show that it was alive.
+TEST(peer_links, are_kept_to_a_listed_vm_that_looks_dead)
+{
+    fake_store store;
+    vm_fixture it(store);
+    auto const peer = vm_id::of("vm-2");
+    it.post(list_of(2));
+    it.post(peer_link_changed{peer, fleet::link_event::connected, 7});
+    it.post(peer_link_changed{peer, fleet::link_event::reset, 0});
+    it.advance(std::chrono::seconds(120));
+    it.post(list_of(2));
+    ASSERT_EQ(it.targets.peers.size(), 1u);
+    EXPECT_TRUE(it.targets.peers[0].link);
+
+    it.post(peer_link_changed{peer, fleet::link_event::connected, 8});
+    auto const status = it.vm.status();
+    for (auto const& member : status.members)
+        EXPECT_EQ(member.state, fleet::member_state::live);
+}
+
+// Guards against a VM in a tree that waits to be dialled by peers that have
+// already given it up.
+TEST(peer_links, are_dialled_by_a_vm_that_is_cut_off_from_a_tree)
+{
+    fake_store store;
+    vm_fixture it(store);
+    it.post(list_of(40));
+    EXPECT_EQ(it.targets.peers.size(), 39u);
+    for (auto const& target : it.targets.peers)
+        EXPECT_EQ(target.dial, target.link);
+}
+
+} // namespace
+} // namespace buckthornvale::decision
--- a/packages/decision/tests/reducer/support/vm_fixture.cpp
+++ b/packages/decision/tests/reducer/support/vm_fixture.cpp
@@ -229,6 +229,8 @@
                     0, renew->path, renew->expected_version, renew->value}));
         else if (auto* const order = std::get_if<send_order>(&effect))
             orders.push_back(*order);
+        else if (auto* const wanted = std::get_if<set_peer_targets>(&effect))
+            targets = *wanted;
         else if (auto* const remove =
                      std::get_if<bookings::delete_object>(&effect))
             post(store_.apply(*remove));
--- a/packages/decision/tests/reducer/support/vm_fixture.hpp
+++ b/packages/decision/tests/reducer/support/vm_fixture.hpp
@@ -82,6 +82,7 @@
     std::vector<requests::start_attempt> attempts;
     std::vector<requests::cancel_attempt> cancels;
     std::vector<send_order> orders;
+    set_peer_targets targets; //!< the last ones
     time_point now{std::chrono::seconds(1)};
     wall_time wall{std::chrono::hours(500000)};
     reducer vm;
