--- a/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/reducer/reducer.hpp
@@ -20,6 +20,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -137,6 +138,7 @@
     void take_peer_demand(time_point now);
     void share_marks(time_point now, effects& out);
     fleet::load_summary local_summary(time_point now) const;
+    void count_changes();
     void log(std::string text);
 
     //! Reasons for which a runner is leaving; any one is enough.
@@ -174,6 +176,8 @@
     std::vector<vm_id> topology_;
     std::uint64_t linked_generation_ = 0;
     bool cut_off_ = true; //!< no link was open when links were last set
+    //! Totals of the concerns when they were counted last.
+    std::array<std::uint64_t, 3> counted_{};
     requests::effect_list request_effects_; //!< reused between steps
     bookings::booking_effects store_effects_;
     config::config_effects config_effects_;
--- a/packages/decision/src/core/error.cpp
+++ b/packages/decision/src/core/error.cpp
@@ -52,7 +52,7 @@
      "send again later or with a longer deadline"},
     {error_kind::isolated, "isolated", 503,
      "refused: isolated, this content crashed runners before",
-     "change the input, or ask the operator to lift the isolation"},
+     "change the input; the isolation ends after one hour"},
     {error_kind::no_runner, "no_runner", 503,
      "no runner of a needed pool is available",
      "wait for retry_after_ms and send again"},
--- a/packages/decision/src/reducer/reducer.cpp
+++ b/packages/decision/src/reducer/reducer.cpp
@@ -382,6 +382,30 @@
     log("drain started: not ready, requests in flight go on");
 }
 
+void reducer::count_changes()
+{
+    using requests::counter;
+    struct total
+    {
+        counter which;
+        std::uint64_t value;
+    };
+    std::array<total, 3> const totals = {
+        {{counter::booking_unknown, bookings_.counters().unknown},
+         {counter::content_isolated, isolation_.counters().isolated},
+         {counter::retry_refused_by_budget, retry_budget_.refused()}}};
+    for (std::size_t n = 0; n < totals.size(); ++n)
+    {
+        auto const change = totals[n].value - counted_[n];
+        counted_[n] = totals[n].value;
+        if (change > 0)
+        {
+            request_effects_.push_back(requests::event_counted{
+                totals[n].which, static_cast<double>(change)});
+        }
+    }
+}
+
 void reducer::on(ticked const& value, time_point now, effects& out)
 {
     wall_ = value.wall;
@@ -397,6 +421,7 @@
     share_summaries(now, out);
     share_marks(now, out);
     tick_orders(now, out);
+    count_changes();
     isolation_.expire(now);
 }
 
--- a/packages/decision/tests/reducer/answers_matching_test.cpp
+++ b/packages/decision/tests/reducer/answers_matching_test.cpp
@@ -200,6 +200,8 @@
     auto const last = it.send("answer", "", false, "\"crashes\"");
     ASSERT_TRUE(it.has_answer(last));
     EXPECT_EQ(it.answers[last].failure.kind, error_kind::isolated);
+    it.advance(std::chrono::milliseconds(10));
+    EXPECT_EQ(it.counted(counter::content_isolated), 1.);
 }
 
 } // namespace
