tools: install the libraries as they were installed for the first build

Cause: the script left out recommended packages, the build was only ever tried with them. Change: apt-get installs recommended packages too. Conclusion: a fresh machine gets the set that was tried.

--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -21,5 +21,5 @@
 if [ "${#missing[@]}" -gt 0 ]; then
     apt-get update -qq
     DEBIAN_FRONTEND=noninteractive apt-get install -y -qq \
-        --no-install-recommends "${missing[@]}" >/dev/null
+        "${missing[@]}" >/dev/null
 fi
