daemon: wait for the settings budget in one place

Cause: the same wait loop stood in the list and the watch call. Change: one function; behaviour is unchanged.

--- a/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
@@ -44,6 +44,8 @@
 private:
     bool permitted(platform::call_purpose purpose,
                    platform::call_direction direction);
+    //! Waits until the budget lets a settings read; false when stopping.
+    bool await_settings_read();
     void report(platform::call_purpose purpose, platform::call_status status);
     void finish_write(decision::bookings::store_token token,
                       platform::write_result const& result);
--- a/packages/daemon/src/store_gateway.cpp
+++ b/packages/daemon/src/store_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace buckthornvale::daemon
@@ -132,6 +133,16 @@
     return budget_.acquire(purpose, direction).is_granted;
 }
 
+bool store_gateway::await_settings_read()
+{
+    while (!permitted(call_purpose::settings, call_direction::read))
+    {
+        if (!wait(budget_wait))
+            return false;
+    }
+    return true;
+}
+
 void store_gateway::report(call_purpose purpose, call_status status)
 {
     bool const failed = status == call_status::not_sent ||
@@ -258,12 +269,8 @@
     asio::post(settings_,
                [this, call = std::move(call)]
                {
-                   while (
-                       !permitted(call_purpose::settings, call_direction::read))
-                   {
-                       if (!wait(budget_wait))
-                           return;
-                   }
+                   if (!await_settings_read())
+                       return;
                    auto result = api_.list(call.prefix, call.after, call.limit);
                    report(call_purpose::settings, result.status);
                    if (!result.is_done())
@@ -283,37 +290,34 @@
 
 void store_gateway::execute(config::watch_objects call)
 {
-    asio::post(
-        settings_,
-        [this, call = std::move(call)]
-        {
-            while (!permitted(call_purpose::settings, call_direction::read))
-            {
-                if (!wait(budget_wait))
-                    return;
-            }
-            auto result = api_.watch(call.prefix, call.from, call.timeout);
-            report(call_purpose::settings, result.status);
-            if (result.status == call_status::compacted)
-            {
-                events_.post(decision::watch_lost{call.token});
-                return;
-            }
-            if (!result.is_done())
-            {
-                events_.post(decision::settings_call_failed{call.token});
-                return;
-            }
-            config::watch_answer answer;
-            answer.token = call.token;
-            answer.revision = result.value.revision;
-            for (auto& it : result.value.events)
-            {
-                answer.events.push_back(
-                    object_of(std::move(it.changed), it.is_delete));
-            }
-            events_.post(std::move(answer));
-        });
+    asio::post(settings_,
+               [this, call = std::move(call)]
+               {
+                   if (!await_settings_read())
+                       return;
+                   auto result =
+                       api_.watch(call.prefix, call.from, call.timeout);
+                   report(call_purpose::settings, result.status);
+                   if (result.status == call_status::compacted)
+                   {
+                       events_.post(decision::watch_lost{call.token});
+                       return;
+                   }
+                   if (!result.is_done())
+                   {
+                       events_.post(decision::settings_call_failed{call.token});
+                       return;
+                   }
+                   config::watch_answer answer;
+                   answer.token = call.token;
+                   answer.revision = result.value.revision;
+                   for (auto& it : result.value.events)
+                   {
+                       answer.events.push_back(
+                           object_of(std::move(it.changed), it.is_delete));
+                   }
+                   events_.post(std::move(answer));
+               });
 }
 
 void store_gateway::start_vm_list(decision::duration period)
