daemon: count only calls that were sent as failures of the store

Cause: a claim write that the VM's own budget held back was reported to that budget as a failure of the store, which lengthened the back-off of claims. Found on reading the four store calls for what they share. Change: claims and leases use one read and one write function, which report a call only when it was sent. Dead state of the executor goes: the hedge mark that nothing read and an unused accessor. Conclusion: a busy VM no longer backs off from a healthy store.

--- a/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
@@ -10,7 +10,9 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <mutex>
+#include <string>
 #include <thread>
 
 namespace buckthornvale::daemon
@@ -42,13 +44,26 @@
     void offer_status(std::string const& path, std::string value);
 
 private:
+    //! What became of one call. A call that the budget held back was not sent.
+    struct call_result
+    {
+        platform::call_status status = platform::call_status::unavailable;
+        std::uint64_t version = 0;
+        std::string value;
+    };
+
     bool permitted(platform::call_purpose purpose,
                    platform::call_direction direction);
     //! Waits until the budget lets a settings read; false when stopping.
     bool await_settings_read();
     void report(platform::call_purpose purpose, platform::call_status status);
-    void finish_write(decision::bookings::store_token token,
-                      platform::write_result const& result);
+    call_result read(platform::call_purpose purpose, std::string const& path);
+    template <class Call>
+    call_result write(platform::call_purpose purpose, Call const& call);
+    void answer_claim(decision::bookings::store_token token,
+                      call_result result);
+    void answer_lease(decision::pool_id pool, std::uint64_t call,
+                      call_result result);
     void read_vm_list();
     void write_status(std::string const& path, std::string const& value);
     bool wait(decision::duration length);
--- a/packages/daemon/src/store_gateway.cpp
+++ b/packages/daemon/src/store_gateway.cpp
@@ -154,55 +154,79 @@
         budget_.succeeded(purpose);
 }
 
-void store_gateway::execute(bookings::read_object call)
+store_gateway::call_result store_gateway::read(call_purpose purpose,
+                                               std::string const& path)
 {
-    asio::post(claims_,
-               [this, call = std::move(call)]
-               {
-                   bookings::store_answer answer;
-                   answer.token = call.token;
-                   answer.status = bookings::store_status::unavailable;
-                   if (permitted(call_purpose::claim, call_direction::read))
-                   {
-                       auto result = api_.get(call.path);
-                       report(call_purpose::claim, result.status);
-                       answer.status = store_status_of(result.status);
-                       answer.version = result.value.version;
-                       answer.value = std::move(result.value.value);
-                   }
-                   events_.post(std::move(answer));
-               });
+    call_result result;
+    if (!permitted(purpose, call_direction::read))
+        return result;
+    auto read = api_.get(path);
+    report(purpose, read.status);
+    result.status = read.status;
+    result.version = read.value.version;
+    result.value = std::move(read.value.value);
+    return result;
 }
 
-void store_gateway::finish_write(bookings::store_token token,
-                                 platform::write_result const& result)
+template <class Call>
+store_gateway::call_result store_gateway::write(call_purpose purpose,
+                                                Call const& call)
+{
+    call_result result;
+    if (!permitted(purpose, call_direction::write))
+        return result;
+    platform::write_result written = call();
+    report(purpose, written.status);
+    result.status = written.status;
+    result.version = written.version;
+    if (written.current)
+    {
+        result.version = written.current->version;
+        result.value = std::move(written.current->value);
+    }
+    return result;
+}
+
+void store_gateway::answer_claim(bookings::store_token token,
+                                 call_result result)
 {
-    report(call_purpose::claim, result.status);
     bookings::store_answer answer;
     answer.token = token;
     answer.status = store_status_of(result.status);
     answer.version = result.version;
-    if (result.current)
-    {
-        answer.version = result.current->version;
-        answer.value = result.current->value;
-    }
+    answer.value = std::move(result.value);
+    events_.post(std::move(answer));
+}
+
+void store_gateway::answer_lease(decision::pool_id pool, std::uint64_t call,
+                                 call_result result)
+{
+    decision::lease_call_answered answer;
+    answer.pool = pool;
+    answer.call = call;
+    answer.status = lease_status_of(result.status);
+    answer.version = result.version;
+    answer.value = std::move(result.value);
     events_.post(std::move(answer));
 }
 
+void store_gateway::execute(bookings::read_object call)
+{
+    asio::post(
+        claims_, [this, call = std::move(call)]
+        { answer_claim(call.token, read(call_purpose::claim, call.path)); });
+}
+
 void store_gateway::execute(bookings::write_object call)
 {
     asio::post(claims_,
                [this, call = std::move(call)]
                {
-                   platform::write_result result;
-                   result.status = call_status::unavailable;
-                   if (permitted(call_purpose::claim, call_direction::write))
-                   {
-                       result = api_.put(call.path, call.expected_version,
-                                         call.value);
-                   }
-                   finish_write(call.token, result);
+                   auto const put = [&] {
+                       return api_.put(call.path, call.expected_version,
+                                       call.value);
+                   };
+                   answer_claim(call.token, write(call_purpose::claim, put));
                });
 }
 
@@ -211,57 +235,31 @@
     asio::post(claims_,
                [this, call = std::move(call)]
                {
-                   platform::write_result result;
-                   result.status = call_status::unavailable;
-                   if (permitted(call_purpose::claim, call_direction::write))
-                       result = api_.remove(call.path, call.expected_version);
-                   finish_write(call.token, result);
+                   auto const remove = [&]
+                   { return api_.remove(call.path, call.expected_version); };
+                   answer_claim(call.token, write(call_purpose::claim, remove));
                });
 }
 
 void store_gateway::execute(decision::read_lease_object call)
 {
     asio::post(leases_,
-               [this, call = std::move(call)]
-               {
-                   decision::lease_call_answered answer;
-                   answer.pool = call.pool;
-                   answer.call = call.call;
-                   if (permitted(call_purpose::lease, call_direction::read))
-                   {
-                       auto result = api_.get(call.path);
-                       report(call_purpose::lease, result.status);
-                       answer.status = lease_status_of(result.status);
-                       answer.version = result.value.version;
-                       answer.value = std::move(result.value.value);
-                   }
-                   events_.post(std::move(answer));
+               [this, call = std::move(call)] {
+                   answer_lease(call.pool, call.call,
+                                read(call_purpose::lease, call.path));
                });
 }
 
 void store_gateway::execute(decision::write_lease_object call)
 {
-    asio::post(leases_,
-               [this, call = std::move(call)]
-               {
-                   decision::lease_call_answered answer;
-                   answer.pool = call.pool;
-                   answer.call = call.call;
-                   if (permitted(call_purpose::lease, call_direction::write))
-                   {
-                       auto const result = api_.put(
-                           call.path, call.expected_version, call.value);
-                       report(call_purpose::lease, result.status);
-                       answer.status = lease_status_of(result.status);
-                       answer.version = result.version;
-                       if (result.current)
-                       {
-                           answer.version = result.current->version;
-                           answer.value = result.current->value;
-                       }
-                   }
-                   events_.post(std::move(answer));
-               });
+    asio::post(
+        leases_,
+        [this, call = std::move(call)]
+        {
+            auto const put = [&]
+            { return api_.put(call.path, call.expected_version, call.value); };
+            answer_lease(call.pool, call.call, write(call_purpose::lease, put));
+        });
 }
 
 void store_gateway::execute(config::list_objects call)
--- a/packages/decision/include/buckthornvale/decision/requests/attempt_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/attempt_table.hpp
@@ -22,7 +22,6 @@
     runner_id runner;
     time_point started{};
     time_point expires{};  //!< end of the attempt's budget
-    bool hedge = false;    //!< races an earlier attempt
     bool alone = false;    //!< its runner is reserved for it
     bool call_open = true; //!< false: the call ended with another's answer
     //! While the call is closed: an answer that crossed to another call of
--- a/packages/decision/include/buckthornvale/decision/requests/executor.hpp
+++ b/packages/decision/include/buckthornvale/decision/requests/executor.hpp
@@ -95,11 +95,9 @@
     std::map<std::uint64_t, double>
     attempts_by_model(request_table const& requests) const;
 
-    std::size_t attempts_in_flight() const { return attempts_.size(); }
-
 private:
-    bool start(request_state& request, stage_index n, bool hedge,
-               time_point now, effect_list& out);
+    bool start(request_state& request, stage_index n, time_point now,
+               effect_list& out);
     start_attempt make_effect(request_state const& request,
                               attempt_state const& attempt,
                               duration budget) const;
--- a/packages/decision/src/requests/executor.cpp
+++ b/packages/decision/src/requests/executor.cpp
@@ -60,7 +60,7 @@
     for (stage_index n = 0; n < request.stages.size(); ++n)
     {
         if (is_startable(request, n))
-            start(request, n, false, now, out);
+            start(request, n, now, out);
     }
 }
 
@@ -97,8 +97,8 @@
     return runner;
 }
 
-bool executor::start(request_state& request, stage_index n, bool hedge,
-                     time_point now, effect_list& out)
+bool executor::start(request_state& request, stage_index n, time_point now,
+                     effect_list& out)
 {
     auto& stage = request.stages[n];
     auto const& settings = request.graph->at(n);
@@ -118,7 +118,6 @@
     }
 
     auto& attempt = attempts_.add(request.id, n, *runner, now, budget);
-    attempt.hedge = hedge;
     attempt.alone = query.alone;
     if (!settings.repeatable)
         attempt.expires = request.deadline + outcome_wait;
@@ -325,7 +324,7 @@
     if (stage.tokens.next_index() > 0)
         out.push_back(event_counted{counter::stream_resumed, 1.});
     out.push_back(event_counted{counter::attempt_retried, 1.});
-    start(request, n, false, now, out);
+    start(request, n, now, out);
 }
 
 error executor::failure_of(attempt_ended const& event) const
@@ -500,7 +499,7 @@
         auto const query = hedge_query_of(request, n, *first);
         if (!parts_.hedges.may_hedge(query, parts_.split, parts_.budget, now))
             continue;
-        if (start(request, n, true, now, out))
+        if (start(request, n, now, out))
             out.push_back(event_counted{counter::attempt_hedged, 1.});
         else
             parts_.budget.give_back();
