--- a/examples/use_package/platform.cpp
+++ /dev/null
@@ -1,8 +0,0 @@
-#include <buckthornvale/platform/objects/http_object_api.hpp>
-
-int main()
-{
-    // Not an address, so that no connection is made.
-    buckthornvale::platform::http_object_api api("127.0.0.1:0");
-    return api.get("settings/ranks").is_done() ? 1 : 0;
-}
--- a/packages/ctl/include/buckthornvale/ctl/cli/context.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/cli/context.hpp
@@ -3,7 +3,7 @@
 
 #include <buckthornvale/ctl/fleet/vm_client.hpp>
 #include <buckthornvale/decision/core/time.hpp>
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -35,7 +35,7 @@
 //! What a command works with. Tests replace all of it.
 struct context
 {
-    platform::object_api& store;
+    objects::object_api& store;
     vm_client& vms;
     options const& flags;
     std::ostream& out;
--- a/packages/ctl/include/buckthornvale/ctl/cli/exit_code.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/cli/exit_code.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_CTL_CLI_EXIT_CODE_HPP
 #define BUCKTHORNVALE_CTL_CLI_EXIT_CODE_HPP
 
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <absl/types/span.h>
 
@@ -35,7 +35,7 @@
 absl::Span<exit_code_meaning const> all_exit_codes();
 
 //! Exit code for a call of the object API that was not done.
-exit_code exit_code_for(platform::call_status status);
+exit_code exit_code_for(objects::call_status status);
 
 } // namespace buckthornvale::ctl
 
--- a/packages/ctl/include/buckthornvale/ctl/fleet/vm_status.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/fleet/vm_status.hpp
@@ -19,18 +19,18 @@
 //! when it does not answer.
 struct vm_status
 {
-    platform::platform_vm vm;
+    objects::platform_vm vm;
     bool is_answering = false;             //!< GET /v1/status was answered
     std::optional<std::uint64_t> revision; //!< of the settings in force
     nlohmann::json document;               //!< as received
 };
 
 //! Entry VMs of the platform's list; nothing when it did not answer.
-std::optional<std::vector<platform::platform_vm>> entry_vms(context& with);
+std::optional<std::vector<objects::platform_vm>> entry_vms(context& with);
 
 //! Asks all VMs, several at once.
 std::vector<vm_status>
-read_statuses(context& with, std::vector<platform::platform_vm> const& vms);
+read_statuses(context& with, std::vector<objects::platform_vm> const& vms);
 
 //! Calls `task(i)` for all i < n from a bounded number of threads.
 void for_each_parallel(std::size_t n,
--- a/packages/ctl/include/buckthornvale/ctl/store/history.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/store/history.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_CTL_STORE_HISTORY_HPP
 #define BUCKTHORNVALE_CTL_STORE_HISTORY_HPP
 
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -26,7 +26,7 @@
 //! and bytes; the oldest entries go first.
 struct history
 {
-    platform::call_status status = platform::call_status::unknown;
+    objects::call_status status = objects::call_status::unknown;
     std::uint64_t object_version = 0;
     std::vector<history_entry> entries; //!< oldest first
 
@@ -34,10 +34,10 @@
 };
 
 //! A missing history object is an empty history with the status done.
-history read_history(platform::object_api& store, std::string const& path);
+history read_history(objects::object_api& store, std::string const& path);
 
 //! Adds an entry by conditional updates; false when that failed.
-bool append_history(platform::object_api& store, std::string const& path,
+bool append_history(objects::object_api& store, std::string const& path,
                     history_entry const& entry);
 
 } // namespace buckthornvale::ctl
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -1,5 +1,5 @@
 #include <buckthornvale/ctl/cli/command.hpp>
-#include <buckthornvale/platform/objects/http_object_api.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
 
 #include <gflags/gflags.h>
 
@@ -96,7 +96,7 @@
         return static_cast<int>(ctl::exit_code::usage);
     }
     auto const flags = read_flags();
-    platform::http_object_api store(FLAGS_platform);
+    objects::http_object_api store(FLAGS_platform);
     ctl::http_vm_client vms(read_operator_key());
     ctl::context with{store,
                       vms,
--- a/packages/ctl/src/burn/report_burn.cpp
+++ b/packages/ctl/src/burn/report_burn.cpp
@@ -26,7 +26,7 @@
             objects.push_back({it.path, 1, it.text});
         return objects;
     }
-    auto const listed = platform::list_all(with.store, "settings/", page_limit);
+    auto const listed = objects::list_all(with.store, "settings/", page_limit);
     if (!listed.is_done())
         return std::nullopt;
     for (auto const& it : listed.value.items)
--- a/packages/ctl/src/cli/exit_code.cpp
+++ b/packages/ctl/src/cli/exit_code.cpp
@@ -29,23 +29,23 @@
     return meanings;
 }
 
-exit_code exit_code_for(platform::call_status status)
+exit_code exit_code_for(objects::call_status status)
 {
     switch (status)
     {
-    case platform::call_status::done:
+    case objects::call_status::done:
         return exit_code::success;
-    case platform::call_status::not_found:
+    case objects::call_status::not_found:
         return exit_code::not_found;
-    case platform::call_status::conflict:
+    case objects::call_status::conflict:
         return exit_code::conflict;
-    case platform::call_status::rejected:
+    case objects::call_status::rejected:
         return exit_code::invalid;
-    case platform::call_status::unknown:
+    case objects::call_status::unknown:
         return exit_code::unknown;
-    case platform::call_status::compacted:
-    case platform::call_status::not_sent:
-    case platform::call_status::unavailable:
+    case objects::call_status::compacted:
+    case objects::call_status::not_sent:
+    case objects::call_status::unavailable:
         break;
     }
     return exit_code::unavailable;
--- a/packages/ctl/src/fleet/drain.cpp
+++ b/packages/ctl/src/fleet/drain.cpp
@@ -26,7 +26,7 @@
     return document["in_flight"].get<std::uint64_t>();
 }
 
-exit_code wait_until_idle(context& with, platform::platform_vm const& vm)
+exit_code wait_until_idle(context& with, objects::platform_vm const& vm)
 {
     std::optional<std::uint64_t> shown;
     for (decision::duration waited{};; waited += with.flags.interval)
--- a/packages/ctl/src/fleet/status.cpp
+++ b/packages/ctl/src/fleet/status.cpp
@@ -31,7 +31,7 @@
 std::vector<runner_line> read_runners(context& with)
 {
     std::vector<runner_line> runners;
-    auto const listed = platform::list_all(with.store, "settings/", page_limit);
+    auto const listed = objects::list_all(with.store, "settings/", page_limit);
     if (!listed.is_done())
     {
         with.err << "the platform's store did not list the settings; runners "
@@ -46,7 +46,7 @@
     std::set<std::string> leaving;
     for (auto const& it : with.store.vms().value)
     {
-        if (it.role == platform::vm_role::runner && it.is_leaving)
+        if (it.role == objects::vm_role::runner && it.is_leaving)
             leaving.insert(it.id);
     }
     for (auto const& [name, pool] : set.in_force().pools)
--- a/packages/ctl/src/fleet/vm_status.cpp
+++ b/packages/ctl/src/fleet/vm_status.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-std::optional<std::vector<platform::platform_vm>> entry_vms(context& with)
+std::optional<std::vector<objects::platform_vm>> entry_vms(context& with)
 {
     auto listed = with.store.vms();
     if (!listed.is_done())
@@ -37,13 +37,13 @@
     auto& vms = listed.value;
     vms.erase(std::remove_if(vms.begin(), vms.end(),
                              [](auto const& it)
-                             { return it.role != platform::vm_role::entry; }),
+                             { return it.role != objects::vm_role::entry; }),
               vms.end());
     return std::move(vms);
 }
 
 std::vector<vm_status>
-read_statuses(context& with, std::vector<platform::platform_vm> const& vms)
+read_statuses(context& with, std::vector<objects::platform_vm> const& vms)
 {
     std::vector<vm_status> statuses(vms.size());
     for_each_parallel(
--- a/packages/ctl/src/fleet/wait.cpp
+++ b/packages/ctl/src/fleet/wait.cpp
@@ -21,7 +21,7 @@
 // Newest version of the stored settings.
 std::optional<std::uint64_t> newest_version(context& with)
 {
-    auto const listed = platform::list_all(with.store, "settings/", page_limit);
+    auto const listed = objects::list_all(with.store, "settings/", page_limit);
     if (!listed.is_done())
         return std::nullopt;
     std::uint64_t newest = 0;
@@ -48,7 +48,7 @@
 // A VM that leaves or cannot be reached counts as behind until the platform
 // no longer lists it.
 wait_state read_state(context& with, std::uint64_t revision,
-                      std::vector<platform::platform_vm> const& vms)
+                      std::vector<objects::platform_vm> const& vms)
 {
     wait_state state;
     state.total = vms.size();
--- a/packages/ctl/src/store/apply.cpp
+++ b/packages/ctl/src/store/apply.cpp
@@ -17,7 +17,7 @@
 {
 
 using nlohmann::json;
-using platform::call_status;
+using objects::call_status;
 
 // What became of one planned change.
 struct applied
@@ -28,7 +28,7 @@
     std::string diff; //!< of the other change on a conflict
 };
 
-platform::write_result write(context& with, planned_change const& change)
+objects::write_result write(context& with, planned_change const& change)
 {
     return change.is_removal
                ? with.store.remove(change.path, change.expected)
@@ -36,8 +36,8 @@
 }
 
 // Settles a write whose response was lost by reading the object back.
-platform::write_result settle(context& with, planned_change const& change,
-                              platform::write_result result)
+objects::write_result settle(context& with, planned_change const& change,
+                              objects::write_result result)
 {
     auto const read = with.store.get(change.path);
     bool const is_written = change.is_removal
@@ -59,11 +59,11 @@
 }
 
 applied conflict_of(context& with, planned_change const& change,
-                    platform::write_result const& result)
+                    objects::write_result const& result)
 {
     applied value;
     value.status = exit_code::conflict;
-    auto const current = result.current.value_or(platform::object{});
+    auto const current = result.current.value_or(objects::object{});
     auto base = change.stored.value;
     std::string note;
     if (change.stored.version != change.expected)
--- a/packages/ctl/src/store/change_plan.cpp
+++ b/packages/ctl/src/store/change_plan.cpp
@@ -20,7 +20,7 @@
 {
 
 using nlohmann::json;
-using objects_t = std::map<std::string, platform::object>;
+using objects_t = std::map<std::string, objects::object>;
 using files_t = std::vector<settings_file>;
 
 constexpr std::size_t page_limit = 500;
@@ -147,7 +147,7 @@
         plan.status = exit_code::usage;
         return plan;
     }
-    auto const listed = platform::list_all(with.store, prefix, page_limit);
+    auto const listed = objects::list_all(with.store, prefix, page_limit);
     if (!listed.is_done())
     {
         with.err << "the platform's store did not list the settings ("
--- a/packages/ctl/src/store/get.cpp
+++ b/packages/ctl/src/store/get.cpp
@@ -59,12 +59,12 @@
     if (!read.is_done())
     {
         with.err << words[0] << ": "
-                 << (read.status == platform::call_status::not_found
+                 << (read.status == objects::call_status::not_found
                          ? "no such object; `status` and docs/settings.md "
                            "show what there is\n"
                          : "the platform's store did not answer; try again "
                            "later\n");
-        return read.status == platform::call_status::not_found
+        return read.status == objects::call_status::not_found
                    ? exit_code::not_found
                    : exit_code::unavailable;
     }
@@ -82,7 +82,7 @@
 exit_code run_history(context& with, arguments words)
 {
     auto const known = read_history(with.store, words[0]);
-    if (known.status != platform::call_status::done)
+    if (known.status != objects::call_status::done)
     {
         with.err << "the platform's store did not answer; try again later\n";
         return exit_code::unavailable;
--- a/packages/ctl/src/store/history.cpp
+++ b/packages/ctl/src/store/history.cpp
@@ -65,13 +65,13 @@
     return nullptr;
 }
 
-history read_history(platform::object_api& store, std::string const& path)
+history read_history(objects::object_api& store, std::string const& path)
 {
     history value;
     auto const read = store.get(object_path(path));
     value.status = read.status;
-    if (read.status == platform::call_status::not_found)
-        value.status = platform::call_status::done;
+    if (read.status == objects::call_status::not_found)
+        value.status = objects::call_status::done;
     if (!read.is_done())
         return value;
     value.object_version = read.value.version;
@@ -91,13 +91,13 @@
     return value;
 }
 
-bool append_history(platform::object_api& store, std::string const& path,
+bool append_history(objects::object_api& store, std::string const& path,
                     history_entry const& entry)
 {
     for (int i = 0; i < most_attempts; ++i)
     {
         auto known = read_history(store, path);
-        if (known.status != platform::call_status::done)
+        if (known.status != objects::call_status::done)
             continue;
         // A lost response of an earlier attempt may have written it.
         if (known.find(entry.version))
--- a/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/entry_node.hpp
@@ -6,7 +6,7 @@
 #include <buckthornvale/daemon/settings_installer.hpp>
 #include <buckthornvale/daemon/store_gateway.hpp>
 #include <buckthornvale/decision/reducer/reducer.hpp>
-#include <buckthornvale/platform/objects/http_object_api.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
 #include <buckthornvale/serving/http/http_front.hpp>
 #include <buckthornvale/serving/metrics/metrics_registry.hpp>
 #include <buckthornvale/serving/upstream/load_poller.hpp>
@@ -118,8 +118,8 @@
     decision::reducer reducer_;
     settings_installer installer_;
     serving::metrics::metrics_registry metrics_;
-    platform::http_object_api api_;
-    platform::shared_store_budget budget_;
+    objects::http_object_api api_;
+    objects::shared_store_budget budget_;
     serving::http::http_front front_;
     serving::upstream::upstream_pool upstream_;
     serving::upstream::load_poller poller_;
--- a/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
+++ b/packages/daemon/include/buckthornvale/daemon/store_gateway.hpp
@@ -3,8 +3,8 @@
 
 #include <buckthornvale/daemon/event_queue.hpp>
 #include <buckthornvale/decision/reducer/effect.hpp>
-#include <buckthornvale/platform/budget/shared_store_budget.hpp>
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/budget/shared_store_budget.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <asio/thread_pool.hpp>
 
@@ -24,8 +24,8 @@
 class store_gateway
 {
 public:
-    store_gateway(platform::object_api& api,
-                  platform::shared_store_budget& budget, event_queue& events);
+    store_gateway(objects::object_api& api,
+                  objects::shared_store_budget& budget, event_queue& events);
     //! Ends waiting calls; answers that come later are dropped.
     ~store_gateway();
 
@@ -47,19 +47,19 @@
     //! What became of one call. A call that the budget held back was not sent.
     struct call_result
     {
-        platform::call_status status = platform::call_status::unavailable;
+        objects::call_status status = objects::call_status::unavailable;
         std::uint64_t version = 0;
         std::string value;
     };
 
-    bool permitted(platform::call_purpose purpose,
-                   platform::call_direction direction);
+    bool permitted(objects::call_purpose purpose,
+                   objects::call_direction direction);
     //! Waits until the budget lets a settings read; false when stopping.
     bool await_settings_read();
-    void report(platform::call_purpose purpose, platform::call_status status);
-    call_result read(platform::call_purpose purpose, std::string const& path);
+    void report(objects::call_purpose purpose, objects::call_status status);
+    call_result read(objects::call_purpose purpose, std::string const& path);
     template <class Call>
-    call_result write(platform::call_purpose purpose, Call const& call);
+    call_result write(objects::call_purpose purpose, Call const& call);
     void answer_claim(decision::bookings::store_token token,
                       call_result result);
     void answer_lease(decision::pool_id pool, std::uint64_t call,
@@ -68,8 +68,8 @@
     void write_status(std::string const& path, std::string const& value);
     bool wait(decision::duration length);
 
-    platform::object_api& api_;
-    platform::shared_store_budget& budget_;
+    objects::object_api& api_;
+    objects::shared_store_budget& budget_;
     event_queue& events_;
     std::uint64_t status_version_ = 0;
     std::atomic<bool> stopping_{false};
--- a/packages/daemon/src/entry_node.cpp
+++ b/packages/daemon/src/entry_node.cpp
@@ -143,7 +143,7 @@
 void entry_node::step(decision::event const& value)
 {
     decision::effects effects;
-    reducer_.reduce(value, platform::monotonic_now(), effects);
+    reducer_.reduce(value, objects::monotonic_now(), effects);
     execute(effects);
 }
 
@@ -254,7 +254,7 @@
 
 void entry_node::publish_status()
 {
-    auto const now = platform::monotonic_now();
+    auto const now = objects::monotonic_now();
     if (now < next_status_)
         return;
     next_status_ = now + status_period;
--- a/packages/daemon/src/store_gateway.cpp
+++ b/packages/daemon/src/store_gateway.cpp
@@ -13,9 +13,9 @@
 
 namespace bookings = decision::bookings;
 namespace config = decision::config;
-using platform::call_direction;
-using platform::call_purpose;
-using platform::call_status;
+using objects::call_direction;
+using objects::call_purpose;
+using objects::call_status;
 
 constexpr std::size_t claim_threads = 4;
 
@@ -58,20 +58,20 @@
     }
 }
 
-config::settings_object object_of(platform::object value, bool deleted)
+config::settings_object object_of(objects::object value, bool deleted)
 {
     return {std::move(value.path), value.version, deleted,
             std::move(value.value)};
 }
 
-decision::fleet::listed_vm listed_of(platform::platform_vm const& vm)
+decision::fleet::listed_vm listed_of(objects::platform_vm const& vm)
 {
     decision::fleet::listed_vm listed;
     listed.name = vm.id;
     listed.address = vm.address;
     listed.peer_address = vm.peer_address;
     listed.failure_domain = vm.failure_domain;
-    listed.role = vm.role == platform::vm_role::entry
+    listed.role = vm.role == objects::vm_role::entry
                       ? decision::fleet::member_role::entry
                       : decision::fleet::member_role::runner;
     listed.leaving = vm.is_leaving;
@@ -80,8 +80,8 @@
 
 } // namespace
 
-store_gateway::store_gateway(platform::object_api& api,
-                             platform::shared_store_budget& budget,
+store_gateway::store_gateway(objects::object_api& api,
+                             objects::shared_store_budget& budget,
                              event_queue& events)
     : api_(api), budget_(budget), events_(events), claims_(claim_threads),
       settings_(1), status_(1), leases_(1)
@@ -175,7 +175,7 @@
     call_result result;
     if (!permitted(purpose, call_direction::write))
         return result;
-    platform::write_result written = call();
+    objects::write_result written = call();
     report(purpose, written.status);
     result.status = written.status;
     result.version = written.version;
@@ -342,7 +342,7 @@
     for (auto const& it : result.value)
     {
         read.vms.push_back(listed_of(it));
-        entries += it.role == platform::vm_role::entry ? 1 : 0;
+        entries += it.role == objects::vm_role::entry ? 1 : 0;
     }
     budget_.set_live_vms(std::max<std::size_t>(entries, 1));
     events_.post(std::move(read));
--- a/packages/daemon/tests/store_gateway_test.cpp
+++ b/packages/daemon/tests/store_gateway_test.cpp
@@ -12,35 +12,35 @@
 {
 
 //! Fake of the object API that only counts writes.
-class counting_api final : public platform::object_api
+class counting_api final : public objects::object_api
 {
 public:
-    platform::read_result<platform::object> get(std::string const&) override
+    objects::read_result<objects::object> get(std::string const&) override
     {
         return {};
     }
-    platform::write_result put(std::string const&, std::uint64_t,
+    objects::write_result put(std::string const&, std::uint64_t,
                                std::string const&) override
     {
         ++writes;
         return {};
     }
-    platform::write_result remove(std::string const&, std::uint64_t) override
+    objects::write_result remove(std::string const&, std::uint64_t) override
     {
         ++writes;
         return {};
     }
-    platform::read_result<platform::object_page>
+    objects::read_result<objects::object_page>
     list(std::string const&, std::string const&, std::size_t) override
     {
         return {};
     }
-    platform::read_result<platform::object_changes>
+    objects::read_result<objects::object_changes>
     watch(std::string const&, std::uint64_t, decision::duration) override
     {
         return {};
     }
-    platform::read_result<std::vector<platform::platform_vm>> vms() override
+    objects::read_result<std::vector<objects::platform_vm>> vms() override
     {
         return {};
     }
@@ -81,13 +81,13 @@
 // budget held a claim back.
 TEST(store_gateway, does_not_count_a_write_that_the_budget_held_back)
 {
-    platform::store_budget_settings settings;
+    objects::store_budget_settings settings;
     settings.fleet_writes_per_second = 0.;
-    platform::shared_store_budget budget(settings, 1);
+    objects::shared_store_budget budget(settings, 1);
     // The bucket starts full and is never refilled at a rate of zero.
     while (budget
-               .acquire(platform::call_purpose::claim,
-                        platform::call_direction::write)
+               .acquire(objects::call_purpose::claim,
+                        objects::call_direction::write)
                .is_granted)
     {
     }
@@ -102,7 +102,7 @@
     EXPECT_EQ(answer->token, 7u);
     EXPECT_EQ(answer->status, decision::bookings::store_status::unavailable);
     EXPECT_EQ(api.writes, 0);
-    EXPECT_EQ(budget.counters(platform::call_purpose::claim).failed, 0u);
+    EXPECT_EQ(budget.counters(objects::call_purpose::claim).failed, 0u);
 }
 
 } // namespace
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -0,0 +1,107 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_EFFECT_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_EFFECT_HPP
+
+#include <buckthornvale/decision/gateway/event.hpp>
+#include <buckthornvale/decision/gateway/refusal.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+//! What the reducer asks of its shell.
+namespace buckthornvale::decision::gateway
+{
+
+//! Send the request to a runner.
+struct send_attempt
+{
+    request_ref request = 0;
+    std::uint32_t attempt = 0;
+    std::string runner_id;
+    std::string address;
+    std::string organisation;
+    std::optional<int> priority;
+    std::string inputs; //!< handles of stage results, comma-separated
+    std::string last_event_id;
+    duration time_left{};
+    bool stream = false;
+    bool reliable_connection = false; //!< a stale kept connection may not do
+};
+
+//! Close the connection of an attempt, so that the runner drops it.
+struct cancel_attempt
+{
+    request_ref request = 0;
+    std::uint32_t attempt = 0;
+};
+
+//! Pass the runner's whole answer to the caller.
+struct deliver_answer
+{
+    request_ref request = 0;
+    std::uint32_t attempt = 0;
+};
+
+struct refuse_request
+{
+    request_ref request = 0;
+    refusal reason = refusal::none;
+    int status = 0;
+    std::optional<duration> retry_after;
+};
+
+//! End a stream that cannot be completed, so that it does not look complete.
+struct abort_stream
+{
+    request_ref request = 0;
+    refusal reason = refusal::none;
+};
+
+struct call_stage
+{
+    call_ref call = 0;
+    std::string runner_id;
+    std::string address;
+    duration timeout{};
+    std::vector<piece> pieces;
+};
+
+struct free_results
+{
+    std::string address; //!< of the runner that holds them
+    std::string runner_id;
+    std::vector<std::string> handles;
+};
+
+struct send_to_peer
+{
+    std::string member;
+    std::string address;
+    peer_message message;
+};
+
+//! One decision, for the log.
+struct log_decision
+{
+    struct field
+    {
+        char const* name;
+        std::string value;
+    };
+    char const* what = "";
+    std::string request_id;
+    std::vector<field> fields;
+};
+
+using effect =
+    std::variant<send_attempt, cancel_attempt, deliver_answer, refuse_request,
+                 abort_stream, call_stage, free_results, send_to_peer,
+                 log_decision>;
+
+using effects = std::vector<effect>;
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -0,0 +1,160 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_REDUCER_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_REDUCER_HPP
+
+#include <buckthornvale/decision/gateway/crash_registry.hpp>
+#include <buckthornvale/decision/gateway/effect.hpp>
+#include <buckthornvale/decision/gateway/event.hpp>
+#include <buckthornvale/decision/gateway/member_table.hpp>
+#include <buckthornvale/decision/gateway/retry_ledger.hpp>
+#include <buckthornvale/decision/gateway/runner_directory.hpp>
+#include <buckthornvale/decision/gateway/stage_pipeline.hpp>
+#include <buckthornvale/decision/gateway/stage_scheduler.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision::gateway
+{
+
+//! What a gateway process knows when it starts.
+struct gateway_settings
+{
+    std::string vm_name;
+    std::string failure_domain;
+    retry_limits retries;
+};
+
+//! Decides for one gateway process: admission, stages, choice of runners,
+//! retries and resumed streams. Every event returns the effects that the shell
+//! has to carry out; the reducer itself does no input or output.
+//!
+//! A request is passed on at most once unless its route allows repeats. An
+//! answer that states that the request was not run is given only while that is
+//! certain.
+class reducer
+{
+public:
+    explicit reducer(gateway_settings settings);
+    ~reducer();
+    reducer(reducer const&) = delete;
+    reducer& operator=(reducer const&) = delete;
+
+    effects reduce(event const& input, time_point now);
+
+    //! True when requests can be served.
+    bool ready() const;
+
+    manifest const* current_manifest() const { return manifest_.get(); }
+    std::size_t active_requests() const { return requests_.size(); }
+
+    //! True while `timer_fired` is needed often.
+    bool busy() const;
+
+private:
+    struct active_request;
+    using request_map =
+        std::map<request_ref, std::unique_ptr<active_request>>;
+
+    void on(request_arrived const& in, time_point now);
+    void on(caller_left const& in, time_point now);
+    void on(attempt_ended const& in, time_point now);
+    void on(stream_started const& in, time_point now);
+    void on(stream_advanced const& in, time_point now);
+    void on(stage_call_ended const& in, time_point now);
+    void on(manifest_changed const& in, time_point now);
+    void on(runners_listed const& in, time_point now);
+    void on(runner_changed const& in, time_point now);
+    void on(runner_removed const& in, time_point now);
+    void on(members_listed const& in, time_point now);
+    void on(peer_sent const& in, time_point now);
+    void on(peer_unreachable const& in, time_point now);
+    void on(peer_answered const& in, time_point now);
+    void on(drain_started const& in, time_point now);
+    void on(timer_fired const& in, time_point now);
+
+    // Requests.
+    refusal check_request(request_traits const& traits,
+                          organisation const*& owner, route const*& found);
+    std::string pick_service(route const& of, std::uint64_t seed) const;
+    void start_attempt(active_request& it, time_point now);
+    runner_state* choose_runner(active_request& it, time_point now);
+    void end_attempt(active_request& it, attempt_ended const& in,
+                     time_point now);
+    void judge_answer(active_request& it, attempt_ended const& in,
+                      time_point now);
+    bool try_again(active_request& it, bool may_have_run, time_point now);
+    void give_up(active_request& it, refusal reason, time_point now);
+    void settle(active_request& it);
+    void check_times(active_request& it, time_point now);
+    void record_signal(active_request const& it, attempt_ended const& in,
+                       time_point now);
+    std::optional<duration> retry_after(active_request const& it,
+                                        refusal reason, time_point now) const;
+
+    // Stages.
+    void start_stages(active_request& it, time_point now);
+    void submit_missing(active_request& it, std::uint32_t stage,
+                        time_point now);
+    void take_result(piece_result const& result, time_point now);
+    void release(std::vector<std::pair<std::string, std::string>> results,
+                 time_point now);
+    void advance(active_request& it, time_point now);
+    void resubmit_from(std::string const& member, time_point now);
+    duration expected_stage_time(active_request const& it,
+                                 time_point now) const;
+    stage_scheduler& scheduler(std::string const& service);
+    void run_schedulers(time_point now);
+    void note_backlog(std::string const& service, duration wait,
+                      time_point now);
+
+    // Other VMs.
+    void send_message(std::string const& name, peer_message message,
+                      time_point now);
+    void accept(std::string const& from, submit_pieces const& in,
+                time_point now);
+    void accept(std::string const& from, return_results const& in,
+                time_point now);
+    void accept(std::string const& from, release_results const& in,
+                time_point now);
+    void accept(std::string const& from, withdraw_pieces const& in,
+                time_point now);
+    void accept(std::string const& from, report_crash const& in,
+                time_point now);
+    void probe_owners(time_point now);
+    void note_crash(active_request const& it, bool cleared, time_point now);
+
+    void log(char const* what, active_request const* it,
+             std::vector<log_decision::field> fields);
+
+    struct known_backlog
+    {
+        duration wait{};
+        time_point at{};
+    };
+
+    gateway_settings settings_;
+    std::shared_ptr<manifest const> manifest_;
+    runner_directory runners_;
+    member_table members_;
+    retry_ledger ledger_;
+    crash_registry crashes_;
+    std::map<std::string, stage_scheduler> schedulers_;
+    std::map<std::string, known_backlog, std::less<>> backlogs_;
+    std::map<std::string, time_point, std::less<>> probed_;
+    request_map requests_;
+    call_ref next_call_ = 1;
+    bool draining_ = false;
+    bool runners_known_ = false;
+    bool schedulers_due_ = false;
+    time_point now_{};
+    effects out_;
+};
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
@@ -0,0 +1,42 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_REFUSAL_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_REFUSAL_HPP
+
+namespace buckthornvale::decision::gateway
+{
+
+//! Why the product answers a request itself.
+enum class refusal
+{
+    none,
+    no_manifest,
+    unknown_route,
+    unknown_key,
+    malformed,
+    shutting_down,
+    no_runner,
+    runners_full,
+    cannot_finish_in_time,
+    stage_failed,
+    crashes_runners,
+    too_many_requests,
+    runner_failed,
+    no_answer_in_time,
+    bad_answer
+};
+
+//! Fixed properties of a refusal.
+struct refusal_traits
+{
+    refusal reason;
+    int status;       //!< of the answer when the request has not run
+    char const* name; //!< stable name in logs and metrics
+};
+
+refusal_traits const& traits_of(refusal reason);
+
+//! True for a status that states that the request has not run and never will.
+bool states_not_run(int status);
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -0,0 +1,102 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
+
+#include <buckthornvale/decision/gateway/runner.hpp>
+
+#include <absl/types/span.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornvale::decision::gateway
+{
+
+//! How a send ended, as far as it says something about the runner.
+enum class runner_signal
+{
+    served,      //!< a whole answer that counts
+    failed,      //!< an answer that is a failure
+    unreachable, //!< no connection
+    silent,      //!< sent, and the connection broke or nothing came in time
+    full,        //!< the runner refused for want of room
+    replaced     //!< another runner has the address
+};
+
+//! A runner with what this VM knows of it.
+struct runner_state
+{
+    runner entry;
+    std::uint32_t outstanding = 0; //!< sends of this VM that have not ended
+    double outstanding_tokens = 0; //!< prompt tokens not yet answered
+    std::optional<runner_load> load;
+    time_point load_at{};
+    double latency_s = 0;      //!< moving average of served sends; 0: unknown
+    double failure_share = 0;  //!< moving average
+    std::uint32_t failures = 0; //!< in a row
+    time_point avoid_until{};  //!< gets nothing before it
+    std::uint32_t avoidances = 0; //!< in a row, for the back-off
+    //! When set, the entry lapsed while the store was out of reach and is
+    //! taken as gone at this time.
+    std::optional<time_point> gone_at;
+    bool last_resort = false; //!< entry removed; used when no other is left
+};
+
+//! The runners that are registered, with their health as this VM sees it.
+//! Answers the load pattern "some runners fail, slow down or fall silent while
+//! their entries and health checks stay good".
+class runner_directory
+{
+public:
+    //! Entries that lapse during an outage of the store return within this
+    //! time after it, if the runner lives.
+    static constexpr duration return_time = std::chrono::milliseconds(2100);
+
+    //! A runner whose entry was removed is kept this long as a last resort: all
+    //! entries of a service can lapse at once, although the runners live.
+    static constexpr duration last_resort_time =
+        std::chrono::milliseconds(1400);
+
+    //! Replaces the list.
+    void assign(absl::Span<runner const> runners, bool after_outage,
+                time_point now);
+    void upsert(runner value);
+    void remove(std::string_view id, bool after_outage, time_point now);
+
+    //! Takes entries as gone whose time to return has passed.
+    void expire(time_point now);
+
+    //! Runners of the service that may get a request now, ordered by id. When
+    //! all of them are avoided, those avoided are returned: some may live.
+    void usable(std::string_view service, time_point now,
+                std::vector<runner_state*>& out);
+
+    runner_state* find(std::string_view id);
+
+    //! Empty for an unknown address.
+    std::string_view failure_domain_of(std::string_view address) const;
+
+    void record(runner_state& state, runner_signal signal, duration took,
+                time_point now);
+
+    std::size_t size() const { return runners_.size(); }
+
+private:
+    using runner_map = std::map<std::string, runner_state, std::less<>>;
+
+    void drop(runner_map::iterator it);
+    void avoid(runner_state& state, duration least, time_point now);
+
+    runner_map runners_;
+    std::map<std::string, std::string, std::less<>> id_by_address_;
+};
+
+//! Estimated requests in progress at the runner, over all VMs.
+double estimated_load(runner_state const& state, time_point now);
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -0,0 +1,135 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
+
+#include <buckthornvale/decision/gateway/effect.hpp>
+#include <buckthornvale/decision/gateway/manifest.hpp>
+#include <buckthornvale/decision/gateway/runner_directory.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornvale::decision::gateway
+{
+
+//! A piece with the VM that asked for it.
+struct owned_piece
+{
+    std::string member;
+    piece work; //!< its relative times are void here
+    time_point due{};
+    time_point deadline{};
+    std::uint32_t attempts = 0;
+};
+
+//! A result for the VM that asked for the piece.
+struct addressed_result
+{
+    std::string member;
+    piece_result result;
+};
+
+//! Gathers the pieces of one stage service from all VMs into calls of its
+//! runners. Answers the load pattern "each call costs a fixed time whatever it
+//! carries, and a runner works on one call at a time": VMs that batch alone
+//! send many small calls and fill the few places.
+//!
+//! A free runner takes what waits at once; batches grow only while all runners
+//! are busy, so that a quiet service adds no delay.
+class stage_scheduler
+{
+public:
+    //! Runners tried for one piece.
+    static constexpr std::uint32_t max_attempts = 3;
+
+    explicit stage_scheduler(std::string service)
+        : service_(std::move(service))
+    {
+    }
+
+    void configure(piece_limits const& limits) { limits_ = limits; }
+
+    //! Queues pieces; one that is known already is ignored, since its VM
+    //! repeats a submission that it had no answer to.
+    void submit(std::string const& member, std::vector<piece> pieces,
+                time_point now);
+
+    //! Drops the waiting pieces of requests whose callers have left.
+    void withdraw(std::string const& member,
+                  std::vector<request_ref> const& requests);
+
+    //! Drops all waiting pieces of a VM that has lost its state.
+    void withdraw_all(std::string const& member);
+
+    void release(std::vector<std::string> const& handles);
+
+    void call_ended(stage_call_ended const& ended, runner_directory& runners,
+                    time_point now);
+
+    bool owns_call(call_ref call) const { return calls_.count(call) > 0; }
+
+    //! Starts calls on free runners, and drops pieces that are too late.
+    //! `next_call` numbers the calls of this process.
+    void dispatch(runner_directory& runners, call_ref& next_call,
+                  time_point now, effects& out);
+
+    //! Results since the last call of this function.
+    std::vector<addressed_result> take_results();
+
+    //! Time until a piece queued now would get its turn.
+    duration expected_wait(runner_directory& runners, time_point now) const;
+
+    std::size_t waiting() const { return queue_.size(); }
+    std::size_t calls() const { return calls_.size(); }
+
+private:
+    struct call_state
+    {
+        std::string runner_id;
+        time_point started{};
+        std::vector<owned_piece> pieces;
+    };
+
+    //! What the scheduler has placed on one runner.
+    struct runner_load_state
+    {
+        std::uint32_t calls = 0;
+        double held_bytes = 0;
+        double slowness = 1; //!< moving average of real over nominal time
+        std::int64_t started_at_ms = 0;
+    };
+
+    struct held_result
+    {
+        std::string runner_id;
+        double bytes = 0;
+        time_point expires{};
+    };
+
+    duration nominal_time(std::size_t pieces) const;
+    void drop_late(time_point now);
+    void finish(owned_piece& it, piece_outcome outcome, std::string handle);
+    void requeue(owned_piece it, bool counts, time_point now);
+    std::vector<owned_piece> take_batch(double room, time_point now);
+    std::string const* pick_runner(runner_directory& runners, time_point now);
+    void start_call(runner_state& runner, call_ref call, time_point now,
+                    effects& out);
+    void expire_results(time_point now);
+    void flush_released(runner_directory& runners, effects& out);
+
+    std::string service_;
+    piece_limits limits_;
+    std::deque<owned_piece> queue_;
+    std::map<call_ref, call_state> calls_;
+    std::map<std::string, runner_load_state, std::less<>> loads_;
+    std::map<std::string, held_result, std::less<>> held_;
+    std::map<std::string, std::vector<std::string>> released_;
+    std::vector<addressed_result> results_;
+};
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- /dev/null
+++ b/packages/decision/src/gateway/crash_registry.cpp
@@ -0,0 +1,37 @@
+#include <buckthornvale/decision/gateway/crash_registry.hpp>
+
+namespace buckthornvale::decision::gateway
+{
+
+void crash_registry::crashed(std::uint64_t fingerprint, time_point now)
+{
+    if (entries_.size() >= max_entries)
+        expire(now);
+    if (entries_.size() >= max_entries)
+        entries_.erase(entries_.begin());
+    auto& it = entries_[fingerprint];
+    if (now - it.last > lifetime)
+        it.crashes = 0;
+    ++it.crashes;
+    it.last = now;
+}
+
+bool crash_registry::cleared(std::uint64_t fingerprint)
+{
+    return entries_.erase(fingerprint) > 0;
+}
+
+bool crash_registry::refused(std::uint64_t fingerprint, time_point now) const
+{
+    auto const found = entries_.find(fingerprint);
+    return found != entries_.end() && found->second.crashes >= crash_limit &&
+           now - found->second.last <= lifetime;
+}
+
+void crash_registry::expire(time_point now)
+{
+    absl::erase_if(entries_, [&](auto const& it)
+                   { return now - it.second.last > lifetime; });
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -0,0 +1,126 @@
+#include <buckthornvale/decision/gateway/member_table.hpp>
+
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/fleet/rendezvous.hpp>
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornvale::decision::gateway
+{
+
+namespace
+{
+
+constexpr double least_share = 0.01;
+
+//! Weighted rendezvous hashing: a VM wins keys in proportion to its share.
+double score(std::string_view key, member const& value)
+{
+    auto const hash =
+        fleet::rendezvous_weight(key, vm_id::of(value.name));
+    constexpr double range = 18446744073709551616.0; // 2^64
+    double const uniform = (double(hash) + 0.5) / range;
+    return -std::max(value.cpu_share, least_share) / std::log(uniform);
+}
+
+} // namespace
+
+void member_table::assign(absl::Span<member const> members)
+{
+    absl::flat_hash_set<std::string_view> listed;
+    for (auto const& it : members)
+    {
+        listed.insert(it.name);
+        members_[it.name].value = it;
+    }
+    for (auto it = members_.begin(); it != members_.end();)
+        it = listed.contains(it->first) ? std::next(it) : members_.erase(it);
+}
+
+void member_table::suspect(std::string_view name, time_point now)
+{
+    auto const found = members_.find(name);
+    if (found != members_.end())
+        found->second.suspected_until = now + suspicion_time;
+}
+
+bool member_table::heard(std::string_view name, std::uint64_t incarnation,
+                         time_point now)
+{
+    auto const found = members_.find(name);
+    if (found == members_.end())
+        return false;
+    auto& it = found->second;
+    bool const restarted =
+        it.heard_incarnation != 0 && it.heard_incarnation != incarnation;
+    it.heard_incarnation = incarnation;
+    it.heard_at = now;
+    it.suspected_until = {};
+    return restarted;
+}
+
+time_point member_table::last_heard(std::string_view name) const
+{
+    auto const found = members_.find(name);
+    return found == members_.end() ? time_point() : found->second.heard_at;
+}
+
+std::string const& member_table::owner(std::string_view key,
+                                       time_point now) const
+{
+    std::string const* best = &self_;
+    double best_score = -1;
+    for (auto const& it : members_)
+    {
+        if (it.first != self_ && it.second.suspected_until > now)
+            continue;
+        double const value = score(key, it.second.value);
+        if (value > best_score)
+        {
+            best = &it.first;
+            best_score = value;
+        }
+    }
+    return *best;
+}
+
+std::vector<std::string> member_table::keepers(std::uint64_t key,
+                                               time_point now) const
+{
+    constexpr std::size_t keeper_count = 2;
+    auto const text = std::to_string(key);
+    std::vector<std::pair<double, std::string>> scored;
+    for (auto const& it : members_)
+        if (it.first == self_ || it.second.suspected_until <= now)
+            scored.emplace_back(score(text, it.second.value), it.first);
+    std::sort(scored.rbegin(), scored.rend());
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < std::min(keeper_count, scored.size()); ++i)
+        out.push_back(scored[i].second);
+    return out;
+}
+
+member const* member_table::find(std::string_view name) const
+{
+    auto const found = members_.find(name);
+    return found == members_.end() ? nullptr : &found->second.value;
+}
+
+std::vector<std::string> member_table::others() const
+{
+    std::vector<std::string> out;
+    for (auto const& it : members_)
+        if (it.first != self_)
+            out.push_back(it.first);
+    return out;
+}
+
+std::size_t member_table::count() const
+{
+    return std::max<std::size_t>(1, members_.size());
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -0,0 +1,125 @@
+#include <buckthornvale/decision/gateway/reducer.hpp>
+
+#include "active_request.hpp"
+
+#include <algorithm>
+
+namespace buckthornvale::decision::gateway
+{
+
+reducer::reducer(gateway_settings settings)
+    : settings_(std::move(settings)), members_(settings_.vm_name),
+      ledger_(settings_.retries)
+{
+}
+
+reducer::~reducer() = default;
+
+effects reducer::reduce(event const& input, time_point now)
+{
+    now_ = now;
+    std::visit([&](auto const& it) { on(it, now); }, input);
+    if (schedulers_due_)
+        run_schedulers(now);
+    return std::exchange(out_, {});
+}
+
+bool reducer::ready() const
+{
+    return manifest_ != nullptr && runners_known_ && !draining_;
+}
+
+bool reducer::busy() const
+{
+    return !requests_.empty() ||
+           std::any_of(schedulers_.begin(), schedulers_.end(),
+                       [](auto const& it) {
+                           return it.second.waiting() > 0 ||
+                                  it.second.calls() > 0;
+                       });
+}
+
+void reducer::log(char const* what, active_request const* it,
+                  std::vector<log_decision::field> fields)
+{
+    out_.push_back(log_decision{what, it != nullptr ? it->traits.id : "",
+                                std::move(fields)});
+}
+
+void reducer::on(manifest_changed const& in, time_point now)
+{
+    static_cast<void>(now);
+    if (in.value == nullptr ||
+        (manifest_ != nullptr && in.value->version <= manifest_->version))
+        return;
+    manifest_ = in.value;
+    for (auto const& it : manifest_->services)
+        if (it.second.pieces)
+            scheduler(it.first).configure(*it.second.pieces);
+    schedulers_due_ = true;
+    log("manifest_in_force", nullptr,
+        {{"version", std::to_string(manifest_->version)},
+         {"routes", std::to_string(manifest_->route_count())}});
+}
+
+void reducer::on(runners_listed const& in, time_point now)
+{
+    runners_.assign(in.runners, in.after_outage, now);
+    runners_known_ = true;
+    schedulers_due_ = true;
+    log("runners_listed", nullptr,
+        {{"count", std::to_string(in.runners.size())},
+         {"after_outage", in.after_outage ? "true" : "false"}});
+}
+
+void reducer::on(runner_changed const& in, time_point now)
+{
+    static_cast<void>(now);
+    runners_.upsert(in.value);
+    schedulers_due_ = true;
+    log("runner_changed", nullptr,
+        {{"runner", in.value.id},
+         {"service", in.value.service},
+         {"draining", in.value.draining ? "true" : "false"}});
+}
+
+void reducer::on(runner_removed const& in, time_point now)
+{
+    runners_.remove(in.id, in.after_outage, now);
+    log("runner_removed", nullptr,
+        {{"runner", in.id},
+         {"after_outage", in.after_outage ? "true" : "false"}});
+}
+
+void reducer::on(members_listed const& in, time_point now)
+{
+    static_cast<void>(now);
+    members_.assign(in.members);
+    log("members_listed", nullptr,
+        {{"count", std::to_string(in.members.size())}});
+}
+
+void reducer::on(drain_started const&, time_point now)
+{
+    static_cast<void>(now);
+    draining_ = true;
+    log("drain_started", nullptr,
+        {{"active", std::to_string(requests_.size())}});
+}
+
+void reducer::on(timer_fired const&, time_point now)
+{
+    runners_.expire(now);
+    crashes_.expire(now);
+    std::vector<request_ref> refs;
+    refs.reserve(requests_.size());
+    for (auto const& it : requests_)
+        refs.push_back(it.first);
+    for (auto const ref : refs)
+        if (auto const found = requests_.find(ref); found != requests_.end())
+            check_times(*found->second, now);
+    probe_owners(now);
+    schedulers_due_ = true;
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -0,0 +1,117 @@
+#include <buckthornvale/decision/gateway/reducer.hpp>
+
+#include "active_request.hpp"
+
+#include <algorithm>
+
+namespace buckthornvale::decision::gateway
+{
+
+void reducer::send_message(std::string const& name, peer_message message,
+                           time_point now)
+{
+    if (name == members_.self())
+    {
+        std::visit([&](auto const& it) { accept(name, it, now); }, message);
+        return;
+    }
+    auto const* to = members_.find(name);
+    if (to != nullptr)
+        out_.push_back(send_to_peer{name, to->address, std::move(message)});
+}
+
+void reducer::accept(std::string const& from, submit_pieces const& in,
+                     time_point now)
+{
+    std::map<std::string, std::vector<piece>> by_service;
+    for (auto const& it : in.pieces)
+        by_service[it.service].push_back(it);
+    for (auto& it : by_service)
+        scheduler(it.first).submit(from, std::move(it.second), now);
+    schedulers_due_ = schedulers_due_ || !in.pieces.empty();
+}
+
+void reducer::accept(std::string const&, return_results const& in,
+                     time_point now)
+{
+    for (auto const& it : in.backlogs)
+        note_backlog(it.service, it.wait, now);
+    for (auto const& it : in.results)
+        take_result(it, now);
+}
+
+void reducer::accept(std::string const&, release_results const& in,
+                     time_point now)
+{
+    static_cast<void>(now);
+    scheduler(in.service).release(in.handles);
+    schedulers_due_ = true;
+}
+
+void reducer::accept(std::string const& from, withdraw_pieces const& in,
+                     time_point now)
+{
+    static_cast<void>(now);
+    for (auto& it : schedulers_)
+        it.second.withdraw(from, in.requests);
+}
+
+void reducer::accept(std::string const& from, report_crash const& in,
+                     time_point now)
+{
+    static_cast<void>(from);
+    if (in.cleared)
+        crashes_.cleared(in.fingerprint);
+    else
+        crashes_.crashed(in.fingerprint, now);
+}
+
+void reducer::note_crash(active_request const& it, bool cleared,
+                         time_point now)
+{
+    report_crash const message{it.fingerprint, cleared};
+    if (cleared && !crashes_.cleared(it.fingerprint))
+        return;
+    if (!cleared)
+    {
+        crashes_.crashed(it.fingerprint, now);
+        log("runner_broke_off", &it, {{"runner", it.runner_id}});
+    }
+    for (auto const& name : members_.others())
+        send_message(name, message, now);
+}
+
+void reducer::on(peer_sent const& in, time_point now)
+{
+    for (auto const& message : in.messages)
+        std::visit([&](auto const& it) { accept(in.member, it, now); },
+                   message);
+}
+
+void reducer::on(peer_unreachable const& in, time_point now)
+{
+    log("peer_unreachable", nullptr,
+        {{"member", in.member},
+         {"undelivered", std::to_string(in.undelivered.size())}});
+    members_.suspect(in.member, now);
+    for (auto const& message : in.undelivered)
+    {
+        // Results for a VM that cannot be reached are not needed; it asks
+        // again for those that it still waits for.
+        if (auto const* freed = std::get_if<release_results>(&message))
+            send_message(members_.owner(freed->service, now), *freed, now);
+    }
+    resubmit_from(in.member, now);
+}
+
+void reducer::on(peer_answered const& in, time_point now)
+{
+    if (!members_.heard(in.member, in.incarnation, now))
+        return;
+    log("peer_restarted", nullptr, {{"member", in.member}});
+    for (auto& it : schedulers_)
+        it.second.withdraw_all(in.member);
+    resubmit_from(in.member, now);
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -0,0 +1,273 @@
+#include <buckthornvale/decision/gateway/reducer.hpp>
+
+#include "active_request.hpp"
+
+#include <algorithm>
+
+namespace buckthornvale::decision::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! Age from which a stated backlog no longer counts.
+constexpr duration backlog_lifetime = 1s;
+
+//! Allowance for the model runner after the stages.
+constexpr duration engine_time = 150ms;
+
+//! Rounds of the stages of one request; results can be lost again and again.
+constexpr std::uint32_t max_rounds = 2;
+
+//! A submission without a result is repeated after this time; the scheduler
+//! ignores pieces that it knows.
+constexpr duration resubmit_time = 1500ms;
+
+} // namespace
+
+stage_scheduler& reducer::scheduler(std::string const& service)
+{
+    auto const found = schedulers_.find(service);
+    if (found != schedulers_.end())
+        return found->second;
+    auto& out = schedulers_.try_emplace(service, service).first->second;
+    if (manifest_ != nullptr)
+        if (auto const* of = manifest_->find_service(service);
+            of != nullptr && of->pieces)
+            out.configure(*of->pieces);
+    return out;
+}
+
+duration reducer::expected_stage_time(active_request const& it,
+                                      time_point now) const
+{
+    // Longest path of waits and nominal calls over the stages.
+    std::vector<duration> ends(it.pipeline.size());
+    duration longest{};
+    for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
+    {
+        auto const& stage = it.pipeline.stage(n);
+        duration start{};
+        for (auto const after : stage.after)
+            start = std::max(start, ends[after]);
+        ends[n] = start;
+        if (it.pipeline.pieces(n) == 0)
+            continue;
+        auto const* of = it.in_force->find_service(stage.service);
+        if (of != nullptr && of->pieces)
+            ends[n] += of->pieces->call_time +
+                       of->pieces->piece_time * it.pipeline.pieces(n);
+        auto const known = backlogs_.find(stage.service);
+        if (known != backlogs_.end() &&
+            now - known->second.at < backlog_lifetime)
+            ends[n] += known->second.wait;
+        longest = std::max(longest, ends[n]);
+    }
+    return longest;
+}
+
+void reducer::advance(active_request& it, time_point now)
+{
+    release(it.pipeline.take_unneeded(), now);
+    if (it.pipeline.complete())
+        start_attempt(it, now);
+    else
+        start_stages(it, now);
+}
+
+void reducer::start_stages(active_request& it, time_point now)
+{
+    for (auto const n : it.pipeline.take_ready())
+        submit_missing(it, n, now);
+    // Stages without pieces may complete the pipeline.
+    if (it.pipeline.complete() && !it.in_flight)
+        start_attempt(it, now);
+}
+
+void reducer::submit_missing(active_request& it, std::uint32_t n,
+                             time_point now)
+{
+    auto const& stage = it.pipeline.stage(n);
+    auto const& owner = members_.owner(stage.service, now);
+    auto const inputs = it.pipeline.inputs_of(n);
+    auto const after = it.pipeline.remaining_time(n, *it.in_force);
+    submit_pieces message;
+    for (auto const number : it.pipeline.missing(n))
+    {
+        piece work;
+        work.request = it.ref;
+        work.round = it.pipeline.round();
+        work.request_id = it.traits.id;
+        work.service = stage.service;
+        work.stage = n;
+        work.number = number;
+        if (inputs.empty())
+            work.key = it.traits.piece_key;
+        else
+            work.inputs = inputs;
+        work.result_bytes = stage.result_bytes;
+        work.rank = it.rank;
+        work.due_in = it.due - engine_time - after - now;
+        work.time_left = it.expires - now;
+        message.pieces.push_back(std::move(work));
+    }
+    if (message.pieces.empty())
+        return;
+    it.owners[n] = owner;
+    it.submitted_at[n] = now;
+    send_message(owner, std::move(message), now);
+}
+
+void reducer::take_result(piece_result const& result, time_point now)
+{
+    auto const found = requests_.find(result.request);
+    bool const made = result.outcome == piece_outcome::done;
+    if (found == requests_.end() ||
+        (made && !found->second->pipeline.add_result(result)))
+    {
+        if (made)
+            release({{result.service, result.handle}}, now);
+        return;
+    }
+    auto& it = *found->second;
+    if (result.stage >= it.pipeline.size() ||
+        result.round != it.pipeline.round())
+        return;
+    if (made)
+    {
+        if (it.pipeline.missing(result.stage).empty())
+            advance(it, now);
+        return;
+    }
+    log("piece_failed", &it,
+        {{"stage", std::to_string(result.stage)},
+         {"outcome", std::to_string(static_cast<int>(result.outcome))}});
+    if (result.outcome == piece_outcome::input_gone &&
+        it.pipeline.round() + 1 < max_rounds && !it.in_flight)
+    {
+        it.pipeline.restart();
+        advance(it, now);
+        return;
+    }
+    give_up(it,
+            result.outcome == piece_outcome::late ||
+                    result.outcome == piece_outcome::overloaded
+                ? refusal::cannot_finish_in_time
+                : refusal::stage_failed,
+            now);
+}
+
+void reducer::release(std::vector<std::pair<std::string, std::string>> results,
+                      time_point now)
+{
+    std::map<std::string, release_results> by_service;
+    for (auto& it : results)
+    {
+        auto& message = by_service[it.first];
+        message.service = it.first;
+        message.handles.push_back(std::move(it.second));
+    }
+    for (auto& it : by_service)
+        send_message(members_.owner(it.first, now), std::move(it.second), now);
+}
+
+void reducer::note_backlog(std::string const& service, duration wait,
+                           time_point now)
+{
+    backlogs_[service] = {wait, now};
+}
+
+void reducer::run_schedulers(time_point now)
+{
+    schedulers_due_ = false;
+    std::map<std::string, return_results> by_member;
+    std::map<std::string, std::set<std::string>> services;
+    for (auto& it : schedulers_)
+    {
+        it.second.dispatch(runners_, next_call_, now, out_);
+        for (auto& result : it.second.take_results())
+        {
+            services[result.member].insert(result.result.service);
+            by_member[result.member].results.push_back(
+                std::move(result.result));
+        }
+    }
+    for (auto& it : by_member)
+    {
+        for (auto const& service : services[it.first])
+            it.second.backlogs.push_back(
+                {service, scheduler(service).expected_wait(runners_, now)});
+        send_message(it.first, std::move(it.second), now);
+    }
+    // Results for this VM itself may have started further stages.
+    if (schedulers_due_)
+        run_schedulers(now);
+}
+
+void reducer::on(stage_call_ended const& in, time_point now)
+{
+    for (auto& it : schedulers_)
+        if (it.second.owns_call(in.call))
+        {
+            it.second.call_ended(in, runners_, now);
+            log("stage_call_ended", nullptr,
+                {{"service", it.first},
+                 {"call", std::to_string(in.call)},
+                 {"outcome", std::to_string(static_cast<int>(in.outcome))},
+                 {"pieces", std::to_string(in.pieces.size())},
+                 {"waiting", std::to_string(it.second.waiting())}});
+            break;
+        }
+    schedulers_due_ = true;
+}
+
+void reducer::resubmit_from(std::string const& member, time_point now)
+{
+    for (auto& entry : requests_)
+    {
+        auto& it = *entry.second;
+        std::vector<std::uint32_t> stages;
+        for (auto const& owner : it.owners)
+            if (owner.second == member &&
+                !it.pipeline.missing(owner.first).empty())
+                stages.push_back(owner.first);
+        for (auto const n : stages)
+            submit_missing(it, n, now);
+    }
+}
+
+void reducer::probe_owners(time_point now)
+{
+    // A scheduler that holds pieces is asked for a sign of life when nothing
+    // came from it for this long.
+    constexpr duration silence = 300ms;
+    std::set<std::string> waited_for;
+    std::vector<std::pair<active_request*, std::uint32_t>> overdue;
+    for (auto& entry : requests_)
+    {
+        auto& it = *entry.second;
+        for (auto const& owner : it.owners)
+        {
+            if (it.pipeline.missing(owner.first).empty())
+                continue;
+            if (owner.second != members_.self())
+                waited_for.insert(owner.second);
+            if (now - it.submitted_at[owner.first] > resubmit_time)
+                overdue.emplace_back(&it, owner.first);
+        }
+    }
+    for (auto const& it : overdue)
+        submit_missing(*it.first, it.second, now);
+    for (auto const& name : waited_for)
+    {
+        if (now - members_.last_heard(name) < silence ||
+            now - probed_[name] < silence)
+            continue;
+        probed_[name] = now;
+        send_message(name, submit_pieces{}, now);
+    }
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -0,0 +1,108 @@
+#include <buckthornvale/decision/gateway/runner_choice.hpp>
+
+#include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/fleet/rendezvous.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::decision::gateway
+{
+
+namespace
+{
+
+//! Assumed time of a request at a runner without a served one.
+constexpr double default_latency_s = 0.02;
+
+//! Added for a runner in another failure domain: a round trip.
+constexpr double other_domain_s = 0.001;
+
+//! A runner takes a session while its load is within this factor of the mean,
+//! plus a constant that lets quiet fleets keep their sessions together.
+constexpr double load_factor = 1.6;
+constexpr double load_slack = 3;
+
+double expected_time(runner_state const& it, std::string_view own_domain,
+                     time_point now)
+{
+    double const latency =
+        it.latency_s > 0 ? it.latency_s : default_latency_s;
+    double const slots = std::max<std::uint32_t>(1, it.entry.slots);
+    double const load = estimated_load(it, now);
+    double const queue = std::max(0.0, load + 1 - slots) / slots;
+    double const busy = load / slots;
+    double const away =
+        it.entry.failure_domain == own_domain ? 0 : other_domain_s;
+    return latency * (1 + queue + busy * 0.3) * (1 + it.failure_share * 4) +
+           away;
+}
+
+//! The part that requests of one session share: the last belongs to the
+//! request itself when there are several.
+std::uint64_t session_of(engine_work const& work)
+{
+    auto const& prompt = work.prompt;
+    if (prompt.empty())
+        return work.seed;
+    return prompt.size() == 1 ? prompt[0].id : prompt[prompt.size() - 2].id;
+}
+
+} // namespace
+
+runner_state* choose_plain(absl::Span<runner_state* const> runners,
+                           std::uint64_t seed, std::string_view own_domain,
+                           time_point now)
+{
+    if (runners.empty())
+        return nullptr;
+    std::size_t const first = seed % runners.size();
+    std::size_t const step =
+        runners.size() == 1 ? 0 : 1 + (seed >> 32U) % (runners.size() - 1);
+    auto* a = runners[first];
+    auto* b = runners[(first + step) % runners.size()];
+    return expected_time(*b, own_domain, now) <
+                   expected_time(*a, own_domain, now)
+               ? b
+               : a;
+}
+
+runner_state* choose_engine(absl::Span<runner_state* const> runners,
+                            engine_work const& work, time_point now)
+{
+    if (runners.empty())
+        return nullptr;
+    auto const key = std::to_string(session_of(work));
+    double total = 0;
+    struct scored
+    {
+        std::uint64_t weight;
+        double load;
+        runner_state* runner;
+    };
+    std::vector<scored> order;
+    for (auto* it : runners)
+    {
+        auto weight =
+            fleet::rendezvous_weight(key, vm_id::of(it->entry.id)) >> 1U;
+        if (it->entry.failure_domain == work.input_domain)
+            weight += std::uint64_t{1} << 63U;
+        double const load = estimated_load(*it, now);
+        total += load;
+        order.push_back({weight, load, it});
+    }
+    std::sort(order.begin(), order.end(), [](scored const& a, scored const& b)
+              { return a.weight > b.weight; });
+    double const bound =
+        load_factor * total / double(runners.size()) + load_slack;
+    for (auto const& it : order)
+        if (it.load <= bound && it.load < it.runner->entry.slots)
+            return it.runner;
+    return std::min_element(order.begin(), order.end(),
+                            [](scored const& a, scored const& b)
+                            { return a.load < b.load; })
+        ->runner;
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -0,0 +1,366 @@
+#include <buckthornvale/decision/gateway/stage_scheduler.hpp>
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace buckthornvale::decision::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! A call that takes this many times its nominal time is given up.
+constexpr int timeout_factor = 8;
+constexpr duration timeout_slack = 500ms;
+
+//! Weight of the newest call in the estimate of a runner's slowness.
+constexpr double new_weight = 0.3;
+
+bool before(owned_piece const& a, owned_piece const& b, time_point now)
+{
+    // Pieces that can still be on time go first; those that cannot are worth
+    // less and fill what is left.
+    bool const a_late = a.due < now;
+    bool const b_late = b.due < now;
+    if (a_late != b_late)
+        return b_late;
+    if (a_late && a.work.rank != b.work.rank)
+        return a.work.rank < b.work.rank;
+    if (a.due != b.due)
+        return a.due < b.due;
+    return a.work.request < b.work.request;
+}
+
+bool is_same(owned_piece const& it, std::string const& member,
+             piece const& work)
+{
+    return it.work.request == work.request && it.work.round == work.round &&
+           it.work.stage == work.stage && it.work.number == work.number &&
+           it.member == member;
+}
+
+} // namespace
+
+void stage_scheduler::submit(std::string const& member,
+                             std::vector<piece> pieces, time_point now)
+{
+    for (auto& work : pieces)
+    {
+        auto const same = [&](owned_piece const& it)
+        { return is_same(it, member, work); };
+        bool known = std::any_of(queue_.begin(), queue_.end(), same);
+        for (auto const& it : calls_)
+            known = known || std::any_of(it.second.pieces.begin(),
+                                         it.second.pieces.end(), same);
+        if (known)
+            continue;
+        owned_piece entry;
+        entry.member = member;
+        entry.due = now + work.due_in;
+        entry.deadline = now + work.time_left;
+        entry.work = std::move(work);
+        queue_.push_back(std::move(entry));
+    }
+}
+
+void stage_scheduler::withdraw(std::string const& member,
+                               std::vector<request_ref> const& requests)
+{
+    absl::flat_hash_set<request_ref> const left(requests.begin(),
+                                                requests.end());
+    auto const end =
+        std::remove_if(queue_.begin(), queue_.end(),
+                       [&](owned_piece const& it)
+                       {
+                           return it.member == member &&
+                                  left.contains(it.work.request);
+                       });
+    queue_.erase(end, queue_.end());
+}
+
+void stage_scheduler::withdraw_all(std::string const& member)
+{
+    auto const end = std::remove_if(queue_.begin(), queue_.end(),
+                                    [&](owned_piece const& it)
+                                    { return it.member == member; });
+    queue_.erase(end, queue_.end());
+}
+
+void stage_scheduler::release(std::vector<std::string> const& handles)
+{
+    for (auto const& handle : handles)
+    {
+        auto const found = held_.find(handle);
+        if (found != held_.end())
+        {
+            loads_[found->second.runner_id].held_bytes -= found->second.bytes;
+            held_.erase(found);
+        }
+        released_[handle.substr(0, handle.find('/'))].push_back(handle);
+    }
+}
+
+duration stage_scheduler::nominal_time(std::size_t pieces) const
+{
+    return limits_.call_time + limits_.piece_time * std::int64_t(pieces);
+}
+
+void stage_scheduler::finish(owned_piece& it, piece_outcome outcome,
+                             std::string handle)
+{
+    piece_result result;
+    result.service = service_;
+    result.request = it.work.request;
+    result.round = it.work.round;
+    result.stage = it.work.stage;
+    result.number = it.work.number;
+    result.outcome = outcome;
+    result.handle = std::move(handle);
+    results_.push_back({it.member, std::move(result)});
+}
+
+void stage_scheduler::requeue(owned_piece it, bool counts, time_point now)
+{
+    if (counts && ++it.attempts >= max_attempts)
+        finish(it, piece_outcome::failed, {});
+    else if (it.deadline <= now)
+        finish(it, piece_outcome::late, {});
+    else
+        queue_.push_back(std::move(it));
+}
+
+void stage_scheduler::call_ended(stage_call_ended const& ended,
+                                 runner_directory& runners, time_point now)
+{
+    auto const found = calls_.find(ended.call);
+    if (found == calls_.end())
+        return;
+    call_state call = std::move(found->second);
+    calls_.erase(found);
+    auto& placed = loads_[call.runner_id];
+    placed.calls -= placed.calls > 0 ? 1 : 0;
+    auto* runner = runners.find(call.runner_id);
+    duration const took = now - call.started;
+    bool const answered = ended.outcome == call_outcome::answered &&
+                          ended.pieces.size() == call.pieces.size();
+    if (runner != nullptr)
+    {
+        auto const failed = ended.outcome == call_outcome::no_answer
+                                ? runner_signal::silent
+                                : runner_signal::unreachable;
+        auto const signal = answered             ? runner_signal::served
+                            : ended.other_runner ? runner_signal::replaced
+                                                 : failed;
+        runners.record(*runner, signal, took, now);
+        if (signal == runner_signal::silent)
+            runners.record(*runner, runner_signal::unreachable, took, now);
+    }
+    if (answered)
+        placed.slowness +=
+            new_weight * (to_seconds(took) /
+                              to_seconds(nominal_time(call.pieces.size())) -
+                          placed.slowness);
+    for (std::size_t i = 0; i < call.pieces.size(); ++i)
+    {
+        auto& it = call.pieces[i];
+        bool const made = answered && !ended.pieces[i].handle.empty();
+        if (!made)
+            placed.held_bytes -= it.work.result_bytes;
+        if (!answered)
+        {
+            requeue(std::move(it), ended.outcome == call_outcome::no_answer,
+                    now);
+            continue;
+        }
+        auto const& result = ended.pieces[i];
+        if (made)
+        {
+            held_[result.handle] = {call.runner_id, it.work.result_bytes,
+                                    now + limits_.result_lifetime};
+            finish(it, piece_outcome::done, result.handle);
+        }
+        else if (result.outcome == piece_outcome::failed)
+        {
+            if (result.no_room)
+                placed.held_bytes =
+                    std::max(placed.held_bytes, limits_.result_bytes * 0.9);
+            requeue(std::move(it), !result.no_room, now);
+        }
+        else
+            finish(it, result.outcome, {});
+    }
+}
+
+void stage_scheduler::drop_late(time_point now)
+{
+    auto const too_late = [&](owned_piece const& it)
+    { return now + nominal_time(1) > it.deadline; };
+    for (auto& it : queue_)
+        if (too_late(it))
+            finish(it, piece_outcome::late, {});
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), too_late),
+                 queue_.end());
+}
+
+std::vector<owned_piece> stage_scheduler::take_batch(double room,
+                                                     time_point now)
+{
+    std::vector<owned_piece> out;
+    static_cast<void>(now);
+    while (!queue_.empty() && out.size() < limits_.batch)
+    {
+        double const bytes = queue_.front().work.result_bytes;
+        if (limits_.result_bytes > 0 && bytes > room && !out.empty())
+            break;
+        room -= bytes;
+        out.push_back(std::move(queue_.front()));
+        queue_.pop_front();
+    }
+    return out;
+}
+
+std::string const* stage_scheduler::pick_runner(runner_directory& runners,
+                                                time_point now)
+{
+    std::vector<runner_state*> usable;
+    runners.usable(service_, now, usable);
+    std::string const* best = nullptr;
+    double best_slowness = 0;
+    for (auto* it : usable)
+    {
+        auto& placed = loads_[it->entry.id];
+        if (placed.started_at_ms != it->entry.started_at_ms)
+        {
+            auto const calls = placed.calls;
+            placed = {};
+            placed.calls = calls;
+            placed.started_at_ms = it->entry.started_at_ms;
+        }
+        double const room = limits_.result_bytes - placed.held_bytes;
+        bool const fits = limits_.result_bytes <= 0 || queue_.empty() ||
+                          room >= queue_.front().work.result_bytes ||
+                          placed.held_bytes <= 0;
+        if (it->avoid_until > now || placed.calls >= limits_.slots || !fits)
+            continue;
+        if (best == nullptr || placed.slowness < best_slowness)
+        {
+            best = &it->entry.id;
+            best_slowness = placed.slowness;
+        }
+    }
+    return best;
+}
+
+void stage_scheduler::start_call(runner_state& runner, call_ref call,
+                                 time_point now, effects& out)
+{
+    auto& placed = loads_[runner.entry.id];
+    call_state state;
+    state.runner_id = runner.entry.id;
+    state.started = now;
+    state.pieces = take_batch(limits_.result_bytes - placed.held_bytes, now);
+    ++placed.calls;
+    call_stage started;
+    started.call = call;
+    started.runner_id = runner.entry.id;
+    started.address = runner.entry.address;
+    started.timeout =
+        nominal_time(state.pieces.size()) * timeout_factor + timeout_slack;
+    for (auto const& it : state.pieces)
+    {
+        placed.held_bytes += it.work.result_bytes;
+        started.pieces.push_back(it.work);
+        started.pieces.back().time_left = it.deadline - now;
+    }
+    calls_.emplace(call, std::move(state));
+    out.push_back(std::move(started));
+}
+
+void stage_scheduler::expire_results(time_point now)
+{
+    for (auto it = held_.begin(); it != held_.end();)
+    {
+        if (it->second.expires > now)
+        {
+            ++it;
+            continue;
+        }
+        loads_[it->second.runner_id].held_bytes -= it->second.bytes;
+        it = held_.erase(it);
+    }
+}
+
+void stage_scheduler::flush_released(runner_directory& runners, effects& out)
+{
+    for (auto& it : released_)
+    {
+        free_results freed;
+        freed.address = it.first;
+        freed.handles = std::move(it.second);
+        out.push_back(std::move(freed));
+    }
+    released_.clear();
+    static_cast<void>(runners);
+}
+
+void stage_scheduler::dispatch(runner_directory& runners, call_ref& next_call,
+                               time_point now, effects& out)
+{
+    expire_results(now);
+    flush_released(runners, out);
+    drop_late(now);
+    if (queue_.empty())
+        return;
+    std::sort(queue_.begin(), queue_.end(),
+              [&](owned_piece const& a, owned_piece const& b)
+              { return before(a, b, now); });
+    while (!queue_.empty())
+    {
+        auto const* id = pick_runner(runners, now);
+        if (id == nullptr)
+            return;
+        start_call(*runners.find(*id), next_call++, now, out);
+    }
+}
+
+std::vector<addressed_result> stage_scheduler::take_results()
+{
+    return std::exchange(results_, {});
+}
+
+duration stage_scheduler::expected_wait(runner_directory& runners,
+                                        time_point now) const
+{
+    std::vector<runner_state*> usable;
+    runners.usable(service_, now, usable);
+    if (usable.empty())
+        return limits_.call_time;
+    double slots = 0;
+    double busy_s = 0;
+    for (auto const* it : usable)
+    {
+        auto const placed = loads_.find(it->entry.id);
+        double const slowness =
+            placed == loads_.end() ? 1 : std::max(placed->second.slowness, 0.1);
+        slots += limits_.slots / slowness;
+    }
+    for (auto const& it : calls_)
+        busy_s += std::max(0.0, to_seconds(it.second.started +
+                                           nominal_time(
+                                               it.second.pieces.size()) -
+                                           now));
+    std::size_t const batches =
+        (queue_.size() + limits_.batch - 1) / limits_.batch;
+    double const queued_s = to_seconds(limits_.call_time) * double(batches) +
+                            to_seconds(limits_.piece_time) *
+                                double(queue_.size());
+    bool const free_place = calls_.size() < usable.size() * limits_.slots;
+    if (free_place && queue_.empty())
+        return {};
+    return from_seconds((queued_s + busy_s) / std::max(slots, 0.1));
+}
+
+} // namespace buckthornvale::decision::gateway
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -0,0 +1,150 @@
+#ifndef BUCKTHORNVALE_GATEWAY_GATEWAY_PROCESS_HPP
+#define BUCKTHORNVALE_GATEWAY_GATEWAY_PROCESS_HPP
+
+#include <buckthornvale/decision/gateway/reducer.hpp>
+#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/gateway/net/http_server.hpp>
+#include <buckthornvale/gateway/net/simple_call.hpp>
+#include <buckthornvale/gateway/observe/gateway_metrics.hpp>
+#include <buckthornvale/gateway/observe/log_writer.hpp>
+#include <buckthornvale/gateway/peer/peer_sender.hpp>
+#include <buckthornvale/gateway/runner_attempt.hpp>
+#include <buckthornvale/gateway/store/store_watcher.hpp>
+#include <buckthornvale/platform/node_settings.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace buckthornvale::gateway
+{
+
+class control_handler;
+
+using decision::time_point;
+using decision::gateway::request_ref;
+
+//! One gateway process: the event loop between callers, runners, the store and
+//! the other VMs. It turns what happens into events of the reducer and carries
+//! out the effects.
+class gateway_process final : public net::request_handler,
+                              public runner_attempt::listener
+{
+public:
+    gateway_process(asio::io_context& loop,
+                    platform::node_settings settings,
+                    std::uint64_t incarnation, int log_descriptor);
+    ~gateway_process() override;
+
+    //! Opens the listening sockets and starts to read the store. Throws
+    //! asio::system_error when an address cannot be used.
+    void start();
+
+    //! Takes no new callers, finishes the requests and stops the loop.
+    void drain();
+
+    //! The settings file has changed.
+    void reload(platform::node_settings settings);
+
+private:
+    //! A request of a caller that has no final answer.
+    struct caller_request
+    {
+        std::uint64_t connection = 0;
+        bool caller_present = true;
+        http::request_head head;
+        std::shared_ptr<std::string const> body;
+        std::string request_id;
+        time_point arrived{};
+        std::unique_ptr<runner_attempt> attempt;
+        std::string last_event_id;
+        bool answer_started = false;
+        bool paused = false;
+    };
+
+    // net::request_handler
+    void on_request(net::server_connection& from, http::request_head& head,
+                    std::string& body) override;
+    void on_caller_left(net::server_connection& from) override;
+    void on_drained(net::server_connection& from) override;
+
+    // runner_attempt::listener
+    void on_events(runner_attempt& from, std::string_view events) override;
+    void on_attempt_ended(
+        runner_attempt& from,
+        decision::gateway::attempt_ended const& outcome) override;
+
+    void reduce(decision::gateway::event const& input);
+    void carry_out(decision::gateway::send_attempt const& it);
+    void carry_out(decision::gateway::cancel_attempt const& it);
+    void carry_out(decision::gateway::deliver_answer const& it);
+    void carry_out(decision::gateway::refuse_request const& it);
+    void carry_out(decision::gateway::abort_stream const& it);
+    void carry_out(decision::gateway::call_stage const& it);
+    void carry_out(decision::gateway::free_results const& it);
+    void carry_out(decision::gateway::send_to_peer const& it);
+    void carry_out(decision::gateway::log_decision const& it);
+
+    caller_request* find_request(request_ref ref);
+    net::server_connection* connection_of(caller_request const& it);
+    void forget_request(request_ref ref, char const* outcome);
+    void start_stream(caller_request& it, net::server_connection& to,
+                      runner_attempt const& from);
+    std::string answer_head(http::response_head const& head) const;
+    void retire(std::unique_ptr<runner_attempt> attempt);
+
+    void watch_store();
+    void take_runners(std::vector<platform::stored_object> const& objects,
+                      bool listed, bool after_outage);
+    void end_stage_call(decision::gateway::call_ref call,
+                        std::size_t pieces, net::call_result const& result);
+    void take_members(std::vector<platform::stored_object> const& objects,
+                      bool listed);
+    void take_manifest(std::vector<platform::stored_object> const& objects);
+    void register_member();
+    void write_member(bool replace);
+    bool self_registered() const;
+    void log(char const* what,
+             std::vector<decision::gateway::log_decision::field> fields);
+
+    void tick();
+    void schedule_tick();
+    void check_drained(time_point now);
+    time_point now() const;
+
+    asio::io_context& loop_;
+    platform::node_settings settings_;
+    std::uint64_t const incarnation_;
+    decision::gateway::member self_;
+    decision::gateway::reducer reducer_;
+    observe::log_writer log_;
+    observe::gateway_metrics metrics_;
+    net::http_client client_;
+    peer::peer_sender peers_;
+    net::http_server callers_;
+    std::unique_ptr<control_handler> control_;
+    std::vector<std::unique_ptr<store::store_watcher>> watchers_;
+    std::unordered_map<request_ref, caller_request> requests_;
+    std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
+    std::map<std::string, decision::gateway::member> members_;
+    std::vector<decision::gateway::event> pending_;
+    bool reducing_ = false;
+    request_ref next_ref_ = 1;
+    asio::steady_timer timer_;
+    time_point limits_checked_{};
+    bool draining_ = false;
+    bool listening_ = true;
+    bool registering_ = false;
+    std::unique_ptr<asio::steady_timer> register_timer_;
+    time_point drain_started_{};
+};
+
+} // namespace buckthornvale::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -0,0 +1,47 @@
+#ifndef BUCKTHORNVALE_GATEWAY_OBSERVE_GATEWAY_METRICS_HPP
+#define BUCKTHORNVALE_GATEWAY_OBSERVE_GATEWAY_METRICS_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstddef>
+#include <string>
+
+namespace buckthornvale::gateway::observe
+{
+
+//! Counters and times of one gateway process. Labels take values from fixed
+//! sets only.
+class gateway_metrics
+{
+public:
+    gateway_metrics();
+
+    //! A request got its final answer; `outcome` is "answered", "aborted" or a
+    //! refusal.
+    void count_request(char const* outcome, decision::duration took);
+    void count_send();
+    void count_stage_call(std::size_t pieces);
+    void set_active(std::size_t requests, std::size_t connections);
+
+    //! All metrics in the Prometheus text format.
+    std::string to_text() const;
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Histogram& seconds_;
+    prometheus::Counter& sends_;
+    prometheus::Histogram& batch_;
+    prometheus::Gauge& active_;
+    prometheus::Gauge& connections_;
+};
+
+} // namespace buckthornvale::gateway::observe
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
@@ -0,0 +1,49 @@
+#ifndef BUCKTHORNVALE_GATEWAY_OBSERVE_LOG_WRITER_HPP
+#define BUCKTHORNVALE_GATEWAY_OBSERVE_LOG_WRITER_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/gateway/effect.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace buckthornvale::gateway::observe
+{
+
+//! Writes decisions as lines of JSON to a descriptor that never blocks. Lines
+//! beyond a rate, or that the reader does not take, are dropped and counted.
+class log_writer
+{
+public:
+    //! Lines of one second.
+    static constexpr std::uint32_t max_lines_per_second = 500;
+
+    //! Bytes that wait for the reader.
+    static constexpr std::size_t max_waiting = 256 * 1024;
+
+    log_writer(int descriptor, std::string vm_name);
+
+    void write(decision::gateway::log_decision const& value,
+               decision::time_point now);
+
+    //! Hands waiting lines to the descriptor.
+    void flush(decision::time_point now);
+
+    std::uint64_t dropped() const { return dropped_; }
+
+private:
+    void append_line(decision::gateway::log_decision const& value);
+
+    int const descriptor_;
+    std::string const vm_name_;
+    std::string waiting_;
+    std::int64_t second_ = -1;
+    std::uint32_t lines_ = 0;
+    std::uint64_t dropped_ = 0;
+    std::uint64_t reported_ = 0;
+};
+
+} // namespace buckthornvale::gateway::observe
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/peer/peer_sender.hpp
@@ -0,0 +1,53 @@
+#ifndef BUCKTHORNVALE_GATEWAY_PEER_PEER_SENDER_HPP
+#define BUCKTHORNVALE_GATEWAY_PEER_PEER_SENDER_HPP
+
+#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/gateway/peer/peer_codec.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::gateway::peer
+{
+
+//! Path under which a VM takes messages.
+constexpr std::string_view messages_path = "/peer/messages";
+
+//! Sends messages to other VMs, one call to each VM at a time. Messages that
+//! come while a call is under way go together with the next one.
+class peer_sender
+{
+public:
+    struct callback_set
+    {
+        std::function<void(std::string const& member,
+                           std::uint64_t incarnation)>
+            answered;
+        std::function<void(std::string const& member,
+                           std::vector<peer_message> undelivered)>
+            unreachable;
+    };
+
+    peer_sender(net::http_client& client, std::string self,
+                std::uint64_t incarnation, callback_set callbacks);
+    ~peer_sender();
+
+    void send(std::string const& member, std::string const& address,
+              peer_message message);
+
+private:
+    class link;
+
+    net::http_client& client_;
+    std::string const self_;
+    std::uint64_t const incarnation_;
+    callback_set callbacks_;
+    std::map<std::string, std::unique_ptr<link>> links_;
+};
+
+} // namespace buckthornvale::gateway::peer
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -0,0 +1,77 @@
+#ifndef BUCKTHORNVALE_GATEWAY_RUNNER_ATTEMPT_HPP
+#define BUCKTHORNVALE_GATEWAY_RUNNER_ATTEMPT_HPP
+
+#include <buckthornvale/decision/gateway/event.hpp>
+#include <buckthornvale/gateway/event_splitter.hpp>
+#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/platform/headers.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace buckthornvale::gateway
+{
+
+//! One send of a request to a runner. It judges the framing of the answer and
+//! tells its owner what came; what follows from that is decided elsewhere.
+class runner_attempt final : public net::answer_handler
+{
+public:
+    class listener
+    {
+    public:
+        virtual ~listener() = default;
+
+        //! Whole events of a stream, in order.
+        virtual void on_events(runner_attempt& from,
+                               std::string_view events) = 0;
+        virtual void
+        on_attempt_ended(runner_attempt& from,
+                         decision::gateway::attempt_ended const& outcome) = 0;
+    };
+
+    runner_attempt(listener& owner, decision::gateway::request_ref request,
+                   std::uint32_t number, std::string request_id, bool stream);
+
+    decision::gateway::request_ref request() const { return request_; }
+    std::uint32_t number() const { return number_; }
+    http::response_head const& head() const { return head_; }
+    platform::runner_answer const& answer() const { return answer_; }
+
+    //! Body that was not passed on as events.
+    std::string& body() { return body_; }
+
+    //! True when the answer is a stream that is passed on as it comes.
+    bool streaming() const { return streaming_; }
+
+    //! Id of the last whole event that was passed on.
+    std::string const& last_id() const { return splitter_.last_id(); }
+
+    // answer_handler
+    bool on_answer_head(http::response_head const& head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_end() override;
+    void on_answer_failed(net::call_failure failure, bool reset) override;
+
+    net::call_id call = 0;
+
+private:
+    decision::gateway::attempt_ended outcome_base() const;
+
+    listener& owner_;
+    decision::gateway::request_ref const request_;
+    std::uint32_t const number_;
+    std::string const request_id_;
+    bool const stream_;
+    bool streaming_ = false;
+    bool has_head_ = false;
+    http::response_head head_;
+    platform::runner_answer answer_;
+    std::string body_;
+    event_splitter splitter_;
+};
+
+} // namespace buckthornvale::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -0,0 +1,89 @@
+#ifndef BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
+#define BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
+
+#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/platform/store_codec.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace buckthornvale::gateway::store
+{
+
+using decision::duration;
+using decision::time_point;
+using net::clock_function;
+
+//! Keeps the objects of one kind in step with the store: a list, then watches
+//! from its revision, and a list again when the history is gone.
+class store_watcher final : public net::answer_handler
+{
+public:
+    struct callback_set
+    {
+        //! All objects. `after_outage` tells that the store was out of reach.
+        std::function<void(std::vector<platform::stored_object> const&,
+                           bool after_outage)>
+            listed;
+        std::function<void(std::vector<platform::stored_object> const&,
+                           bool after_outage)>
+            changed;
+        //! The store was lost or regained.
+        std::function<void(bool reachable, std::string const& reason)>
+            reachable;
+    };
+
+    store_watcher(asio::io_context& loop, net::http_client& client,
+                  std::string address, platform::object_kind kind,
+                  duration wait, clock_function clock, callback_set callbacks);
+
+    void start();
+    void stop();
+
+    bool is_reachable() const { return reachable_; }
+
+    // answer_handler
+    bool on_answer_head(http::response_head const& head) override;
+    void on_answer_body(std::string_view bytes) override;
+    void on_answer_end() override;
+    void on_answer_failed(net::call_failure failure, bool reset) override;
+
+private:
+    void call_list();
+    void call_watch();
+    void send(platform::store_call const& call, duration timeout);
+    void retry_later(std::string const& reason);
+    void take_list();
+    void take_changes();
+    void note_reachable();
+    bool after_outage(time_point now) const;
+
+    asio::io_context& loop_;
+    net::http_client& client_;
+    std::string const address_;
+    platform::object_kind const kind_;
+    duration const wait_;
+    clock_function clock_;
+    callback_set callbacks_;
+    asio::steady_timer timer_;
+    bool watching_ = false; //!< the call under way is a watch
+    bool reachable_ = true;
+    bool ever_listed_ = false;
+    time_point regained_at_{};
+    std::uint32_t failures_ = 0;
+    std::uint64_t revision_ = 0;
+    std::string after_; //!< where the next page of the list starts
+    std::vector<platform::stored_object> listed_;
+    int status_ = 0;
+    std::string body_;
+    net::call_id call_ = 0;
+};
+
+} // namespace buckthornvale::gateway::store
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/control_handler.hpp
@@ -0,0 +1,51 @@
+#ifndef BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
+#define BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
+
+#include <buckthornvale/gateway/net/http_server.hpp>
+#include <buckthornvale/gateway/peer/peer_codec.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <string>
+
+namespace buckthornvale::gateway
+{
+
+//! Answers the platform's question for readiness, scrapes of metrics, and the
+//! messages of other VMs.
+class control_handler final : public net::request_handler
+{
+public:
+    struct callback_set
+    {
+        std::function<bool()> ready;
+        std::function<std::string()> metrics;
+
+        //! Takes an envelope and returns the answer, an envelope too.
+        std::function<std::string(peer::envelope)> messages;
+    };
+
+    control_handler(asio::io_context& loop, net::clock_function const& clock,
+                    callback_set callbacks);
+
+    net::http_server& readiness() { return readiness_; }
+    net::http_server& peers() { return peers_; }
+
+    void check_limits(decision::time_point now);
+
+    // net::request_handler
+    void on_request(net::server_connection& from, http::request_head& head,
+                    std::string& body) override;
+    void on_caller_left(net::server_connection&) override {}
+    void on_drained(net::server_connection&) override {}
+
+private:
+    callback_set callbacks_;
+    net::http_server readiness_;
+    net::http_server peers_;
+};
+
+} // namespace buckthornvale::gateway
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -0,0 +1,112 @@
+#include <buckthornvale/gateway/gateway_process.hpp>
+#include <buckthornvale/platform/stage_codec.hpp>
+
+#include "control_handler.hpp"
+
+namespace buckthornvale::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace model = decision::gateway;
+
+constexpr int status_ok = 200;
+
+constexpr decision::duration connect_timeout = 300ms;
+constexpr decision::duration free_timeout = 2s;
+
+model::piece_outcome outcome_of(platform::piece_failure failure)
+{
+    switch (failure)
+    {
+    case platform::piece_failure::none:
+        return model::piece_outcome::done;
+    case platform::piece_failure::late:
+        return model::piece_outcome::late;
+    case platform::piece_failure::input_gone:
+        return model::piece_outcome::input_gone;
+    case platform::piece_failure::no_room:
+    case platform::piece_failure::error:
+        break;
+    }
+    return model::piece_outcome::failed;
+}
+
+} // namespace
+
+void gateway_process::carry_out(model::call_stage const& effect)
+{
+    std::vector<platform::stage_item> items;
+    items.reserve(effect.pieces.size());
+    for (auto const& it : effect.pieces)
+    {
+        platform::stage_item item;
+        item.request_id = it.request_id;
+        item.stage = it.stage;
+        item.piece = it.number;
+        item.time_left = it.time_left;
+        item.key = it.key;
+        item.inputs = it.inputs;
+        items.push_back(std::move(item));
+    }
+    auto body = platform::encode_stage_items(items);
+    auto head = platform::encode_own_request("POST", platform::stage_run_target,
+                                             effect.address, body.size(),
+                                             effect.runner_id);
+    net::call_options options;
+    options.connect_timeout = connect_timeout;
+    options.timeout = effect.timeout;
+    metrics_.count_stage_call(items.size());
+    net::make_call(client_, effect.address, std::move(head), std::move(body),
+                   options,
+                   [this, call = effect.call,
+                    n = items.size()](net::call_result const& result)
+                   { end_stage_call(call, n, result); });
+}
+
+void gateway_process::end_stage_call(model::call_ref call, std::size_t pieces,
+                                     net::call_result const& result)
+{
+    model::stage_call_ended out;
+    out.call = call;
+    if (result.failure)
+    {
+        out.outcome = *result.failure == net::call_failure::not_sent
+                          ? model::call_outcome::not_sent
+                          : model::call_outcome::no_answer;
+        reduce(out);
+        return;
+    }
+    auto const answer = platform::decode_runner_answer(result.head);
+    out.other_runner = answer.other_runner;
+    auto const results = platform::decode_stage_results(result.body, pieces);
+    if (answer.not_executed)
+        out.outcome = model::call_outcome::not_sent;
+    else if (result.head.status == status_ok && results)
+    {
+        out.outcome = model::call_outcome::answered;
+        for (auto const& it : *results)
+            out.pieces.push_back(
+                {outcome_of(it.failure),
+                 it.failure == platform::piece_failure::no_room, it.handle});
+    }
+    reduce(out);
+}
+
+void gateway_process::carry_out(model::free_results const& effect)
+{
+    auto body = platform::encode_handles(effect.handles);
+    auto head = platform::encode_own_request(
+        "POST", platform::stage_free_target, effect.address, body.size(),
+        effect.runner_id);
+    net::call_options options;
+    options.connect_timeout = connect_timeout;
+    options.timeout = free_timeout;
+    // Results that cannot be freed lapse by themselves.
+    net::make_call(client_, effect.address, std::move(head), std::move(body),
+                   options, [](net::call_result const&) {});
+}
+
+} // namespace buckthornvale::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_store.cpp
@@ -0,0 +1,175 @@
+#include <buckthornvale/gateway/gateway_process.hpp>
+
+#include "control_handler.hpp"
+
+namespace buckthornvale::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace model = decision::gateway;
+using decision::duration;
+
+//! Longest waits of a watch. A watch that falls silent is noticed after it.
+constexpr duration manifest_wait = 5s;
+constexpr duration runners_wait = 8s;
+constexpr duration members_wait = 25s;
+
+constexpr duration write_timeout = 1500ms;
+constexpr duration write_pause = 700ms;
+
+constexpr int status_conflict = 409;
+
+} // namespace
+
+void gateway_process::watch_store()
+{
+    using objects = std::vector<platform::stored_object>;
+    auto const add = [this](platform::object_kind kind, duration wait,
+                            char const* name,
+                            std::function<void(objects const&, bool, bool)>
+                                take)
+    {
+        store::store_watcher::callback_set callbacks;
+        callbacks.listed = [take](objects const& all, bool after_outage)
+        { take(all, true, after_outage); };
+        callbacks.changed = [take](objects const& changes, bool after_outage)
+        { take(changes, false, after_outage); };
+        callbacks.reachable = [this, name](bool reachable,
+                                           std::string const& reason)
+        {
+            log(reachable ? "store_regained" : "store_lost",
+                {{"watch", name}, {"reason", reason}});
+        };
+        watchers_.push_back(std::make_unique<store::store_watcher>(
+            loop_, client_, settings_.store.text(), kind, wait,
+            [this] { return now(); }, std::move(callbacks)));
+        watchers_.back()->start();
+    };
+    add(platform::object_kind::manifest, manifest_wait, "manifest",
+        [this](objects const& all, bool, bool) { take_manifest(all); });
+    add(platform::object_kind::runners, runners_wait, "runners",
+        [this](objects const& all, bool listed, bool after_outage)
+        { take_runners(all, listed, after_outage); });
+    add(platform::object_kind::members, members_wait, "members",
+        [this](objects const& all, bool listed, bool)
+        { take_members(all, listed); });
+}
+
+void gateway_process::take_manifest(
+    std::vector<platform::stored_object> const& objects)
+{
+    constexpr std::string_view name = "main";
+    for (auto const& it : objects)
+    {
+        if (it.deleted || it.name != name)
+            continue;
+        auto value = platform::decode_manifest(it);
+        if (value == nullptr)
+            log("manifest_unreadable",
+                {{"revision", std::to_string(it.revision)}});
+        else
+            reduce(model::manifest_changed{std::move(value)});
+    }
+}
+
+void gateway_process::take_runners(
+    std::vector<platform::stored_object> const& objects, bool listed,
+    bool after_outage)
+{
+    model::runners_listed all;
+    all.after_outage = after_outage;
+    for (auto const& it : objects)
+    {
+        auto entry =
+            it.deleted ? std::nullopt : platform::decode_runner(it);
+        if (!it.deleted && !entry)
+            log("runner_unreadable", {{"runner", it.name}});
+        if (listed && entry)
+            all.runners.push_back(std::move(*entry));
+        else if (!listed && entry)
+            reduce(model::runner_changed{std::move(*entry)});
+        else if (!listed)
+            reduce(model::runner_removed{it.name, after_outage});
+    }
+    if (listed)
+        reduce(all);
+}
+
+void gateway_process::take_members(
+    std::vector<platform::stored_object> const& objects, bool listed)
+{
+    if (listed)
+        members_.clear();
+    for (auto const& it : objects)
+    {
+        auto entry =
+            it.deleted ? std::nullopt : platform::decode_member(it);
+        if (entry)
+            members_[it.name] = std::move(*entry);
+        else
+            members_.erase(it.name);
+    }
+    model::members_listed all;
+    for (auto const& it : members_)
+        all.members.push_back(it.second);
+    reduce(all);
+    if (!self_registered())
+        register_member();
+}
+
+bool gateway_process::self_registered() const
+{
+    auto const found = members_.find(self_.name);
+    return found != members_.end() &&
+           found->second.incarnation == self_.incarnation;
+}
+
+void gateway_process::register_member()
+{
+    if (registering_ || draining_)
+        return;
+    registering_ = true;
+    write_member(false);
+}
+
+void gateway_process::write_member(bool replace)
+{
+    auto const call = replace ? platform::replace_member_call(self_)
+                              : platform::create_member_call(self_);
+    net::call_options options;
+    options.timeout = write_timeout;
+    auto const address = settings_.store.text();
+    auto head = platform::encode_own_request(call.method, call.target, address,
+                                             call.body.size(), {});
+    net::make_call(
+        client_, address, std::move(head), call.body, options,
+        [this, replace](net::call_result const& result)
+        {
+            int const status = result.failure ? 0 : result.head.status;
+            if (status >= 200 && status < 300)
+            {
+                registering_ = false;
+                log("member_registered", {});
+                return;
+            }
+            if (status == status_conflict && !replace)
+            {
+                write_member(true);
+                return;
+            }
+            log("member_not_registered", {{"status", std::to_string(status)}});
+            register_timer_ = std::make_unique<asio::steady_timer>(loop_);
+            register_timer_->expires_after(write_pause);
+            register_timer_->async_wait(
+                [this](asio::error_code ec)
+                {
+                    if (!ec)
+                        write_member(false);
+                });
+        });
+}
+
+} // namespace buckthornvale::gateway
--- /dev/null
+++ b/packages/gateway/src/main.cpp
@@ -0,0 +1,113 @@
+#include <buckthornvale/gateway/gateway_process.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+DEFINE_string(config, "",
+              "settings file of this VM; taken from the environment when empty");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace
+{
+
+namespace platform = buckthornvale::platform;
+using buckthornvale::gateway::gateway_process;
+
+// Exit codes of the program.
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_bad_settings = 2;
+
+std::string settings_path()
+{
+    if (!FLAGS_config.empty())
+        return FLAGS_config;
+    char const* path = std::getenv(platform::settings_file_variable);
+    return path != nullptr ? path : platform::default_settings_file;
+}
+
+absl::StatusOr<platform::node_settings> read_settings()
+{
+    auto const path = settings_path();
+    std::ifstream in(path);
+    if (!in)
+        return absl::NotFoundError(path + " cannot be read; name the settings "
+                                          "file with --config");
+    std::stringstream text;
+    text << in.rdbuf();
+    return platform::parse_node_settings(text.str());
+}
+
+std::uint64_t random_incarnation()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+void wait_for_signals(asio::signal_set& signals, gateway_process& process)
+{
+    signals.async_wait(
+        [&](asio::error_code ec, int number)
+        {
+            if (ec)
+                return;
+            if (number == SIGHUP)
+            {
+                auto const settings = read_settings();
+                if (settings.ok())
+                    process.reload(*settings);
+                else
+                    std::cerr << settings.status().message() << '\n';
+            }
+            else
+                process.drain();
+            wait_for_signals(signals, process);
+        });
+}
+
+int serve(platform::node_settings const& settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context loop(1);
+    gateway_process process(loop, settings, random_incarnation(), 1);
+    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
+    wait_for_signals(signals, process);
+    try
+    {
+        process.start();
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "cannot listen: " << e.what()
+                  << "; check the addresses of the settings file\n";
+        return exit_failed;
+    }
+    loop.run();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("gateway process of one entry VM\n"
+                            "  buckthornvale-gateway [--config FILE] [--check]\n"
+                            "exit codes: 0 drained, 1 cannot start, "
+                            "2 bad settings");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto const settings = read_settings();
+    if (!settings.ok())
+    {
+        std::cerr << settings.status().message() << '\n';
+        return exit_bad_settings;
+    }
+    return FLAGS_check ? exit_ok : serve(*settings);
+}
--- /dev/null
+++ b/packages/gateway/src/net/http_server.cpp
@@ -0,0 +1,370 @@
+#include <buckthornvale/gateway/net/http_server.hpp>
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <vector>
+
+namespace buckthornvale::gateway::net
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! Bytes of following requests that are kept while one is served.
+constexpr std::size_t max_ahead = 64 * 1024;
+
+//! Time that a caller gets to read its answer before its connection is reset.
+constexpr decision::duration linger_time = 1s;
+
+constexpr std::chrono::milliseconds accept_pause{50};
+
+http::parser_limits parser_limits_of(caller_limits const& limits)
+{
+    return {limits.max_header_bytes, limits.max_body_bytes};
+}
+
+} // namespace
+
+server_connection::server_connection(http_server& server, std::uint64_t id,
+                                     asio::ip::tcp::socket socket)
+    : server_(server), id_(id),
+      stream_(std::make_shared<tcp_stream>(std::move(socket))),
+      parser_(http::message_type::request, parser_limits_of(server.limits_()),
+              *this),
+      since_(server.clock_())
+{
+}
+
+server_connection::~server_connection()
+{
+    stream_->detach();
+    stream_->close();
+}
+
+void server_connection::start()
+{
+    stream_->attach(*this);
+    stream_->start();
+}
+
+void server_connection::on_bytes(std::string_view bytes)
+{
+    switch (state_)
+    {
+    case state::reading:
+        parse(bytes);
+        break;
+    case state::serving:
+        ahead_.append(bytes);
+        if (ahead_.size() > max_ahead)
+            stream_->pause_reading();
+        break;
+    case state::lingering:
+        break;
+    }
+}
+
+void server_connection::parse(std::string_view bytes)
+{
+    if (!parser_.started())
+        since_ = server_.clock_();
+    std::size_t const n = parser_.feed(bytes);
+    switch (parser_.error())
+    {
+    case http::parse_error::none:
+        break;
+    case http::parse_error::malformed:
+        refuse(400);
+        return;
+    case http::parse_error::header_too_large:
+        refuse(431);
+        return;
+    case http::parse_error::body_too_large:
+        refuse(413);
+        return;
+    }
+    if (!parser_.complete())
+        return;
+    ahead_.assign(bytes.substr(n));
+    state_ = state::serving;
+    since_ = server_.clock_();
+    keep_alive_ = parser_.request().keep_alive;
+    server_.handler_.on_request(*this, parser_.request(), body_);
+}
+
+void server_connection::on_head()
+{
+    auto const& head = parser_.request();
+    if (http::find_header(head.headers, "expect") && head.has_body &&
+        !head.http_1_0)
+    {
+        std::string line;
+        http::append_status_line(line, 100);
+        line += "\r\n";
+        stream_->write(line);
+    }
+}
+
+void server_connection::on_body(std::string_view bytes) { body_.append(bytes); }
+
+void server_connection::on_complete() {}
+
+void server_connection::append_connection_headers(std::string& head) const
+{
+    bool const close =
+        !keep_alive_ || finish_soon_ || server_.finishing_;
+    if (close)
+        http::append_header(head, "Connection", "close");
+    else if (parser_.request().http_1_0)
+        http::append_header(head, "Connection", "keep-alive");
+}
+
+void server_connection::answer(std::string head, std::string_view body)
+{
+    if (state_ != state::serving || answer_started_)
+        return;
+    http::append_header(head, "Content-Length", std::to_string(body.size()));
+    append_connection_headers(head);
+    head += "\r\n";
+    if (parser_.request().method == "HEAD")
+        body = {};
+    stream_->write(head, body);
+    finish_answer();
+}
+
+void server_connection::start_answer(std::string head)
+{
+    if (state_ != state::serving || answer_started_)
+        return;
+    answer_started_ = true;
+    chunked_ = !parser_.request().http_1_0;
+    if (chunked_)
+        http::append_header(head, "Transfer-Encoding", "chunked");
+    else
+        keep_alive_ = false;
+    append_connection_headers(head);
+    head += "\r\n";
+    stream_->write(head);
+}
+
+void server_connection::send_part(std::string_view bytes)
+{
+    if (!chunked_)
+    {
+        stream_->write(bytes);
+        return;
+    }
+    std::string chunk;
+    http::append_chunk(chunk, bytes);
+    stream_->write(chunk);
+}
+
+void server_connection::end_answer()
+{
+    if (chunked_)
+        stream_->write(http::last_chunk);
+    finish_answer();
+}
+
+void server_connection::finish_answer()
+{
+    answer_started_ = false;
+    since_ = server_.clock_();
+    if (!keep_alive_ || finish_soon_ || server_.finishing_)
+    {
+        close_gracefully();
+        return;
+    }
+    state_ = state::reading;
+    body_.clear();
+    parser_.next();
+    parser_.set_limits(parser_limits_of(server_.limits_()));
+    stream_->resume_reading();
+    if (ahead_.empty())
+        return;
+    // Not from here: a caller that sends many requests ahead would recurse.
+    asio::post(server_.loop_,
+               [&server = server_, id = id_]
+               {
+                   auto* it = server.find(id);
+                   if (it != nullptr && it->state_ == state::reading)
+                       it->parse(std::exchange(it->ahead_, {}));
+               });
+}
+
+void server_connection::refuse(int status)
+{
+    state_ = state::serving;
+    keep_alive_ = false;
+    std::string head;
+    http::append_status_line(head, status);
+    answer(std::move(head), {});
+}
+
+void server_connection::abort()
+{
+    keep_alive_ = false;
+    if (chunked_ || !answer_started_)
+    {
+        close_gracefully();
+        return;
+    }
+    // An answer without a length is complete when the connection ends.
+    stream_->reset();
+    close_now();
+}
+
+void server_connection::close_gracefully()
+{
+    state_ = state::lingering;
+    since_ = server_.clock_();
+    stream_->shutdown_after_write();
+}
+
+void server_connection::close_now()
+{
+    stream_->detach();
+    stream_->close();
+    server_.remove(id_);
+}
+
+void server_connection::finish_soon()
+{
+    finish_soon_ = true;
+    if (state_ == state::reading && !parser_.started())
+        close_gracefully();
+}
+
+void server_connection::check_limits(time_point now)
+{
+    auto const limits = server_.limits_();
+    if (state_ == state::lingering && now - since_ > linger_time &&
+        stream_->queued() == 0)
+        close_now();
+    else if (state_ == state::reading && !parser_.started() &&
+             now - since_ > limits.idle_timeout)
+        close_gracefully();
+    else if (state_ == state::reading && parser_.started() &&
+             !parser_.head_complete() && now - since_ > limits.header_timeout)
+        refuse(408);
+}
+
+void server_connection::on_end(asio::error_code)
+{
+    if (state_ == state::serving)
+        server_.handler_.on_caller_left(*this);
+    server_.remove(id_);
+}
+
+void server_connection::on_written()
+{
+    if (state_ == state::serving)
+        server_.handler_.on_drained(*this);
+}
+
+http_server::http_server(asio::io_context& loop, request_handler& handler,
+                         limits_function limits, clock_function clock)
+    : loop_(loop), acceptor_(loop), retry_(loop), handler_(handler),
+      limits_(std::move(limits)), clock_(std::move(clock))
+{
+}
+
+http_server::~http_server() = default;
+
+void http_server::listen(std::string const& address, std::uint16_t port)
+{
+    asio::ip::tcp::endpoint const at(asio::ip::make_address(address), port);
+    acceptor_.open(at.protocol());
+    acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor_.bind(at);
+    acceptor_.listen();
+    accept();
+}
+
+std::uint16_t http_server::port() const
+{
+    return acceptor_.local_endpoint().port();
+}
+
+void http_server::accept()
+{
+    acceptor_.async_accept(
+        [this](asio::error_code ec, asio::ip::tcp::socket socket)
+        {
+            if (!acceptor_.is_open())
+                return;
+            if (!ec)
+            {
+                auto const id = next_id_++;
+                auto connection = std::make_shared<server_connection>(
+                    *this, id, std::move(socket));
+                connections_.emplace(id, connection);
+                connection->start();
+            }
+            if (!ec)
+            {
+                accept();
+                return;
+            }
+            // Mostly no descriptor is free; one may be later.
+            retry_.expires_after(accept_pause);
+            retry_.async_wait(
+                [this](asio::error_code waited)
+                {
+                    if (!waited)
+                        accept();
+                });
+        });
+}
+
+void http_server::remove(std::uint64_t id)
+{
+    auto const found = connections_.find(id);
+    if (found == connections_.end())
+        return;
+    // The connection may be in one of its own functions.
+    asio::post(loop_, [keep = std::move(found->second)] {});
+    connections_.erase(found);
+}
+
+void http_server::stop_listening()
+{
+    asio::error_code ec;
+    acceptor_.close(ec);
+}
+
+void http_server::finish_all()
+{
+    finishing_ = true;
+    std::vector<std::shared_ptr<server_connection>> all;
+    for (auto const& it : connections_)
+        all.push_back(it.second);
+    for (auto const& it : all)
+        it->finish_soon();
+}
+
+void http_server::check_limits(time_point now)
+{
+    std::vector<std::shared_ptr<server_connection>> all;
+    for (auto const& it : connections_)
+        all.push_back(it.second);
+    for (auto const& it : all)
+        it->check_limits(now);
+}
+
+std::size_t http_server::serving() const
+{
+    return std::count_if(connections_.begin(), connections_.end(),
+                         [](auto const& it) { return it.second->serving(); });
+}
+
+server_connection* http_server::find(std::uint64_t id)
+{
+    auto const found = connections_.find(id);
+    return found == connections_.end() ? nullptr : found->second.get();
+}
+
+} // namespace buckthornvale::gateway::net
--- /dev/null
+++ b/packages/gateway/src/net/tcp_stream.cpp
@@ -0,0 +1,193 @@
+#include <buckthornvale/gateway/net/tcp_stream.hpp>
+
+#include <asio/buffer.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace buckthornvale::gateway::net
+{
+
+namespace
+{
+
+//! A silent peer is noticed after idle + interval * probes seconds.
+constexpr int keep_alive_idle_s = 1;
+constexpr int keep_alive_interval_s = 1;
+constexpr int keep_alive_probes = 2;
+
+//! Written bytes that stay unacknowledged this long end the connection, in
+//! milliseconds.
+constexpr int unacknowledged_limit_ms = 3000;
+
+//! A failed option leaves the connection slower or less watched, not wrong.
+void set_option(int fd, int level, int name, int value)
+{
+    static_cast<void>(
+        ::setsockopt(fd, level, name, &value, sizeof(value)));
+}
+
+} // namespace
+
+tcp_stream::tcp_stream(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+{
+}
+
+void tcp_stream::connect(asio::ip::tcp::endpoint const& to,
+                         std::function<void(asio::error_code)> done)
+{
+    asio::error_code ec;
+    socket_.open(to.protocol(), ec);
+    socket_.async_connect(
+        to,
+        [self = shared_from_this(), done = std::move(done)](asio::error_code e)
+        {
+            if (self->open_)
+                done(e);
+        });
+}
+
+void tcp_stream::start()
+{
+    asio::error_code ec;
+    socket_.non_blocking(true, ec);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    int const fd = socket_.native_handle();
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_limit_ms);
+    read();
+}
+
+void tcp_stream::read()
+{
+    if (!open_ || paused_ || reading_)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(in_),
+        [self = shared_from_this()](asio::error_code ec, std::size_t n)
+        {
+            self->reading_ = false;
+            if (!self->open_)
+                return;
+            if (ec)
+            {
+                self->fail(ec);
+                return;
+            }
+            if (self->handler_ != nullptr)
+                self->handler_->on_bytes({self->in_.data(), n});
+            self->read();
+        });
+}
+
+void tcp_stream::resume_reading()
+{
+    paused_ = false;
+    read();
+}
+
+bool tcp_stream::write(std::string_view first, std::string_view second)
+{
+    if (!open_)
+        return false;
+    if (queued() > 0 || writing_)
+    {
+        pending_.append(first);
+        pending_.append(second);
+        return true;
+    }
+    std::array<asio::const_buffer, 2> const parts = {
+        asio::buffer(first.data(), first.size()),
+        asio::buffer(second.data(), second.size())};
+    asio::error_code ec;
+    std::size_t n = socket_.write_some(parts, ec);
+    if (ec && ec != asio::error::would_block && ec != asio::error::try_again)
+        return false;
+    if (ec)
+        n = 0;
+    if (n < first.size())
+    {
+        pending_.append(first.substr(n));
+        pending_.append(second);
+    }
+    else
+        pending_.append(second.substr(n - first.size()));
+    if (queued() > 0)
+        write_queued();
+    return true;
+}
+
+void tcp_stream::write_queued()
+{
+    if (in_flight_done_ == in_flight_.size())
+    {
+        in_flight_.clear();
+        in_flight_done_ = 0;
+        in_flight_.swap(pending_);
+    }
+    writing_ = true;
+    socket_.async_write_some(
+        asio::buffer(in_flight_.data() + in_flight_done_,
+                     in_flight_.size() - in_flight_done_),
+        [self = shared_from_this()](asio::error_code ec, std::size_t n)
+        {
+            self->writing_ = false;
+            if (!self->open_)
+                return;
+            if (ec)
+            {
+                self->fail(ec);
+                return;
+            }
+            self->in_flight_done_ += n;
+            if (self->queued() > 0)
+            {
+                self->write_queued();
+                return;
+            }
+            if (self->shutdown_pending_)
+                self->shutdown_after_write();
+            if (self->handler_ != nullptr)
+                self->handler_->on_written();
+        });
+}
+
+void tcp_stream::shutdown_after_write()
+{
+    shutdown_pending_ = true;
+    if (!open_ || queued() > 0 || writing_)
+        return;
+    asio::error_code ec;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+void tcp_stream::fail(asio::error_code ec)
+{
+    auto* owner = std::exchange(handler_, nullptr);
+    close();
+    if (owner != nullptr)
+        owner->on_end(ec);
+}
+
+void tcp_stream::reset()
+{
+    asio::error_code ec;
+    socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    close();
+}
+
+void tcp_stream::close()
+{
+    if (!open_)
+        return;
+    open_ = false;
+    asio::error_code ec;
+    socket_.close(ec);
+}
+
+} // namespace buckthornvale::gateway::net
--- /dev/null
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -0,0 +1,85 @@
+#include <buckthornvale/gateway/observe/gateway_metrics.hpp>
+
+#include <prometheus/text_serializer.h>
+
+#include <sstream>
+
+namespace buckthornvale::gateway::observe
+{
+
+namespace
+{
+
+prometheus::Counter& counter(prometheus::Registry& registry, char const* name,
+                             char const* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry)
+        .Add({});
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, char const* name,
+                         char const* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry)
+        .Add({});
+}
+
+prometheus::Histogram& histogram(prometheus::Registry& registry,
+                                 char const* name, char const* help,
+                                 prometheus::Histogram::BucketBoundaries edges)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help)
+        .Register(registry)
+        .Add({}, std::move(edges));
+}
+
+} // namespace
+
+gateway_metrics::gateway_metrics()
+    : requests_(prometheus::BuildCounter()
+                    .Name("buckthornvale_gateway_requests_total")
+                    .Help("Requests by their outcome")
+                    .Register(registry_)),
+      seconds_(histogram(registry_, "buckthornvale_gateway_request_seconds",
+                         "Time to the final answer",
+                         {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16})),
+      sends_(counter(registry_, "buckthornvale_gateway_sends_total",
+                     "Requests passed on to runners")),
+      batch_(histogram(registry_, "buckthornvale_gateway_stage_call_pieces",
+                       "Pieces in a call of a stage runner",
+                       {1, 2, 4, 8, 16, 32, 64, 128})),
+      active_(gauge(registry_, "buckthornvale_gateway_active_requests",
+                    "Requests without a final answer")),
+      connections_(gauge(registry_, "buckthornvale_gateway_connections",
+                         "Open connections of callers"))
+{
+}
+
+void gateway_metrics::count_request(char const* outcome,
+                                    decision::duration took)
+{
+    requests_.Add({{"outcome", outcome}}).Increment();
+    seconds_.Observe(decision::to_seconds(took));
+}
+
+void gateway_metrics::count_send() { sends_.Increment(); }
+
+void gateway_metrics::count_stage_call(std::size_t pieces)
+{
+    batch_.Observe(double(pieces));
+}
+
+void gateway_metrics::set_active(std::size_t requests, std::size_t connections)
+{
+    active_.Set(double(requests));
+    connections_.Set(double(connections));
+}
+
+std::string gateway_metrics::to_text() const
+{
+    std::ostringstream out;
+    prometheus::TextSerializer().Serialize(out, registry_.Collect());
+    return out.str();
+}
+
+} // namespace buckthornvale::gateway::observe
--- /dev/null
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -0,0 +1,184 @@
+#include <buckthornvale/gateway/peer/peer_codec.hpp>
+
+#include <nlohmann/json.hpp>
+
+namespace buckthornvale::gateway::peer
+{
+
+namespace
+{
+
+using nlohmann::json;
+namespace model = decision::gateway;
+
+//! First element of an envelope. A VM with another version is not understood
+//! and counts as unreachable.
+constexpr int protocol_version = 1;
+
+//! First element of a message.
+enum class tag
+{
+    submit_pieces,
+    return_results,
+    release_results,
+    withdraw_pieces,
+    report_crash
+};
+
+json encode(model::submit_pieces const& it)
+{
+    auto list = json::array();
+    for (auto const& piece : it.pieces)
+        list.push_back({piece.request, piece.round, piece.request_id,
+                        piece.service, piece.stage, piece.number, piece.key,
+                        piece.inputs, piece.result_bytes, piece.rank,
+                        piece.due_in.count(), piece.time_left.count()});
+    return {tag::submit_pieces, std::move(list)};
+}
+
+json encode(model::return_results const& it)
+{
+    auto results = json::array();
+    for (auto const& result : it.results)
+        results.push_back({result.service, result.request, result.round,
+                           result.stage, result.number, result.outcome,
+                           result.handle});
+    auto backlogs = json::array();
+    for (auto const& backlog : it.backlogs)
+        backlogs.push_back({backlog.service, backlog.wait.count()});
+    return {tag::return_results, std::move(results), std::move(backlogs)};
+}
+
+json encode(model::release_results const& it)
+{
+    return {tag::release_results, it.service, it.handles};
+}
+
+json encode(model::withdraw_pieces const& it)
+{
+    return {tag::withdraw_pieces, it.requests};
+}
+
+json encode(model::report_crash const& it)
+{
+    return {tag::report_crash, it.fingerprint, it.cleared};
+}
+
+decision::duration to_duration(json const& value)
+{
+    return decision::duration(value.get<std::int64_t>());
+}
+
+model::piece_outcome to_outcome(json const& value)
+{
+    auto const n = value.get<int>();
+    if (n < 0 || n > static_cast<int>(model::piece_outcome::overloaded))
+        return model::piece_outcome::failed;
+    return static_cast<model::piece_outcome>(n);
+}
+
+model::submit_pieces decode_submission(json const& value)
+{
+    model::submit_pieces out;
+    for (auto const& it : value.at(1))
+    {
+        model::piece piece;
+        piece.request = it.at(0).get<model::request_ref>();
+        piece.round = it.at(1).get<std::uint32_t>();
+        piece.request_id = it.at(2).get<std::string>();
+        piece.service = it.at(3).get<std::string>();
+        piece.stage = it.at(4).get<std::uint32_t>();
+        piece.number = it.at(5).get<std::uint32_t>();
+        piece.key = it.at(6).get<std::string>();
+        piece.inputs = it.at(7).get<std::vector<std::string>>();
+        piece.result_bytes = it.at(8).get<double>();
+        piece.rank = it.at(9).get<int>();
+        piece.due_in = to_duration(it.at(10));
+        piece.time_left = to_duration(it.at(11));
+        out.pieces.push_back(std::move(piece));
+    }
+    return out;
+}
+
+model::return_results decode_results(json const& value)
+{
+    model::return_results out;
+    for (auto const& it : value.at(1))
+    {
+        model::piece_result result;
+        result.service = it.at(0).get<std::string>();
+        result.request = it.at(1).get<model::request_ref>();
+        result.round = it.at(2).get<std::uint32_t>();
+        result.stage = it.at(3).get<std::uint32_t>();
+        result.number = it.at(4).get<std::uint32_t>();
+        result.outcome = to_outcome(it.at(5));
+        result.handle = it.at(6).get<std::string>();
+        out.results.push_back(std::move(result));
+    }
+    for (auto const& it : value.at(2))
+        out.backlogs.push_back(
+            {it.at(0).get<std::string>(), to_duration(it.at(1))});
+    return out;
+}
+
+peer_message decode_message(json const& value)
+{
+    switch (static_cast<tag>(value.at(0).get<int>()))
+    {
+    case tag::submit_pieces:
+        return decode_submission(value);
+    case tag::return_results:
+        return decode_results(value);
+    case tag::release_results:
+        return model::release_results{
+            value.at(1).get<std::string>(),
+            value.at(2).get<std::vector<std::string>>()};
+    case tag::withdraw_pieces:
+        return model::withdraw_pieces{
+            value.at(1).get<std::vector<model::request_ref>>()};
+    case tag::report_crash:
+        return model::report_crash{value.at(1).get<std::uint64_t>(),
+                                   value.at(2).get<bool>()};
+    }
+    // An unknown message of the same version holds nothing to act on.
+    return model::submit_pieces{};
+}
+
+} // namespace
+
+std::string encode_envelope(envelope const& value)
+{
+    auto messages = json::array();
+    for (auto const& message : value.messages)
+        messages.push_back(
+            std::visit([](auto const& it) { return encode(it); }, message));
+    json const document = {protocol_version, value.member, value.incarnation,
+                           std::move(messages)};
+    std::string out;
+    json::to_cbor(document, out);
+    return out;
+}
+
+std::optional<envelope> decode_envelope(std::string_view bytes)
+{
+    auto const document =
+        json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!document.is_array() || document.size() != 4 ||
+        document[0] != protocol_version)
+        return std::nullopt;
+    try
+    {
+        envelope out;
+        out.member = document[1].get<std::string>();
+        out.incarnation = document[2].get<std::uint64_t>();
+        for (auto const& it : document[3])
+            out.messages.push_back(decode_message(it));
+        return out;
+    }
+    catch (json::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace buckthornvale::gateway::peer
--- /dev/null
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -0,0 +1,192 @@
+#include <buckthornvale/gateway/store/store_watcher.hpp>
+
+#include <buckthornvale/platform/headers.hpp>
+
+#include <algorithm>
+
+namespace buckthornvale::gateway::store
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration list_timeout = 1500ms;
+constexpr duration watch_slack = 1500ms;
+constexpr duration connect_timeout = 500ms;
+constexpr duration first_pause = 100ms;
+constexpr duration longest_pause = 800ms;
+
+//! Changes that come this soon after an outage may be entries that lapsed
+//! while the store was away and that return.
+constexpr duration outage_echo = 2200ms;
+
+constexpr int status_ok = 200;
+constexpr int status_gone = 410;
+
+} // namespace
+
+store_watcher::store_watcher(asio::io_context& loop, net::http_client& client,
+                             std::string address, platform::object_kind kind,
+                             duration wait, clock_function clock,
+                             callback_set callbacks)
+    : loop_(loop), client_(client), address_(std::move(address)), kind_(kind),
+      wait_(wait), clock_(std::move(clock)), callbacks_(std::move(callbacks)),
+      timer_(loop_)
+{
+}
+
+void store_watcher::start() { call_list(); }
+
+void store_watcher::stop()
+{
+    client_.cancel(call_);
+    timer_.cancel();
+}
+
+void store_watcher::call_list()
+{
+    watching_ = false;
+    if (after_.empty())
+        listed_.clear();
+    send(platform::list_call(kind_, after_), list_timeout);
+}
+
+void store_watcher::call_watch()
+{
+    watching_ = true;
+    send(platform::watch_call(kind_, revision_, wait_), wait_ + watch_slack);
+}
+
+void store_watcher::send(platform::store_call const& call, duration timeout)
+{
+    net::call_options options;
+    options.connect_timeout = connect_timeout;
+    options.timeout = timeout;
+    auto head = platform::encode_own_request(call.method, call.target, address_,
+                                             call.body.size(), {});
+    call_ = client_.call(address_, std::move(head),
+                         std::make_shared<std::string>(call.body), options,
+                         *this);
+}
+
+bool store_watcher::on_answer_head(http::response_head const& head)
+{
+    status_ = head.status;
+    body_.clear();
+    return true;
+}
+
+void store_watcher::on_answer_body(std::string_view bytes)
+{
+    body_.append(bytes);
+}
+
+void store_watcher::on_answer_end()
+{
+    // Any other refusal of the revision is met in the same way.
+    bool const history_gone = status_ == status_gone || status_ == 400 ||
+                              status_ == 404;
+    if (watching_ && history_gone)
+    {
+        note_reachable();
+        after_.clear();
+        call_list();
+    }
+    else if (status_ != status_ok)
+        retry_later("status " + std::to_string(status_));
+    else if (watching_)
+        take_changes();
+    else
+        take_list();
+}
+
+void store_watcher::on_answer_failed(net::call_failure failure, bool)
+{
+    constexpr char const* names[] = {"no connection", "no answer",
+                                     "answer broke off", "no answer in time"};
+    retry_later(names[static_cast<std::size_t>(failure)]);
+}
+
+void store_watcher::retry_later(std::string const& reason)
+{
+    if (reachable_)
+    {
+        reachable_ = false;
+        callbacks_.reachable(false, reason);
+    }
+    auto const factor = 1U << std::min<std::uint32_t>(failures_, 3);
+    ++failures_;
+    timer_.expires_after(std::min<duration>(first_pause * factor,
+                                            longest_pause));
+    timer_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (ec)
+                return;
+            if (ever_listed_ && after_.empty())
+                call_watch();
+            else
+                call_list();
+        });
+}
+
+void store_watcher::note_reachable()
+{
+    failures_ = 0;
+    if (reachable_)
+        return;
+    reachable_ = true;
+    regained_at_ = clock_();
+    callbacks_.reachable(true, {});
+}
+
+bool store_watcher::after_outage(time_point now) const
+{
+    return regained_at_ != time_point() && now - regained_at_ < outage_echo;
+}
+
+void store_watcher::take_list()
+{
+    auto page = platform::decode_list(body_);
+    if (!page.ok())
+    {
+        retry_later(std::string(page.status().message()));
+        return;
+    }
+    note_reachable();
+    std::move(page->objects.begin(), page->objects.end(),
+              std::back_inserter(listed_));
+    // A watch goes on from the first page: changes made meanwhile come again.
+    if (after_.empty())
+        revision_ = page->revision;
+    if (page->truncated && !listed_.empty())
+    {
+        after_ = listed_.back().name;
+        call_list();
+        return;
+    }
+    after_.clear();
+    ever_listed_ = true;
+    callbacks_.listed(listed_, after_outage(clock_()));
+    listed_.clear();
+    call_watch();
+}
+
+void store_watcher::take_changes()
+{
+    auto const page = platform::decode_changes(body_);
+    if (!page.ok())
+    {
+        retry_later(std::string(page.status().message()));
+        return;
+    }
+    note_reachable();
+    revision_ = std::max(revision_, page->revision);
+    if (!page->objects.empty())
+        callbacks_.changed(page->objects, after_outage(clock_()));
+    call_watch();
+}
+
+} // namespace buckthornvale::gateway::store
--- /dev/null
+++ b/packages/http/src/message_parser.cpp
@@ -0,0 +1,267 @@
+#include <buckthornvale/http/message_parser.hpp>
+
+#include <algorithm>
+#include <cctype>
+#include <http_parser.h>
+
+namespace buckthornvale::http
+{
+
+namespace
+{
+
+//! Return values of the head callback of http-parser.
+constexpr int parse_body = 0;
+constexpr int skip_body = 1;
+
+//! Headers of one message; more are refused as too large a head.
+constexpr std::size_t max_headers = 200;
+
+constexpr std::string_view token_marks = "!#$%&'*+-.^_`|~";
+
+bool is_token(std::string_view name)
+{
+    return !name.empty() &&
+           std::all_of(name.begin(), name.end(),
+                       [](unsigned char it)
+                       {
+                           return std::isalnum(it) != 0 ||
+                                  token_marks.find(char(it)) !=
+                                      std::string_view::npos;
+                       });
+}
+
+//! http-parser is lenient with names and line ends inside a value; a second
+//! parser could read such a header as two.
+bool is_sound(header const& value)
+{
+    constexpr std::string_view forbidden("\r\n\0", 3);
+    return is_token(value.name) &&
+           value.value.find_first_of(forbidden) == std::string::npos;
+}
+
+} // namespace
+
+struct message_parser::state
+{
+    message_type type;
+    parser_limits limits;
+    message_sink& sink;
+    http_parser parser{};
+    http_parser_settings callbacks{};
+    request_head request;
+    response_head response;
+    parse_error error = parse_error::none;
+    std::size_t head_bytes = 0;
+    std::size_t body_bytes = 0;
+    bool in_value = false;
+    bool head_complete = false;
+    bool complete = false;
+    bool started = false;
+    bool no_body = false;
+
+    state(message_type type_, parser_limits limits_, message_sink& sink_)
+        : type(type_), limits(limits_), sink(sink_)
+    {
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser* it)
+        {
+            of(it).started = true;
+            return 0;
+        };
+        callbacks.on_url = [](http_parser* it, char const* at, std::size_t n)
+        {
+            of(it).request.target.append(at, n);
+            return 0;
+        };
+        callbacks.on_header_field =
+            [](http_parser* it, char const* at, std::size_t n)
+        { return of(it).take_name({at, n}); };
+        callbacks.on_header_value =
+            [](http_parser* it, char const* at, std::size_t n)
+        { return of(it).take_value({at, n}); };
+        callbacks.on_headers_complete = [](http_parser* it)
+        { return of(it).end_head(); };
+        callbacks.on_body = [](http_parser* it, char const* at, std::size_t n)
+        { return of(it).take_body({at, n}); };
+        callbacks.on_message_complete = [](http_parser* it)
+        { return of(it).end_message(); };
+        reset();
+    }
+
+    static state& of(http_parser* it) { return *static_cast<state*>(it->data); }
+
+    void reset()
+    {
+        http_parser_init(&parser, type == message_type::request ? HTTP_REQUEST
+                                                                : HTTP_RESPONSE);
+        parser.data = this;
+        request = {};
+        response = {};
+        error = parse_error::none;
+        head_bytes = body_bytes = 0;
+        in_value = head_complete = complete = started = no_body = false;
+    }
+
+    header_list& headers()
+    {
+        return type == message_type::request ? request.headers
+                                             : response.headers;
+    }
+
+    //! Headers that follow a chunked body are dropped.
+    int take_name(std::string_view bytes)
+    {
+        if (head_complete)
+            return 0;
+        auto& list = headers();
+        if (in_value || list.empty())
+            list.emplace_back();
+        in_value = false;
+        list.back().name.append(bytes);
+        return list.size() > max_headers ? fail(parse_error::header_too_large)
+                                         : 0;
+    }
+
+    int take_value(std::string_view bytes)
+    {
+        if (head_complete)
+            return 0;
+        in_value = true;
+        headers().back().value.append(bytes);
+        return 0;
+    }
+
+    int fail(parse_error kind)
+    {
+        error = kind;
+        return 1;
+    }
+
+    int end_head()
+    {
+        head_complete = true;
+        bool const chunked = (parser.flags & F_CHUNKED) != 0;
+        bool const has_length = (parser.flags & F_CONTENTLENGTH) != 0;
+        if (chunked && has_length)
+            return fail(parse_error::malformed);
+        auto const& list = headers();
+        if (!std::all_of(list.begin(), list.end(), is_sound))
+            return fail(parse_error::malformed);
+        if (type == message_type::request)
+        {
+            auto const method = static_cast<http_method>(parser.method);
+            request.method = http_method_str(method);
+            request.http_1_0 = parser.http_major == 1 && parser.http_minor == 0;
+            request.keep_alive = http_should_keep_alive(&parser) != 0;
+            request.has_body =
+                chunked || (has_length && parser.content_length > 0);
+            // A request to switch protocols is served in this one.
+            if (method != HTTP_CONNECT)
+                parser.upgrade = 0;
+        }
+        else
+        {
+            parser.upgrade = 0;
+            response.status = static_cast<int>(parser.status_code);
+            response.keep_alive = http_should_keep_alive(&parser) != 0;
+            response.ends_with_connection =
+                !no_body && !chunked && !has_length && may_have_body();
+        }
+        if (has_length && parser.content_length > limits.max_body_bytes)
+            return fail(parse_error::body_too_large);
+        sink.on_head();
+        return no_body ? skip_body : parse_body;
+    }
+
+    //! An answer of these statuses ends with its head.
+    bool may_have_body() const
+    {
+        return parser.status_code >= 200 && parser.status_code != 204 &&
+               parser.status_code != 304;
+    }
+
+    int take_body(std::string_view bytes)
+    {
+        body_bytes += bytes.size();
+        if (body_bytes > limits.max_body_bytes)
+            return fail(parse_error::body_too_large);
+        sink.on_body(bytes);
+        return 0;
+    }
+
+    int end_message()
+    {
+        complete = true;
+        http_parser_pause(&parser, 1);
+        sink.on_complete();
+        return 0;
+    }
+};
+
+message_parser::message_parser(message_type type, parser_limits limits,
+                               message_sink& sink)
+    : state_(std::make_unique<state>(type, limits, sink))
+{
+}
+
+message_parser::~message_parser() = default;
+
+std::size_t message_parser::feed(std::string_view bytes)
+{
+    auto& it = *state_;
+    if (it.complete || it.error != parse_error::none || bytes.empty())
+        return 0;
+    bool const in_head = !it.head_complete;
+    std::size_t const n = http_parser_execute(&it.parser, &it.callbacks,
+                                              bytes.data(), bytes.size());
+    if (in_head)
+    {
+        it.head_bytes += n;
+        if (!it.head_complete && it.head_bytes > it.limits.max_header_bytes)
+            it.error = parse_error::header_too_large;
+    }
+    auto const code = HTTP_PARSER_ERRNO(&it.parser);
+    if (code != HPE_OK && code != HPE_PAUSED && it.error == parse_error::none)
+        it.error = code == HPE_HEADER_OVERFLOW ? parse_error::header_too_large
+                                               : parse_error::malformed;
+    return n;
+}
+
+void message_parser::feed_end()
+{
+    auto& it = *state_;
+    if (it.complete || it.error != parse_error::none)
+        return;
+    http_parser_execute(&it.parser, &it.callbacks, nullptr, 0);
+    if (!it.complete)
+        it.error = parse_error::malformed;
+}
+
+void message_parser::next() { state_->reset(); }
+
+void message_parser::expect_no_body() { state_->no_body = true; }
+
+void message_parser::set_limits(parser_limits limits)
+{
+    state_->limits = limits;
+}
+
+parse_error message_parser::error() const { return state_->error; }
+
+bool message_parser::complete() const { return state_->complete; }
+
+bool message_parser::head_complete() const { return state_->head_complete; }
+
+bool message_parser::started() const { return state_->started; }
+
+request_head& message_parser::request() { return state_->request; }
+
+request_head const& message_parser::request() const
+{
+    return state_->request;
+}
+
+response_head& message_parser::response() { return state_->response; }
+
+} // namespace buckthornvale::http
--- /dev/null
+++ b/packages/http/src/text.cpp
@@ -0,0 +1,109 @@
+#include <buckthornvale/http/text.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace buckthornvale::http
+{
+
+namespace
+{
+
+constexpr std::string_view blanks = " \t\r\n";
+
+char lower(char it) { return it >= 'A' && it <= 'Z' ? char(it + 32) : it; }
+
+std::optional<std::uint64_t> parse_integer(std::string_view text, int base)
+{
+    text = trimmed(text);
+    std::uint64_t n = 0;
+    auto const* end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, n, base);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return n;
+}
+
+} // namespace
+
+bool equals_ignoring_case(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return lower(x) == lower(y); });
+}
+
+bool starts_ignoring_case(std::string_view text, std::string_view start)
+{
+    return equals_ignoring_case(text.substr(0, start.size()), start);
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    auto const first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+std::string lower_case(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(), lower);
+    return out;
+}
+
+std::vector<std::string_view> split(std::string_view text, char separator)
+{
+    std::vector<std::string_view> out;
+    std::size_t start = 0;
+    for (;;)
+    {
+        auto const end = text.find(separator, start);
+        out.push_back(text.substr(start, end - start));
+        if (end == std::string_view::npos)
+            return out;
+        start = end + 1;
+    }
+}
+
+std::pair<std::string_view, std::string_view> split_once(std::string_view text,
+                                                         char separator)
+{
+    auto const at = text.find(separator);
+    if (at == std::string_view::npos)
+        return {text, {}};
+    return {text.substr(0, at), text.substr(at + 1)};
+}
+
+std::string concat(std::initializer_list<std::string_view> parts)
+{
+    std::string out;
+    for (auto const it : parts)
+        out += it;
+    return out;
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    return parse_integer(text, 10);
+}
+
+std::optional<std::uint64_t> parse_hex(std::string_view text)
+{
+    return parse_integer(text, 16);
+}
+
+std::optional<double> parse_decimal(std::string_view text)
+{
+    text = trimmed(text);
+    double value = 0;
+    auto const* end = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), end, value);
+    if (text.empty() || result.ec != std::errc() || result.ptr != end ||
+        !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+} // namespace buckthornvale::http
--- a/packages/platform/include/buckthornvale/platform/budget/shared_store_budget.hpp
+++ b/packages/objects/include/buckthornvale/objects/budget/shared_store_budget.hpp
@@ -1,11 +1,11 @@
-#ifndef BUCKTHORNVALE_PLATFORM_BUDGET_SHARED_STORE_BUDGET_HPP
-#define BUCKTHORNVALE_PLATFORM_BUDGET_SHARED_STORE_BUDGET_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_BUDGET_SHARED_STORE_BUDGET_HPP
+#define BUCKTHORNVALE_OBJECTS_BUDGET_SHARED_STORE_BUDGET_HPP
 
-#include <buckthornvale/platform/budget/store_budget.hpp>
+#include <buckthornvale/objects/budget/store_budget.hpp>
 
 #include <mutex>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! Present time of the process's monotonic clock.
@@ -34,6 +34,6 @@
     store_budget budget_;
 };
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/include/buckthornvale/platform/budget/store_budget.hpp
+++ b/packages/objects/include/buckthornvale/objects/budget/store_budget.hpp
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNVALE_PLATFORM_BUDGET_STORE_BUDGET_HPP
-#define BUCKTHORNVALE_PLATFORM_BUDGET_STORE_BUDGET_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_BUDGET_STORE_BUDGET_HPP
+#define BUCKTHORNVALE_OBJECTS_BUDGET_STORE_BUDGET_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
 
@@ -12,7 +12,7 @@
 #include <string>
 #include <string_view>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! Kinds of store calls, most important first.
@@ -119,6 +119,6 @@
     std::optional<decision::time_point> status_taken_;
 };
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/include/buckthornvale/platform/objects/http_object_api.hpp
+++ b/packages/objects/include/buckthornvale/objects/objects/http_object_api.hpp
@@ -1,7 +1,7 @@
-#ifndef BUCKTHORNVALE_PLATFORM_OBJECTS_HTTP_OBJECT_API_HPP
-#define BUCKTHORNVALE_PLATFORM_OBJECTS_HTTP_OBJECT_API_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_OBJECTS_HTTP_OBJECT_API_HPP
+#define BUCKTHORNVALE_OBJECTS_OBJECTS_HTTP_OBJECT_API_HPP
 
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <functional>
 #include <memory>
@@ -14,7 +14,7 @@
 class Result;
 } // namespace httplib
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! Time limits of the HTTP client.
@@ -59,6 +59,6 @@
     std::set<httplib::Client*> watching_;
 };
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/include/buckthornvale/platform/objects/object_api.hpp
+++ b/packages/objects/include/buckthornvale/objects/objects/object_api.hpp
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNVALE_PLATFORM_OBJECTS_OBJECT_API_HPP
-#define BUCKTHORNVALE_PLATFORM_OBJECTS_OBJECT_API_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_OBJECTS_OBJECT_API_HPP
+#define BUCKTHORNVALE_OBJECTS_OBJECTS_OBJECT_API_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
 
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! What is known about a call of the object API.
@@ -141,6 +141,6 @@
 read_result<object_page> list_all(object_api& api, std::string const& prefix,
                                   std::size_t page_limit);
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/include/buckthornvale/platform/objects/object_codec.hpp
+++ b/packages/objects/include/buckthornvale/objects/objects/object_codec.hpp
@@ -1,13 +1,13 @@
-#ifndef BUCKTHORNVALE_PLATFORM_OBJECTS_OBJECT_CODEC_HPP
-#define BUCKTHORNVALE_PLATFORM_OBJECTS_OBJECT_CODEC_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_OBJECTS_OBJECT_CODEC_HPP
+#define BUCKTHORNVALE_OBJECTS_OBJECTS_OBJECT_CODEC_HPP
 
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <stdexcept>
 #include <string>
 #include <string_view>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! A response body of the object API that is not as documented.
@@ -35,6 +35,6 @@
 std::optional<object> parse_conflict(std::string_view body,
                                      std::string const& path);
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/include/buckthornvale/platform/watch/prefix_watch.hpp
+++ b/packages/objects/include/buckthornvale/objects/watch/prefix_watch.hpp
@@ -1,14 +1,14 @@
-#ifndef BUCKTHORNVALE_PLATFORM_WATCH_PREFIX_WATCH_HPP
-#define BUCKTHORNVALE_PLATFORM_WATCH_PREFIX_WATCH_HPP
+#ifndef BUCKTHORNVALE_OBJECTS_WATCH_PREFIX_WATCH_HPP
+#define BUCKTHORNVALE_OBJECTS_WATCH_PREFIX_WATCH_HPP
 
-#include <buckthornvale/platform/budget/shared_store_budget.hpp>
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/budget/shared_store_budget.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <condition_variable>
 #include <mutex>
 #include <thread>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 //! Receives what a watch sees, on the watch's thread.
@@ -84,6 +84,6 @@
     std::thread thread_;
 };
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
 
 #endif
--- a/packages/platform/src/budget/shared_store_budget.cpp
+++ b/packages/objects/src/budget/shared_store_budget.cpp
@@ -1,6 +1,6 @@
-#include <buckthornvale/platform/budget/shared_store_budget.hpp>
+#include <buckthornvale/objects/budget/shared_store_budget.hpp>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 decision::time_point monotonic_now()
@@ -52,4 +52,4 @@
     return budget_.counters(purpose);
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/src/budget/store_budget.cpp
+++ b/packages/objects/src/budget/store_budget.cpp
@@ -1,9 +1,9 @@
-#include <buckthornvale/platform/budget/store_budget.hpp>
+#include <buckthornvale/objects/budget/store_budget.hpp>
 
 #include <algorithm>
 #include <random>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 namespace
@@ -135,4 +135,4 @@
     filled = std::max(filled, now);
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/src/objects/http_object_api.cpp
+++ b/packages/objects/src/objects/http_object_api.cpp
@@ -1,9 +1,9 @@
-#include <buckthornvale/platform/objects/http_object_api.hpp>
-#include <buckthornvale/platform/objects/object_codec.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
+#include <buckthornvale/objects/objects/object_codec.hpp>
 
 #include <httplib.h>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 namespace
@@ -197,4 +197,4 @@
         it->stop();
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/src/objects/object_api.cpp
+++ b/packages/objects/src/objects/object_api.cpp
@@ -1,9 +1,9 @@
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <array>
 #include <iterator>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 std::string_view name_of(call_status status)
@@ -37,4 +37,4 @@
     return whole;
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/src/objects/object_codec.cpp
+++ b/packages/objects/src/objects/object_codec.cpp
@@ -1,8 +1,8 @@
-#include <buckthornvale/platform/objects/object_codec.hpp>
+#include <buckthornvale/objects/objects/object_codec.hpp>
 
 #include <nlohmann/json.hpp>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 namespace
@@ -145,4 +145,4 @@
     return current;
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/src/watch/prefix_watch.cpp
+++ b/packages/objects/src/watch/prefix_watch.cpp
@@ -1,8 +1,8 @@
-#include <buckthornvale/platform/watch/prefix_watch.hpp>
+#include <buckthornvale/objects/watch/prefix_watch.hpp>
 
 #include <random>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 
 namespace
@@ -161,4 +161,4 @@
     listener_.reachable(is_done);
 }
 
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/tests/budget/store_budget_test.cpp
+++ b/packages/objects/tests/budget/store_budget_test.cpp
@@ -1,8 +1,8 @@
-#include <buckthornvale/platform/budget/store_budget.hpp>
+#include <buckthornvale/objects/budget/store_budget.hpp>
 
 #include <gtest/gtest.h>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 namespace
 {
@@ -123,4 +123,4 @@
 }
 
 } // namespace
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/tests/objects/object_api_contract_test.cpp
+++ b/packages/objects/tests/objects/object_api_contract_test.cpp
@@ -1,4 +1,4 @@
-#include <buckthornvale/platform/objects/http_object_api.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 #include <platform/memory_object_api.hpp>
 #include <platform/platform_server.hpp>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 namespace
 {
@@ -272,4 +272,4 @@
                          [](auto const& it) { return it.param.name; });
 
 } // namespace
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/tests/objects/standin_control_test.cpp
+++ b/packages/objects/tests/objects/standin_control_test.cpp
@@ -1,4 +1,4 @@
-#include <buckthornvale/platform/objects/http_object_api.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
 
 #include <gtest/gtest.h>
 #include <httplib.h>
@@ -6,7 +6,7 @@
 
 #include <platform/platform_server.hpp>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 namespace
 {
@@ -79,4 +79,4 @@
 }
 
 } // namespace
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/packages/platform/tests/watch/prefix_watch_test.cpp
+++ b/packages/objects/tests/watch/prefix_watch_test.cpp
@@ -1,12 +1,12 @@
-#include <buckthornvale/platform/objects/http_object_api.hpp>
-#include <buckthornvale/platform/watch/prefix_watch.hpp>
+#include <buckthornvale/objects/objects/http_object_api.hpp>
+#include <buckthornvale/objects/watch/prefix_watch.hpp>
 
 #include <gtest/gtest.h>
 
 #include <map>
 #include <platform/platform_server.hpp>
 
-namespace buckthornvale::platform
+namespace buckthornvale::objects
 {
 namespace
 {
@@ -128,4 +128,4 @@
 }
 
 } // namespace
-} // namespace buckthornvale::platform
+} // namespace buckthornvale::objects
--- a/standins/platform/memory_object_api.cpp
+++ b/standins/platform/memory_object_api.cpp
@@ -6,7 +6,7 @@
 namespace buckthornvale::standins::platform
 {
 
-namespace api = buckthornvale::platform;
+namespace api = buckthornvale::objects;
 
 namespace
 {
--- a/standins/platform/memory_object_api.hpp
+++ b/standins/platform/memory_object_api.hpp
@@ -4,7 +4,7 @@
 #include "fault_gate.hpp"
 #include "object_store.hpp"
 #include "vm_list.hpp"
-#include <buckthornvale/platform/objects/object_api.hpp>
+#include <buckthornvale/objects/objects/object_api.hpp>
 
 #include <atomic>
 
@@ -13,7 +13,7 @@
 
 //! Fake of the object API over the stand-in's store, without HTTP. The
 //! contract tests of the platform package run against it too.
-class memory_object_api final : public buckthornvale::platform::object_api
+class memory_object_api final : public buckthornvale::objects::object_api
 {
 public:
     //! The references must outlive the fake.
@@ -25,28 +25,28 @@
     //! While true every call is refused as a closed port refuses it.
     void set_refusing(bool value) { is_refusing_ = value; }
 
-    buckthornvale::platform::read_result<buckthornvale::platform::object>
+    buckthornvale::objects::read_result<buckthornvale::objects::object>
     get(std::string const& path) override;
-    buckthornvale::platform::write_result
+    buckthornvale::objects::write_result
     put(std::string const& path, std::uint64_t expected,
         std::string const& value) override;
-    buckthornvale::platform::write_result
+    buckthornvale::objects::write_result
     remove(std::string const& path, std::uint64_t expected) override;
-    buckthornvale::platform::read_result<buckthornvale::platform::object_page>
+    buckthornvale::objects::read_result<buckthornvale::objects::object_page>
     list(std::string const& prefix, std::string const& after,
          std::size_t limit) override;
-    buckthornvale::platform::read_result<
-        buckthornvale::platform::object_changes>
+    buckthornvale::objects::read_result<
+        buckthornvale::objects::object_changes>
     watch(std::string const& prefix, std::uint64_t from,
           decision::duration timeout) override;
-    buckthornvale::platform::read_result<
-        std::vector<buckthornvale::platform::platform_vm>>
+    buckthornvale::objects::read_result<
+        std::vector<buckthornvale::objects::platform_vm>>
     vms() override;
     void cancel_watches() override;
 
 private:
-    buckthornvale::platform::call_status enter(call_kind kind);
-    buckthornvale::platform::write_result
+    buckthornvale::objects::call_status enter(call_kind kind);
+    buckthornvale::objects::write_result
     finish_write(write_result const& result);
 
     object_store& store_;
--- a/tools/install_dependencies.sh
+++ b/tools/install_dependencies.sh
@@ -7,7 +7,7 @@
     libasio-dev libwebsocketpp-dev nlohmann-json3-dev libcpp-httplib-dev
     libabsl-dev libtomlplusplus-dev libgflags-dev liblog4cxx-dev
     libgtest-dev libgmock-dev libbenchmark-dev prometheus-cpp-dev
-    libxxhash-dev libssl-dev libboost-dev libpcg-cpp-dev
+    libxxhash-dev libhttp-parser-dev libssl-dev libboost-dev libpcg-cpp-dev
 )
 # Only CI runs the formatter, the linter and the fuzz corpus.
 if [ "${CI:-}" = true ]; then
