stage scheduler: keep the account of result room without a leak

Cause: one 'no room' answer set the runner's held bytes to nine tenths of its room for good, so that batches shrank to 14 of 22 and 28 of 66 pieces while hundreds waited. Ruled out: too few runners, slow calls (nominal times). Change: such a runner pauses 100 ms; small pieces pass large ones that do not fit.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -82,6 +82,9 @@
     //! Time until a piece queued now would get its turn.
     duration expected_wait(runner_directory& runners, time_point now) const;
 
+    //! Part of the runners' room for results that is taken.
+    double room_share() const;
+
     std::size_t waiting() const { return queue_.size(); }
     std::size_t calls() const { return calls_.size(); }
 
@@ -113,7 +116,7 @@
     void drop_late(time_point now);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
-    std::vector<owned_piece> take_batch(double room, time_point now);
+    std::vector<owned_piece> take_batch(double room);
     std::string const* pick_runner(runner_directory& runners, time_point now);
     void start_call(runner_state& runner, call_ref call, time_point now,
                     effects& out);
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -217,7 +217,8 @@
                  {"call", std::to_string(in.call)},
                  {"outcome", std::to_string(static_cast<int>(in.outcome))},
                  {"pieces", std::to_string(in.pieces.size())},
-                 {"waiting", std::to_string(it.second.waiting())}});
+                 {"waiting", std::to_string(it.second.waiting())},
+                 {"room_share", std::to_string(it.second.room_share())}});
             break;
         }
     schedulers_due_ = true;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -16,6 +16,9 @@
 constexpr int timeout_factor = 8;
 constexpr duration timeout_slack = 500ms;
 
+//! Pause of a runner that is out of room for results.
+constexpr duration room_pause = 100ms;
+
 //! Weight of the newest call in the estimate of a runner's slowness.
 constexpr double new_weight = 0.3;
 
@@ -163,6 +166,7 @@
             new_weight * (to_seconds(took) /
                               to_seconds(nominal_time(call.pieces.size())) -
                           placed.slowness);
+    bool no_room = false;
     for (std::size_t i = 0; i < call.pieces.size(); ++i)
     {
         auto& it = call.pieces[i];
@@ -184,14 +188,15 @@
         }
         else if (result.outcome == piece_outcome::failed)
         {
-            if (result.no_room)
-                placed.held_bytes =
-                    std::max(placed.held_bytes, limits_.result_bytes * 0.9);
+            no_room = no_room || result.no_room;
             requeue(std::move(it), !result.no_room, now);
         }
         else
             finish(it, result.outcome, {});
     }
+    // The runner holds more than this scheduler knows of.
+    if (no_room && runner != nullptr)
+        runner->avoid_until = std::max(runner->avoid_until, now + room_pause);
 }
 
 void stage_scheduler::drop_late(time_point now)
@@ -205,20 +210,24 @@
                  queue_.end());
 }
 
-std::vector<owned_piece> stage_scheduler::take_batch(double room,
-                                                     time_point now)
+std::vector<owned_piece> stage_scheduler::take_batch(double room)
 {
     std::vector<owned_piece> out;
-    static_cast<void>(now);
-    while (!queue_.empty() && out.size() < limits_.batch)
+    std::deque<owned_piece> left;
+    for (auto& it : queue_)
     {
-        double const bytes = queue_.front().work.result_bytes;
-        if (limits_.result_bytes > 0 && bytes > room && !out.empty())
-            break;
-        room -= bytes;
-        out.push_back(std::move(queue_.front()));
-        queue_.pop_front();
+        // A piece that does not fit must not keep smaller ones behind it.
+        bool const fits = limits_.result_bytes <= 0 || out.empty() ||
+                          it.work.result_bytes <= room;
+        if (out.size() == limits_.batch || !fits)
+        {
+            left.push_back(std::move(it));
+            continue;
+        }
+        room -= it.work.result_bytes;
+        out.push_back(std::move(it));
     }
+    queue_ = std::move(left);
     return out;
 }
 
@@ -261,7 +270,7 @@
     call_state state;
     state.runner_id = runner.entry.id;
     state.started = now;
-    state.pieces = take_batch(limits_.result_bytes - placed.held_bytes, now);
+    state.pieces = take_batch(limits_.result_bytes - placed.held_bytes);
     ++placed.calls;
     call_stage started;
     started.call = call;
@@ -326,6 +335,15 @@
     }
 }
 
+double stage_scheduler::room_share() const
+{
+    double held = 0;
+    for (auto const& it : loads_)
+        held += it.second.held_bytes;
+    double const room = limits_.result_bytes * double(loads_.size());
+    return room > 0 ? held / room : 0;
+}
+
 std::vector<addressed_result> stage_scheduler::take_results()
 {
     return std::exchange(results_, {});
