stages, engines: keep sessions on one runner and pieces in its domain

Change: one rendezvous choice per session over all domains; pieces carry the domain of that runner, and a runner of another domain takes them only after 150 ms. Re-reading costs four times as much as the crossing it avoids.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -98,6 +98,8 @@
 
     // Stages.
     void start_stages(active_request& it, time_point now);
+    std::string domain_of_stage(active_request const& it,
+                                std::uint32_t stage) const;
     void submit_missing(active_request& it, std::uint32_t stage,
                         time_point now);
     void take_result(piece_result const& result, time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
@@ -19,11 +19,10 @@
                            std::uint64_t seed, std::string_view own_domain,
                            time_point now);
 
-//! What an engine has to read for a request, and where its inputs lie.
+//! What an engine has to read for a request.
 struct engine_work
 {
     absl::Span<prompt_part const> prompt;
-    std::string_view input_domain; //!< failure domain of most input bytes
     std::uint64_t seed = 0;        //!< for requests without a prompt
 };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -26,6 +26,7 @@
     std::uint32_t number = 0;        //!< of the piece within its stage
     std::string key;                 //!< for stages without inputs
     std::vector<std::string> inputs; //!< results of earlier stages
+    std::string domain; //!< failure domain to work in, where there is a choice
     double result_bytes = 0;
     int rank = 0;
     duration due_in{};    //!< from now; worth less after it
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,7 @@
 {
     std::string member;
     piece work; //!< its relative times are void here
+    time_point queued{};
     time_point due{};
     time_point deadline{};
     std::uint32_t attempts = 0;
@@ -37,8 +39,10 @@
 //! carries, and a runner works on one call at a time": VMs that batch alone
 //! send many small calls and fill the few places.
 //!
-//! A free runner takes what waits at once; batches grow only while all runners
-//! are busy, so that a quiet service adds no delay.
+//! A free runner takes what waits for its failure domain at once, and pieces
+//! of other domains once they have waited a little: results are large, and a
+//! domain of its own keeps them off the links between domains. Batches grow
+//! only while runners are busy.
 class stage_scheduler
 {
 public:
@@ -116,10 +120,12 @@
     void drop_late(time_point now);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
-    std::vector<owned_piece> take_batch(double room);
-    std::string const* pick_runner(runner_directory& runners, time_point now);
-    void start_call(runner_state& runner, call_ref call, time_point now,
-                    effects& out);
+    std::vector<owned_piece> take_batch(runner_state const& runner,
+                                        time_point now);
+    std::vector<runner_state*> free_runners(runner_directory& runners,
+                                            time_point now);
+    void start_call(runner_state& runner, std::vector<owned_piece> pieces,
+                    call_ref call, time_point now, effects& out);
     void expire_results(time_point now);
     void flush_released(runner_directory& runners, effects& out);
 
@@ -131,6 +137,7 @@
     std::map<std::string, held_result, std::less<>> held_;
     std::map<std::string, std::vector<std::string>> released_;
     std::vector<addressed_result> results_;
+    std::set<std::string> domains_; //!< with a runner that may be used
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -21,6 +21,9 @@
     time_point due{};     //!< worth less after it
     time_point expires{}; //!< worth nothing after it
 
+    //! Failure domain of the runner that the request will go to, as expected
+    //! when it came.
+    std::string home_domain;
     stage_pipeline pipeline;
     //! VM that schedules the pieces of a stage that has started.
     std::map<std::uint32_t, std::string> owners;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -134,6 +134,9 @@
     it.expires = now + wait;
     it.due = now + found->target_latency;
     it.pipeline = stage_pipeline(found->stages, in.traits.pieces);
+    if (!it.pipeline.empty())
+        if (auto const* home = choose_runner(it, now))
+            it.home_domain = home->entry.failure_domain;
     ledger_.count_request(it.service, now);
     requests_[in.request] = std::move(entry);
     if (crashes_.refused(it.fingerprint, now))
@@ -187,11 +190,6 @@
     engine_work work;
     work.prompt = it.traits.prompt;
     work.seed = stable_hash(it.traits.id);
-    auto const results = it.pipeline.final_results();
-    if (!results.empty())
-        work.input_domain = runners_.failure_domain_of(
-            std::string_view(results.front())
-                .substr(0, results.front().find('/')));
     return choose_engine(fresh, work, now);
 }
 
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -86,6 +86,24 @@
         start_attempt(it, now);
 }
 
+std::string reducer::domain_of_stage(active_request const& it,
+                                     std::uint32_t n) const
+{
+    auto const& stage = it.pipeline.stage(n);
+    double input_bytes = 0;
+    for (auto const after : stage.after)
+        input_bytes += it.pipeline.stage(after).result_bytes *
+                       it.pipeline.pieces(after);
+    auto const inputs = it.pipeline.inputs_of(n);
+    if (inputs.empty() || input_bytes < stage.result_bytes)
+        return it.home_domain;
+    // Each piece fetches all inputs, so it is made where they lie.
+    auto const& handle = inputs.front();
+    auto const domain = runners_.failure_domain_of(
+        std::string_view(handle).substr(0, handle.find('/')));
+    return domain.empty() ? it.home_domain : std::string(domain);
+}
+
 void reducer::submit_missing(active_request& it, std::uint32_t n,
                              time_point now)
 {
@@ -93,6 +111,7 @@
     auto const& owner = members_.owner(stage.service, now);
     auto const inputs = it.pipeline.inputs_of(n);
     auto const after = it.pipeline.remaining_time(n, *it.in_force);
+    auto const domain = domain_of_stage(it, n);
     submit_pieces message;
     for (auto const number : it.pipeline.missing(n))
     {
@@ -107,6 +126,7 @@
             work.key = it.traits.piece_key;
         else
             work.inputs = inputs;
+        work.domain = domain;
         work.result_bytes = stage.result_bytes;
         work.rank = it.rank;
         work.due_in = it.due - engine_time - after - now;
--- a/packages/decision/src/gateway/runner_choice.cpp
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -84,10 +84,8 @@
     std::vector<scored> order;
     for (auto* it : runners)
     {
-        auto weight =
-            fleet::rendezvous_weight(key, vm_id::of(it->entry.id)) >> 1U;
-        if (it->entry.failure_domain == work.input_domain)
-            weight += std::uint64_t{1} << 63U;
+        auto const weight =
+            fleet::rendezvous_weight(key, vm_id::of(it->entry.id));
         double const load = estimated_load(*it, now);
         total += load;
         order.push_back({weight, load, it});
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -22,6 +22,9 @@
 //! Weight of the newest call in the estimate of a runner's slowness.
 constexpr double new_weight = 0.3;
 
+//! A piece waits this long for a runner of its failure domain.
+constexpr duration domain_wait = 150ms;
+
 bool before(owned_piece const& a, owned_piece const& b, time_point now)
 {
     // Pieces that can still be on time go first; those that cannot are worth
@@ -62,6 +65,7 @@
             continue;
         owned_piece entry;
         entry.member = member;
+        entry.queued = now;
         entry.due = now + work.due_in;
         entry.deadline = now + work.time_left;
         entry.work = std::move(work);
@@ -210,16 +214,27 @@
                  queue_.end());
 }
 
-std::vector<owned_piece> stage_scheduler::take_batch(double room)
+std::vector<owned_piece>
+stage_scheduler::take_batch(runner_state const& runner, time_point now)
 {
+    auto const& domain = runner.entry.failure_domain;
+    double room =
+        limits_.result_bytes - loads_[runner.entry.id].held_bytes;
+    bool const empty = loads_[runner.entry.id].held_bytes <= 0;
+    auto const belongs = [&](owned_piece const& it)
+    {
+        return it.work.domain.empty() || it.work.domain == domain ||
+               domains_.count(it.work.domain) == 0 ||
+               now - it.queued >= domain_wait || it.due - now < domain_wait;
+    };
     std::vector<owned_piece> out;
     std::deque<owned_piece> left;
     for (auto& it : queue_)
     {
         // A piece that does not fit must not keep smaller ones behind it.
-        bool const fits = limits_.result_bytes <= 0 || out.empty() ||
+        bool const fits = limits_.result_bytes <= 0 || (empty && out.empty()) ||
                           it.work.result_bytes <= room;
-        if (out.size() == limits_.batch || !fits)
+        if (out.size() == limits_.batch || !fits || !belongs(it))
         {
             left.push_back(std::move(it));
             continue;
@@ -231,13 +246,13 @@
     return out;
 }
 
-std::string const* stage_scheduler::pick_runner(runner_directory& runners,
-                                                time_point now)
+std::vector<runner_state*>
+stage_scheduler::free_runners(runner_directory& runners, time_point now)
 {
     std::vector<runner_state*> usable;
     runners.usable(service_, now, usable);
-    std::string const* best = nullptr;
-    double best_slowness = 0;
+    std::vector<runner_state*> out;
+    domains_.clear();
     for (auto* it : usable)
     {
         auto& placed = loads_[it->entry.id];
@@ -248,43 +263,40 @@
             placed.calls = calls;
             placed.started_at_ms = it->entry.started_at_ms;
         }
-        double const room = limits_.result_bytes - placed.held_bytes;
-        bool const fits = limits_.result_bytes <= 0 || queue_.empty() ||
-                          room >= queue_.front().work.result_bytes ||
-                          placed.held_bytes <= 0;
-        if (it->avoid_until > now || placed.calls >= limits_.slots || !fits)
+        if (it->avoid_until > now)
             continue;
-        if (best == nullptr || placed.slowness < best_slowness)
-        {
-            best = &it->entry.id;
-            best_slowness = placed.slowness;
-        }
+        domains_.insert(it->entry.failure_domain);
+        if (placed.calls < limits_.slots)
+            out.push_back(it);
     }
-    return best;
+    std::sort(out.begin(), out.end(),
+              [&](runner_state const* a, runner_state const* b)
+              {
+                  return loads_[a->entry.id].slowness <
+                         loads_[b->entry.id].slowness;
+              });
+    return out;
 }
 
-void stage_scheduler::start_call(runner_state& runner, call_ref call,
+void stage_scheduler::start_call(runner_state& runner,
+                                 std::vector<owned_piece> pieces, call_ref call,
                                  time_point now, effects& out)
 {
     auto& placed = loads_[runner.entry.id];
-    call_state state;
-    state.runner_id = runner.entry.id;
-    state.started = now;
-    state.pieces = take_batch(limits_.result_bytes - placed.held_bytes);
     ++placed.calls;
     call_stage started;
     started.call = call;
     started.runner_id = runner.entry.id;
     started.address = runner.entry.address;
     started.timeout =
-        nominal_time(state.pieces.size()) * timeout_factor + timeout_slack;
-    for (auto const& it : state.pieces)
+        nominal_time(pieces.size()) * timeout_factor + timeout_slack;
+    for (auto const& it : pieces)
     {
         placed.held_bytes += it.work.result_bytes;
         started.pieces.push_back(it.work);
         started.pieces.back().time_left = it.deadline - now;
     }
-    calls_.emplace(call, std::move(state));
+    calls_.emplace(call, call_state{runner.entry.id, now, std::move(pieces)});
     out.push_back(std::move(started));
 }
 
@@ -326,12 +338,11 @@
     std::sort(queue_.begin(), queue_.end(),
               [&](owned_piece const& a, owned_piece const& b)
               { return before(a, b, now); });
-    while (!queue_.empty())
+    for (auto* runner : free_runners(runners, now))
     {
-        auto const* id = pick_runner(runners, now);
-        if (id == nullptr)
-            return;
-        start_call(*runners.find(*id), next_call++, now, out);
+        auto pieces = take_batch(*runner, now);
+        if (!pieces.empty())
+            start_call(*runner, std::move(pieces), next_call++, now, out);
     }
 }
 
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -31,7 +31,7 @@
     for (auto const& piece : it.pieces)
         list.push_back({piece.request, piece.round, piece.request_id,
                         piece.service, piece.stage, piece.number, piece.key,
-                        piece.inputs, piece.result_bytes, piece.rank,
+                        piece.inputs, piece.domain, piece.result_bytes, piece.rank,
                         piece.due_in.count(), piece.time_left.count()});
     return {tag::submit_pieces, std::move(list)};
 }
@@ -91,10 +91,11 @@
         piece.number = it.at(5).get<std::uint32_t>();
         piece.key = it.at(6).get<std::string>();
         piece.inputs = it.at(7).get<std::vector<std::string>>();
-        piece.result_bytes = it.at(8).get<double>();
-        piece.rank = it.at(9).get<int>();
-        piece.due_in = to_duration(it.at(10));
-        piece.time_left = to_duration(it.at(11));
+        piece.domain = it.at(8).get<std::string>();
+        piece.result_bytes = it.at(9).get<double>();
+        piece.rank = it.at(10).get<int>();
+        piece.due_in = to_duration(it.at(11));
+        piece.time_left = to_duration(it.at(12));
         out.pieces.push_back(std::move(piece));
     }
     return out;
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -18,6 +18,9 @@
 constexpr duration first_pause = 100ms;
 constexpr duration longest_pause = 800ms;
 
+//! Pause between the changes that ended a watch and the next watch.
+constexpr duration change_pause = 200ms;
+
 //! Changes that come this soon after an outage may be entries that lapsed
 //! while the store was away and that return.
 constexpr duration outage_echo = 2200ms;
@@ -184,9 +187,20 @@
     }
     note_reachable();
     revision_ = std::max(revision_, page->revision);
-    if (!page->objects.empty())
-        callbacks_.changed(page->objects, after_outage(clock_()));
-    call_watch();
+    if (page->objects.empty())
+    {
+        call_watch();
+        return;
+    }
+    callbacks_.changed(page->objects, after_outage(clock_()));
+    // Changes come in series; each call to the store has its price.
+    timer_.expires_after(change_pause);
+    timer_.async_wait(
+        [this](asio::error_code ec)
+        {
+            if (!ec)
+                call_watch();
+        });
 }
 
 } // namespace buckthornvale::gateway::store
