stages: free inputs when a call has read them, and plan with live times

Cause: results of membership stayed until mapping had ended, so that room for results kept batches at 45 of 66 pieces with 800 waiting. Change: a scheduler tells 100 ms after the start of a call that its inputs are read, and the asking VM frees them; due times use live waits and call times instead of nominal ones.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -107,12 +107,12 @@
                  time_point now);
     void advance(active_request& it, time_point now);
     void resubmit_from(std::string const& member, time_point now);
+    std::vector<duration> stage_times(active_request const& it,
+                                      time_point now) const;
     duration expected_stage_time(active_request const& it,
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
-    void note_backlog(std::string const& service, duration wait,
-                      time_point now);
 
     // Other VMs.
     void send_message(std::string const& name, peer_message message,
@@ -136,6 +136,7 @@
     struct known_backlog
     {
         duration wait{};
+        duration call{};
         time_point at{};
     };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -39,7 +39,8 @@
     late,       //!< its time had passed before its turn
     input_gone, //!< a result that it needs is gone
     failed,     //!< tried on several runners without a result
-    overloaded  //!< turned away, since it cannot be done in time
+    overloaded, //!< turned away, since it cannot be done in time
+    inputs_read //!< in work; its inputs are no longer needed
 };
 
 //! What became of a piece.
@@ -58,7 +59,8 @@
 struct backlog
 {
     std::string service;
-    duration wait{};
+    duration wait{}; //!< until a piece gets its turn
+    duration call{}; //!< time of a call
 };
 
 struct submit_pieces
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
@@ -38,7 +38,10 @@
     //! False when the result is not needed: a repeat, or of a former round.
     bool add_result(piece_result const& result);
 
-    //! Results that only stages needed whose work is done. Each is returned
+    //! The piece has read its inputs.
+    void note_inputs_read(piece_result const& progress);
+
+    //! Results that only stages needed that have read them. Each is returned
     //! once, with its service.
     std::vector<std::pair<std::string, std::string>> take_unneeded();
 
@@ -66,20 +69,23 @@
         return static_cast<std::uint32_t>(stages_[n].results.size());
     }
 
-    //! Nominal time of the stage and of all that follow it, each in a call of
-    //! its own.
-    duration remaining_time(std::uint32_t stage, manifest const& in) const;
+    //! Longest sum of times from the start of the stage to the end of the last
+    //! one. `times` holds the time of each stage.
+    duration remaining_time(std::uint32_t stage,
+                            absl::Span<duration const> times) const;
 
 private:
     struct stage_state
     {
         route_stage plan;
         std::vector<std::string> results;
+        std::vector<bool> read; //!< pieces that have read their inputs
         bool started = false;
         bool released = false;
         bool last = true; //!< no stage with pieces follows it
 
         bool done() const;
+        bool inputs_read() const;
     };
 
     std::vector<std::pair<std::string, std::string>> release(stage_state& of);
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -83,6 +83,9 @@
     //! Results since the last call of this function.
     std::vector<addressed_result> take_results();
 
+    //! Usual time of a call at present.
+    duration usual_call_time() const { return usual_call_; }
+
     //! Time until a piece queued now would get its turn.
     duration expected_wait(runner_directory& runners, time_point now) const;
 
@@ -98,6 +101,7 @@
         std::string runner_id;
         time_point started{};
         std::vector<owned_piece> pieces;
+        bool inputs_read = false; //!< told to the VMs that asked
     };
 
     //! What the scheduler has placed on one runner.
@@ -118,6 +122,7 @@
 
     duration nominal_time(std::size_t pieces) const;
     void drop_late(time_point now);
+    void announce_inputs_read(time_point now);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
     std::vector<owned_piece> take_batch(runner_state const& runner,
@@ -131,6 +136,7 @@
 
     std::string service_;
     piece_limits limits_;
+    duration usual_call_{};
     std::deque<owned_piece> queue_;
     std::map<call_ref, call_state> calls_;
     std::map<std::string, runner_load_state, std::less<>> loads_;
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -40,31 +40,35 @@
     return out;
 }
 
-duration reducer::expected_stage_time(active_request const& it,
-                                      time_point now) const
+std::vector<duration> reducer::stage_times(active_request const& it,
+                                           time_point now) const
 {
-    // Longest path of waits and nominal calls over the stages.
-    std::vector<duration> ends(it.pipeline.size());
-    duration longest{};
+    std::vector<duration> out;
     for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
     {
-        auto const& stage = it.pipeline.stage(n);
-        duration start{};
-        for (auto const after : stage.after)
-            start = std::max(start, ends[after]);
-        ends[n] = start;
-        if (it.pipeline.pieces(n) == 0)
-            continue;
-        auto const* of = it.in_force->find_service(stage.service);
+        auto const& service = it.pipeline.stage(n).service;
+        duration time{};
+        auto const* of = it.in_force->find_service(service);
         if (of != nullptr && of->pieces)
-            ends[n] += of->pieces->call_time +
-                       of->pieces->piece_time * it.pipeline.pieces(n);
-        auto const known = backlogs_.find(stage.service);
+            time = of->pieces->call_time +
+                   of->pieces->piece_time * it.pipeline.pieces(n);
+        auto const known = backlogs_.find(service);
         if (known != backlogs_.end() &&
             now - known->second.at < backlog_lifetime)
-            ends[n] += known->second.wait;
-        longest = std::max(longest, ends[n]);
+            time = std::max(time, known->second.call) + known->second.wait;
+        out.push_back(time);
     }
+    return out;
+}
+
+duration reducer::expected_stage_time(active_request const& it,
+                                      time_point now) const
+{
+    auto const times = stage_times(it, now);
+    duration longest{};
+    for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
+        if (it.pipeline.stage(n).after.empty())
+            longest = std::max(longest, it.pipeline.remaining_time(n, times));
     return longest;
 }
 
@@ -110,7 +114,12 @@
     auto const& stage = it.pipeline.stage(n);
     auto const& owner = members_.owner(stage.service, now);
     auto const inputs = it.pipeline.inputs_of(n);
-    auto const after = it.pipeline.remaining_time(n, *it.in_force);
+    // Waiting in this stage's queue is what `due_in` is compared with.
+    auto times = stage_times(it, now);
+    auto const known = backlogs_.find(stage.service);
+    if (known != backlogs_.end() && now - known->second.at < backlog_lifetime)
+        times[n] -= known->second.wait;
+    auto const after = it.pipeline.remaining_time(n, times);
     auto const domain = domain_of_stage(it, n);
     submit_pieces message;
     for (auto const number : it.pipeline.missing(n))
@@ -155,6 +164,12 @@
     if (result.stage >= it.pipeline.size() ||
         result.round != it.pipeline.round())
         return;
+    if (result.outcome == piece_outcome::inputs_read)
+    {
+        it.pipeline.note_inputs_read(result);
+        release(it.pipeline.take_unneeded(), now);
+        return;
+    }
     if (made)
     {
         if (it.pipeline.missing(result.stage).empty())
@@ -193,12 +208,6 @@
         send_message(members_.owner(it.first, now), std::move(it.second), now);
 }
 
-void reducer::note_backlog(std::string const& service, duration wait,
-                           time_point now)
-{
-    backlogs_[service] = {wait, now};
-}
-
 void reducer::run_schedulers(time_point now)
 {
     schedulers_due_ = false;
@@ -218,7 +227,8 @@
     {
         for (auto const& service : services[it.first])
             it.second.backlogs.push_back(
-                {service, scheduler(service).expected_wait(runners_, now)});
+                {service, scheduler(service).expected_wait(runners_, now),
+                 scheduler(service).usual_call_time()});
         send_message(it.first, std::move(it.second), now);
     }
     // Results for this VM itself may have started further stages.
--- a/packages/decision/src/gateway/stage_pipeline.cpp
+++ b/packages/decision/src/gateway/stage_pipeline.cpp
@@ -11,6 +11,14 @@
                         [](std::string const& it) { return it.empty(); });
 }
 
+bool stage_pipeline::stage_state::inputs_read() const
+{
+    for (std::size_t n = 0; n < results.size(); ++n)
+        if (results[n].empty() && !read[n])
+            return false;
+    return started;
+}
+
 stage_pipeline::stage_pipeline(std::vector<route_stage> stages,
                                absl::Span<std::uint32_t const> pieces)
 {
@@ -19,6 +27,7 @@
         stage_state state;
         state.plan = std::move(stages[n]);
         state.results.resize(n < pieces.size() ? pieces[n] : 1);
+        state.read.resize(state.results.size());
         for (auto const after : state.plan.after)
             if (!state.results.empty())
                 stages_[after].last = false;
@@ -76,6 +85,13 @@
     return true;
 }
 
+void stage_pipeline::note_inputs_read(piece_result const& progress)
+{
+    if (progress.round == round_ && progress.stage < stages_.size() &&
+        progress.number < stages_[progress.stage].read.size())
+        stages_[progress.stage].read[progress.number] = true;
+}
+
 std::vector<std::pair<std::string, std::string>>
 stage_pipeline::release(stage_state& of)
 {
@@ -101,7 +117,7 @@
             [&](stage_state const& it)
             {
                 auto const& after = it.plan.after;
-                return !it.results.empty() && !(it.started && it.done()) &&
+                return !it.results.empty() && !it.inputs_read() &&
                        std::find(after.begin(), after.end(), n) != after.end();
             });
         if (needed)
@@ -132,6 +148,7 @@
         it.released = false;
         for (auto& result : it.results)
             result.clear();
+        it.read.assign(it.read.size(), false);
     }
 }
 
@@ -151,25 +168,18 @@
     return out;
 }
 
-duration stage_pipeline::remaining_time(std::uint32_t stage,
-                                        manifest const& in) const
+duration
+stage_pipeline::remaining_time(std::uint32_t stage,
+                               absl::Span<duration const> times) const
 {
-    auto const& state = stages_[stage];
-    if (state.results.empty())
-        return {};
-    duration own{};
-    auto const* of = in.find_service(state.plan.service);
-    if (of != nullptr && of->pieces)
-        own = of->pieces->call_time +
-              of->pieces->piece_time * std::int64_t(state.results.size());
     duration after{};
     for (std::uint32_t n = stage + 1; n < stages_.size(); ++n)
     {
         auto const& needs = stages_[n].plan.after;
         if (std::find(needs.begin(), needs.end(), stage) != needs.end())
-            after = std::max(after, remaining_time(n, in));
+            after = std::max(after, remaining_time(n, times));
     }
-    return own + after;
+    return after + (stages_[stage].results.empty() ? duration() : times[stage]);
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -25,6 +25,10 @@
 //! A piece waits this long for a runner of its failure domain.
 constexpr duration domain_wait = 150ms;
 
+//! A call whose turn has come has read its inputs after this time. They are
+//! given up then: room for results is what limits batches under load.
+constexpr duration fetch_time = 100ms;
+
 bool before(owned_piece const& a, owned_piece const& b, time_point now)
 {
     // Pieces that can still be on time go first; those that cannot are worth
@@ -165,6 +169,9 @@
         if (signal == runner_signal::silent)
             runners.record(*runner, runner_signal::unreachable, took, now);
     }
+    if (answered)
+        usual_call_ = usual_call_ == duration() ? took
+                                                : (usual_call_ * 7 + took) / 8;
     if (answered)
         placed.slowness +=
             new_weight * (to_seconds(took) /
@@ -203,6 +210,20 @@
         runner->avoid_until = std::max(runner->avoid_until, now + room_pause);
 }
 
+void stage_scheduler::announce_inputs_read(time_point now)
+{
+    for (auto& entry : calls_)
+    {
+        auto& call = entry.second;
+        if (call.inputs_read || now - call.started < fetch_time)
+            continue;
+        call.inputs_read = true;
+        for (auto& it : call.pieces)
+            if (!it.work.inputs.empty())
+                finish(it, piece_outcome::inputs_read, {});
+    }
+}
+
 void stage_scheduler::drop_late(time_point now)
 {
     auto const too_late = [&](owned_piece const& it)
@@ -332,6 +353,7 @@
 {
     expire_results(now);
     flush_released(runners, out);
+    announce_inputs_read(now);
     drop_late(now);
     if (queue_.empty())
         return;
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -45,7 +45,8 @@
                            result.handle});
     auto backlogs = json::array();
     for (auto const& backlog : it.backlogs)
-        backlogs.push_back({backlog.service, backlog.wait.count()});
+        backlogs.push_back({backlog.service, backlog.wait.count(),
+                            backlog.call.count()});
     return {tag::return_results, std::move(results), std::move(backlogs)};
 }
 
@@ -72,7 +73,7 @@
 model::piece_outcome to_outcome(json const& value)
 {
     auto const n = value.get<int>();
-    if (n < 0 || n > static_cast<int>(model::piece_outcome::overloaded))
+    if (n < 0 || n > static_cast<int>(model::piece_outcome::inputs_read))
         return model::piece_outcome::failed;
     return static_cast<model::piece_outcome>(n);
 }
@@ -118,7 +119,8 @@
     }
     for (auto const& it : value.at(2))
         out.backlogs.push_back(
-            {it.at(0).get<std::string>(), to_duration(it.at(1))});
+            {it.at(0).get<std::string>(), to_duration(it.at(1)),
+             to_duration(it.at(2))});
     return out;
 }
 
