--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -70,6 +70,7 @@
 
 struct free_results
 {
+    call_ref call = 0;
     std::string address; //!< of the runner that holds them
     std::string runner_id;
     std::vector<std::string> handles;
--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -93,6 +93,12 @@
     std::vector<made_piece> pieces; //!< in the order of the call
 };
 
+//! A runner has given up results, or could not be told to.
+struct stage_results_freed
+{
+    call_ref call = 0;
+};
+
 struct manifest_changed
 {
     std::shared_ptr<manifest const> value;
@@ -151,7 +157,7 @@
 
 using event =
     std::variant<request_arrived, caller_left, attempt_ended, stream_started,
-                 stream_advanced, stage_call_ended, manifest_changed,
+                 stream_advanced, stage_call_ended, stage_results_freed, manifest_changed,
                  runners_listed, runner_changed, runner_removed, members_listed,
                  peer_sent, peer_unreachable, peer_answered, drain_started,
                  timer_fired>;
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -66,6 +66,7 @@
     void on(stream_started const& in, time_point now);
     void on(stream_advanced const& in, time_point now);
     void on(stage_call_ended const& in, time_point now);
+    void on(stage_results_freed const& in, time_point now);
     void on(manifest_changed const& in, time_point now);
     void on(runners_listed const& in, time_point now);
     void on(runner_changed const& in, time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -70,6 +70,9 @@
 
     void release(std::vector<std::string> const& handles);
 
+    //! The runner has answered a call that frees results.
+    void results_freed(call_ref call);
+
     void call_ended(stage_call_ended const& ended, runner_directory& runners,
                     time_point now);
 
@@ -120,6 +123,15 @@
         time_point expires{};
     };
 
+    //! Results on their way to be freed. Their room counts as taken until the
+    //! runner has answered: a call could reach it earlier.
+    struct released_results
+    {
+        std::string runner_id;
+        double bytes = 0;
+        std::vector<std::string> handles;
+    };
+
     duration nominal_time(std::size_t pieces) const;
     void drop_late(time_point now);
     void announce_inputs_read(time_point now);
@@ -132,7 +144,7 @@
     void start_call(runner_state& runner, std::vector<owned_piece> pieces,
                     call_ref call, time_point now, effects& out);
     void expire_results(time_point now);
-    void flush_released(runner_directory& runners, effects& out);
+    void flush_released(call_ref& next_call, effects& out);
 
     std::string service_;
     piece_limits limits_;
@@ -141,7 +153,8 @@
     std::map<call_ref, call_state> calls_;
     std::map<std::string, runner_load_state, std::less<>> loads_;
     std::map<std::string, held_result, std::less<>> held_;
-    std::map<std::string, std::vector<std::string>> released_;
+    std::map<std::string, released_results> released_; //!< by address
+    std::map<call_ref, released_results> freeing_;
     std::vector<addressed_result> results_;
     std::set<std::string> domains_; //!< with a runner that may be used
 };
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -176,6 +176,10 @@
             advance(it, now);
         return;
     }
+    auto const missing = it.pipeline.missing(result.stage);
+    if (it.in_flight || std::find(missing.begin(), missing.end(),
+                                  result.number) == missing.end())
+        return;
     log("piece_failed", &it,
         {{"stage", std::to_string(result.stage)},
          {"outcome", std::to_string(static_cast<int>(result.outcome))}});
@@ -254,6 +258,14 @@
     schedulers_due_ = true;
 }
 
+void reducer::on(stage_results_freed const& in, time_point now)
+{
+    static_cast<void>(now);
+    for (auto& it : schedulers_)
+        it.second.results_freed(in.call);
+    schedulers_due_ = true;
+}
+
 void reducer::resubmit_from(std::string const& member, time_point now)
 {
     for (auto& entry : requests_)
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -104,16 +104,28 @@
 {
     for (auto const& handle : handles)
     {
+        auto& out = released_[handle.substr(0, handle.find('/'))];
+        out.handles.push_back(handle);
         auto const found = held_.find(handle);
-        if (found != held_.end())
-        {
-            loads_[found->second.runner_id].held_bytes -= found->second.bytes;
-            held_.erase(found);
-        }
-        released_[handle.substr(0, handle.find('/'))].push_back(handle);
+        if (found == held_.end())
+            continue;
+        out.runner_id = found->second.runner_id;
+        out.bytes += found->second.bytes;
+        held_.erase(found);
     }
 }
 
+void stage_scheduler::results_freed(call_ref call)
+{
+    auto const found = freeing_.find(call);
+    if (found == freeing_.end())
+        return;
+    auto const placed = loads_.find(found->second.runner_id);
+    if (placed != loads_.end())
+        placed->second.held_bytes -= found->second.bytes;
+    freeing_.erase(found);
+}
+
 duration stage_scheduler::nominal_time(std::size_t pieces) const
 {
     return limits_.call_time + limits_.piece_time * std::int64_t(pieces);
@@ -335,24 +347,26 @@
     }
 }
 
-void stage_scheduler::flush_released(runner_directory& runners, effects& out)
+void stage_scheduler::flush_released(call_ref& next_call, effects& out)
 {
     for (auto& it : released_)
     {
         free_results freed;
+        freed.call = next_call++;
         freed.address = it.first;
-        freed.handles = std::move(it.second);
+        freed.runner_id = it.second.runner_id;
+        freed.handles = it.second.handles;
+        freeing_.emplace(freed.call, std::move(it.second));
         out.push_back(std::move(freed));
     }
     released_.clear();
-    static_cast<void>(runners);
 }
 
 void stage_scheduler::dispatch(runner_directory& runners, call_ref& next_call,
                                time_point now, effects& out)
 {
     expire_results(now);
-    flush_released(runners, out);
+    flush_released(next_call, out);
     announce_inputs_read(now);
     drop_late(now);
     if (queue_.empty())
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -106,7 +106,9 @@
     options.timeout = free_timeout;
     // Results that cannot be freed lapse by themselves.
     net::make_call(client_, effect.address, std::move(head), std::move(body),
-                   options, [](net::call_result const&) {});
+                   options,
+                   [this, call = effect.call](net::call_result const&)
+                   { reduce(model::stage_results_freed{call}); });
 }
 
 } // namespace buckthornvale::gateway
