--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -110,6 +110,10 @@
     void resubmit_from(std::string const& member, time_point now);
     std::vector<duration> stage_times(active_request const& it,
                                       time_point now) const;
+    backlog const* fresh_backlog(std::string const& service,
+                                 time_point now) const;
+    bool room_is_short(active_request const& it, std::uint32_t stage,
+                       time_point now) const;
     duration expected_stage_time(active_request const& it,
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
@@ -136,8 +140,7 @@
 
     struct known_backlog
     {
-        duration wait{};
-        duration call{};
+        backlog value;
         time_point at{};
     };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -61,6 +61,7 @@
     std::string service;
     duration wait{}; //!< until a piece gets its turn
     duration call{}; //!< time of a call
+    double room_share = 0; //!< part of the room for results that is taken
 };
 
 struct submit_pieces
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -35,7 +35,7 @@
                      time_point now)
 {
     for (auto const& it : in.backlogs)
-        backlogs_[it.service] = {it.wait, it.call, now};
+        backlogs_[it.service] = {it, now};
     for (auto const& it : in.results)
         take_result(it, now);
 }
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -15,6 +15,10 @@
 //! Age from which a stated backlog no longer counts.
 constexpr duration backlog_lifetime = 1s;
 
+//! Inputs are freed as soon as they are read only from this share of taken room
+//! on: a piece that fails afterwards finds them gone.
+constexpr double short_room_share = 0.5;
+
 //! Allowance for the model runner after the stages.
 constexpr duration engine_time = 150ms;
 
@@ -40,6 +44,26 @@
     return out;
 }
 
+backlog const* reducer::fresh_backlog(std::string const& service,
+                                      time_point now) const
+{
+    auto const known = backlogs_.find(service);
+    if (known == backlogs_.end() || now - known->second.at >= backlog_lifetime)
+        return nullptr;
+    return &known->second.value;
+}
+
+bool reducer::room_is_short(active_request const& it, std::uint32_t stage,
+                            time_point now) const
+{
+    for (auto const after : it.pipeline.stage(stage).after)
+        if (auto const* known =
+                fresh_backlog(it.pipeline.stage(after).service, now);
+            known != nullptr && known->room_share > short_room_share)
+            return true;
+    return false;
+}
+
 std::vector<duration> reducer::stage_times(active_request const& it,
                                            time_point now) const
 {
@@ -52,10 +76,8 @@
         if (of != nullptr && of->pieces)
             time = of->pieces->call_time +
                    of->pieces->piece_time * it.pipeline.pieces(n);
-        auto const known = backlogs_.find(service);
-        if (known != backlogs_.end() &&
-            now - known->second.at < backlog_lifetime)
-            time = std::max(time, known->second.call) + known->second.wait;
+        if (auto const* known = fresh_backlog(service, now))
+            time = std::max(time, known->call) + known->wait;
         out.push_back(time);
     }
     return out;
@@ -116,9 +138,8 @@
     auto const inputs = it.pipeline.inputs_of(n);
     // Waiting in this stage's queue is what `due_in` is compared with.
     auto times = stage_times(it, now);
-    auto const known = backlogs_.find(stage.service);
-    if (known != backlogs_.end() && now - known->second.at < backlog_lifetime)
-        times[n] -= known->second.wait;
+    if (auto const* known = fresh_backlog(stage.service, now))
+        times[n] -= known->wait;
     auto const after = it.pipeline.remaining_time(n, times);
     auto const domain = domain_of_stage(it, n);
     submit_pieces message;
@@ -166,6 +187,8 @@
         return;
     if (result.outcome == piece_outcome::inputs_read)
     {
+        if (!room_is_short(it, result.stage, now))
+            return;
         it.pipeline.note_inputs_read(result);
         release(it.pipeline.take_unneeded(), now);
         return;
@@ -232,7 +255,8 @@
         for (auto const& service : services[it.first])
             it.second.backlogs.push_back(
                 {service, scheduler(service).expected_wait(runners_, now),
-                 scheduler(service).usual_call_time()});
+                 scheduler(service).usual_call_time(),
+                 scheduler(service).room_share()});
         send_message(it.first, std::move(it.second), now);
     }
     // Results for this VM itself may have started further stages.
@@ -252,6 +276,10 @@
                  {"outcome", std::to_string(static_cast<int>(in.outcome))},
                  {"pieces", std::to_string(in.pieces.size())},
                  {"waiting", std::to_string(it.second.waiting())},
+                 {"no_room",
+                  std::to_string(std::count_if(
+                      in.pieces.begin(), in.pieces.end(),
+                      [](made_piece const& piece) { return piece.no_room; }))},
                  {"room_share", std::to_string(it.second.room_share())}});
             break;
         }
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -46,7 +46,7 @@
     auto backlogs = json::array();
     for (auto const& backlog : it.backlogs)
         backlogs.push_back({backlog.service, backlog.wait.count(),
-                            backlog.call.count()});
+                            backlog.call.count(), backlog.room_share});
     return {tag::return_results, std::move(results), std::move(backlogs)};
 }
 
@@ -120,7 +120,7 @@
     for (auto const& it : value.at(2))
         out.backlogs.push_back(
             {it.at(0).get<std::string>(), to_duration(it.at(1)),
-             to_duration(it.at(2))});
+             to_duration(it.at(2)), it.at(3).get<double>()});
     return out;
 }
 
