admission: refuse at once what would be late while pieces wait

Change: early refusal and drop of untouched late pieces; a batch takes the pieces of its own domain first; lapsed entries are used for the drain timeout less 350 ms.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -26,6 +26,7 @@
 {
     std::string vm_name;
     std::string failure_domain;
+    duration drain_timeout{}; //!< of a leaving runner
     retry_limits retries;
 };
 
@@ -110,6 +111,8 @@
     void resubmit_from(std::string const& member, time_point now);
     std::vector<duration> stage_times(active_request const& it,
                                       time_point now) const;
+    bool is_overloaded(active_request const& it, time_point now) const;
+    duration waited_before(route const& of, request_traits const& traits);
     backlog const* fresh_backlog(std::string const& service,
                                  time_point now) const;
     bool room_is_short(active_request const& it, std::uint32_t stage,
@@ -152,6 +155,8 @@
     crash_registry crashes_;
     std::map<std::string, stage_scheduler> schedulers_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
+    //! Longest time left that callers of a route have stated.
+    std::map<std::string, duration, std::less<>> longest_wait_;
     std::map<std::string, time_point, std::less<>> probed_;
     request_map requests_;
     call_ref next_call_ = 1;
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -53,12 +53,12 @@
 public:
     //! Entries that lapse during an outage of the store return within this
     //! time after it, if the runner lives.
-    static constexpr duration return_time = std::chrono::milliseconds(2100);
+    static constexpr duration longest_return_time =
+        std::chrono::milliseconds(2100);
 
-    //! A runner whose entry was removed is kept this long as a last resort: all
-    //! entries of a service can lapse at once, although the runners live.
-    static constexpr duration last_resort_time =
-        std::chrono::milliseconds(1400);
+    //! `drain_timeout` is the time after the removal of its entry from which a
+    //! runner must get nothing.
+    explicit runner_directory(duration drain_timeout);
 
     //! Replaces the list.
     void assign(absl::Span<runner const> runners, bool after_outage,
@@ -90,6 +90,8 @@
     void drop(runner_map::iterator it);
     void avoid(runner_state& state, duration least, time_point now);
 
+    duration return_time_{};      //!< use of an entry lapsed in an outage
+    duration last_resort_time_{}; //!< use of a removed entry without others
     runner_map runners_;
     std::map<std::string, std::string, std::less<>> id_by_address_;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -112,6 +112,8 @@
     {
         std::uint32_t calls = 0;
         double held_bytes = 0;
+        double foreign_bytes = 0; //!< held for others, seen from refusals
+        time_point foreign_until{};
         double slowness = 1; //!< moving average of real over nominal time
         std::int64_t started_at_ms = 0;
     };
@@ -134,6 +136,7 @@
 
     duration nominal_time(std::size_t pieces) const;
     void drop_late(time_point now);
+    time_point oldest_queued() const;
     void announce_inputs_read(time_point now);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -8,7 +8,8 @@
 {
 
 reducer::reducer(gateway_settings settings)
-    : settings_(std::move(settings)), members_(settings_.vm_name),
+    : settings_(std::move(settings)), runners_(settings_.drain_timeout),
+      members_(settings_.vm_name),
       ledger_(settings_.retries)
 {
 }
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -36,7 +36,7 @@
 
 //! Bounds of the time after which a refused caller may return.
 constexpr duration least_retry_after = 100ms;
-constexpr duration most_retry_after = 1500ms;
+constexpr duration most_retry_after = 2s;
 
 //! Priorities that engines take: 0 first, 9 last.
 constexpr int urgent_priority = 3;
@@ -132,7 +132,8 @@
     if (found->timeout > duration::zero())
         wait = std::min(wait, found->timeout);
     it.expires = now + wait;
-    it.due = now + found->target_latency;
+    it.due = now + found->target_latency -
+             waited_before(*found, in.traits);
     it.pipeline = stage_pipeline(found->stages, in.traits.pieces);
     if (!it.pipeline.empty())
         if (auto const* home = choose_runner(it, now))
@@ -144,8 +145,7 @@
         give_up(it, refusal::crashes_runners, now);
         return;
     }
-    if (!it.pipeline.empty() &&
-        now + expected_stage_time(it, now) > it.expires)
+    if (!it.pipeline.empty() && is_overloaded(it, now))
     {
         give_up(it, refusal::cannot_finish_in_time, now);
         return;
@@ -153,6 +153,17 @@
     advance(it, now);
 }
 
+duration reducer::waited_before(route const& of,
+                                request_traits const& traits)
+{
+    // A caller that comes again has less time left than at first.
+    if (!traits.time_left)
+        return {};
+    auto& longest = longest_wait_[of.name];
+    longest = std::max(longest, *traits.time_left);
+    return longest - *traits.time_left;
+}
+
 void reducer::on(caller_left const& in, time_point now)
 {
     auto const found = requests_.find(in.request);
@@ -400,7 +411,7 @@
     duration wait = least_retry_after;
     if (reason == refusal::cannot_finish_in_time ||
         reason == refusal::stage_failed)
-        wait = expected_stage_time(it, now) / 4;
+        wait = expected_stage_time(it, now);
     // Spread returns, so that refused callers do not come back as one burst.
     constexpr std::uint64_t steps = 1000;
     double const spread =
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -19,6 +19,10 @@
 //! on: a piece that fails afterwards finds them gone.
 constexpr double short_room_share = 0.5;
 
+//! While pieces wait longer than this, requests that would be late are refused:
+//! they would take the place of others that can be on time.
+constexpr duration tolerated_wait = 300ms;
+
 //! Allowance for the model runner after the stages.
 constexpr duration engine_time = 150ms;
 
@@ -94,6 +98,22 @@
     return longest;
 }
 
+bool reducer::is_overloaded(active_request const& it, time_point now) const
+{
+    auto const expected = expected_stage_time(it, now);
+    if (now + expected + engine_time > it.expires)
+        return true;
+    // Without a queue a late answer costs nobody else.
+    duration longest_wait{};
+    for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
+        if (auto const* known =
+                fresh_backlog(it.pipeline.stage(n).service, now);
+            known != nullptr && it.pipeline.pieces(n) > 0)
+            longest_wait = std::max(longest_wait, known->wait);
+    return longest_wait > tolerated_wait &&
+           now + expected + engine_time > it.due;
+}
+
 void reducer::advance(active_request& it, time_point now)
 {
     release(it.pipeline.take_unneeded(), now);
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -12,6 +12,9 @@
 
 using namespace std::chrono_literals;
 
+//! Time from a decision to the arrival of the request at the runner, at most.
+constexpr duration drain_margin = 350ms;
+
 constexpr duration unreachable_pause = 400ms;
 constexpr duration silent_pause = 600ms;
 constexpr duration full_pause = 40ms;
@@ -39,6 +42,13 @@
 
 } // namespace
 
+runner_directory::runner_directory(duration drain_timeout)
+    : return_time_(std::clamp<duration>(drain_timeout - drain_margin,
+                                        duration::zero(), longest_return_time)),
+      last_resort_time_(return_time_ * 3 / 4)
+{
+}
+
 void runner_directory::assign(absl::Span<runner const> runners,
                               bool after_outage, time_point now)
 {
@@ -93,7 +103,7 @@
     auto& state = found->second;
     state.last_resort = !after_outage;
     if (!state.gone_at)
-        state.gone_at = now + (after_outage ? return_time : last_resort_time);
+        state.gone_at = now + (after_outage ? return_time_ : last_resort_time_);
 }
 
 void runner_directory::expire(time_point now)
@@ -191,7 +201,7 @@
         state.avoid_until = std::max(state.avoid_until, now + full_pause);
         break;
     case runner_signal::replaced:
-        state.gone_at = state.gone_at.value_or(now + return_time);
+        state.gone_at = state.gone_at.value_or(now + return_time_);
         state.avoid_until = now + longest_pause;
         break;
     }
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -16,8 +16,12 @@
 constexpr int timeout_factor = 8;
 constexpr duration timeout_slack = 500ms;
 
-//! Pause of a runner that is out of room for results.
-constexpr duration room_pause = 100ms;
+//! Part of a runner's room that is planned with: sizes of results vary.
+constexpr double usable_room = 0.94;
+
+//! While pieces wait longer than this, a piece that has missed its time and has
+//! cost nothing yet is given up.
+constexpr duration tolerated_wait = 300ms;
 
 //! Weight of the newest call in the estimate of a runner's slowness.
 constexpr double new_weight = 0.3;
@@ -29,16 +33,8 @@
 //! given up then: room for results is what limits batches under load.
 constexpr duration fetch_time = 100ms;
 
-bool before(owned_piece const& a, owned_piece const& b, time_point now)
+bool before(owned_piece const& a, owned_piece const& b)
 {
-    // Pieces that can still be on time go first; those that cannot are worth
-    // less and fill what is left.
-    bool const a_late = a.due < now;
-    bool const b_late = b.due < now;
-    if (a_late != b_late)
-        return b_late;
-    if (a_late && a.work.rank != b.work.rank)
-        return a.work.rank < b.work.rank;
     if (a.due != b.due)
         return a.due < b.due;
     return a.work.request < b.work.request;
@@ -189,7 +185,6 @@
             new_weight * (to_seconds(took) /
                               to_seconds(nominal_time(call.pieces.size())) -
                           placed.slowness);
-    bool no_room = false;
     for (std::size_t i = 0; i < call.pieces.size(); ++i)
     {
         auto& it = call.pieces[i];
@@ -211,15 +206,16 @@
         }
         else if (result.outcome == piece_outcome::failed)
         {
-            no_room = no_room || result.no_room;
+            if (result.no_room)
+            {
+                placed.foreign_bytes += it.work.result_bytes;
+                placed.foreign_until = now + limits_.result_lifetime;
+            }
             requeue(std::move(it), !result.no_room, now);
         }
         else
             finish(it, result.outcome, {});
     }
-    // The runner holds more than this scheduler knows of.
-    if (no_room && runner != nullptr)
-        runner->avoid_until = std::max(runner->avoid_until, now + room_pause);
 }
 
 void stage_scheduler::announce_inputs_read(time_point now)
@@ -236,10 +232,25 @@
     }
 }
 
+time_point stage_scheduler::oldest_queued() const
+{
+    return std::min_element(queue_.begin(), queue_.end(),
+                            [](owned_piece const& a, owned_piece const& b)
+                            { return a.queued < b.queued; })
+        ->queued;
+}
+
 void stage_scheduler::drop_late(time_point now)
 {
+    bool const pressed =
+        !queue_.empty() && now - oldest_queued() > tolerated_wait;
     auto const too_late = [&](owned_piece const& it)
-    { return now + nominal_time(1) > it.deadline; };
+    {
+        bool const untouched = it.work.inputs.empty() && it.attempts == 0;
+        return now + nominal_time(1) > it.deadline ||
+               (pressed && untouched && it.due < now &&
+                now - it.queued > tolerated_wait);
+    };
     for (auto& it : queue_)
         if (too_late(it))
             finish(it, piece_outcome::late, {});
@@ -251,31 +262,42 @@
 stage_scheduler::take_batch(runner_state const& runner, time_point now)
 {
     auto const& domain = runner.entry.failure_domain;
-    double room =
-        limits_.result_bytes - loads_[runner.entry.id].held_bytes;
-    bool const empty = loads_[runner.entry.id].held_bytes <= 0;
-    auto const belongs = [&](owned_piece const& it)
+    auto& placed = loads_[runner.entry.id];
+    if (placed.foreign_until <= now)
+        placed.foreign_bytes = 0;
+    double room = limits_.result_bytes * usable_room - placed.held_bytes -
+                  placed.foreign_bytes;
+    bool const empty = placed.held_bytes <= 0;
+    auto const own = [&](owned_piece const& it)
     {
         return it.work.domain.empty() || it.work.domain == domain ||
-               domains_.count(it.work.domain) == 0 ||
-               now - it.queued >= domain_wait || it.due - now < domain_wait;
+               domains_.count(it.work.domain) == 0;
     };
+    auto const waited = [&](owned_piece const& it)
+    { return now - it.queued >= domain_wait || it.due - now < domain_wait; };
     std::vector<owned_piece> out;
-    std::deque<owned_piece> left;
-    for (auto& it : queue_)
+    // A piece that does not fit must not keep smaller ones behind it.
+    auto const take = [&](auto const& wanted)
     {
-        // A piece that does not fit must not keep smaller ones behind it.
-        bool const fits = limits_.result_bytes <= 0 || (empty && out.empty()) ||
-                          it.work.result_bytes <= room;
-        if (out.size() == limits_.batch || !fits || !belongs(it))
+        std::deque<owned_piece> left;
+        for (auto& it : queue_)
         {
-            left.push_back(std::move(it));
-            continue;
+            bool const fits = limits_.result_bytes <= 0 ||
+                              (empty && out.empty()) ||
+                              it.work.result_bytes <= room;
+            if (out.size() == limits_.batch || !fits || !wanted(it))
+            {
+                left.push_back(std::move(it));
+                continue;
+            }
+            room -= it.work.result_bytes;
+            out.push_back(std::move(it));
         }
-        room -= it.work.result_bytes;
-        out.push_back(std::move(it));
-    }
-    queue_ = std::move(left);
+        queue_ = std::move(left);
+    };
+    take(own);
+    if (out.size() < limits_.batch)
+        take(waited);
     return out;
 }
 
@@ -371,9 +393,7 @@
     drop_late(now);
     if (queue_.empty())
         return;
-    std::sort(queue_.begin(), queue_.end(),
-              [&](owned_piece const& a, owned_piece const& b)
-              { return before(a, b, now); });
+    std::sort(queue_.begin(), queue_.end(), before);
     for (auto* runner : free_runners(runners, now))
     {
         auto pieces = take_batch(*runner, now);
