--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -110,8 +110,9 @@
                 fresh_backlog(it.pipeline.stage(n).service, now);
             known != nullptr && it.pipeline.pieces(n) > 0)
             longest_wait = std::max(longest_wait, known->wait);
+    // The expected time counts all that waits, also what yields to this one.
     return longest_wait > tolerated_wait &&
-           now + expected + engine_time > it.due;
+           now + expected + engine_time > it.due + it.plan->target_latency / 2;
 }
 
 void reducer::advance(active_request& it, time_point now)
