gateway: manifest from another VM, removal of VMs that are gone

Cause: a VM that the store turns away stays on its manifest although other VMs have a newer one; VMs removed for good stayed on the list and delayed pieces by 0.5 s every two seconds; a settings file changed without a signal was not read. Change: while its watch fails a VM asks one other VM each 600 ms; suspicion doubles up to 32 s, and a VM out of reach for 30 s is taken off the list by the first VM by name; the settings file is looked at every 2 s.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -83,6 +83,12 @@
     peer_message message;
 };
 
+//! Take a VM that is gone off the list of members.
+struct remove_member
+{
+    std::string member;
+};
+
 //! One decision, for the log.
 struct log_decision
 {
@@ -96,9 +102,10 @@
     std::vector<field> fields;
 };
 
-using effect = std::variant<send_attempt, cancel_attempt, deliver_answer,
-                            refuse_request, abort_stream, call_stage,
-                            free_results, send_to_peer, log_decision>;
+using effect =
+    std::variant<send_attempt, cancel_attempt, deliver_answer, refuse_request,
+                 abort_stream, call_stage, free_results, send_to_peer,
+                 remove_member, log_decision>;
 
 using effects = std::vector<effect>;
 
--- a/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
@@ -20,8 +20,13 @@
 class member_table
 {
 public:
-    //! A VM that could not be reached is asked again after this time.
+    //! A VM that could not be reached is asked again after this time, which
+    //! doubles with each failure up to the longest.
     static constexpr duration suspicion_time = std::chrono::seconds(2);
+    static constexpr duration longest_suspicion = std::chrono::seconds(32);
+
+    //! A VM that nobody reached for this long is taken off the list.
+    static constexpr duration removal_time = std::chrono::seconds(30);
 
     explicit member_table(std::string self) : self_(std::move(self)) {}
 
@@ -42,6 +47,10 @@
     //! Two reachable VMs that keep count for the key; this VM may be one.
     std::vector<std::string> keepers(std::uint64_t key, time_point now) const;
 
+    //! VMs to take off the list. Only the first reachable VM by name names any,
+    //! so that the store gets one call; a VM that lives registers again.
+    std::vector<std::string> removable(time_point now) const;
+
     member const* find(std::string_view name) const;
     std::string const& self() const { return self_; }
     std::vector<std::string> others() const;
@@ -54,6 +63,8 @@
     {
         member value;
         time_point suspected_until{};
+        time_point unreachable_since{};
+        std::uint32_t failures = 0; //!< in a row
         time_point heard_at{};
         std::uint64_t heard_incarnation = 0;
     };
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -135,6 +135,7 @@
     void accept(std::string const& from, report_crash const& in,
                 time_point now);
     void probe_owners(time_point now);
+    void remove_gone_members(time_point now);
     void note_crash(active_request const& it, bool cleared, time_point now);
 
     void log(char const* what, active_request const* it,
@@ -159,6 +160,7 @@
     std::map<std::string, time_point, std::less<>> probed_;
     request_map requests_;
     call_ref next_call_ = 1;
+    time_point members_checked_{};
     bool draining_ = false;
     bool runners_known_ = false;
     bool schedulers_due_ = false;
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -32,7 +32,10 @@
     for (auto const& it : members)
     {
         listed.insert(it.name);
-        members_[it.name].value = it;
+        auto& known = members_[it.name];
+        if (known.value.incarnation != it.incarnation)
+            known = {};
+        known.value = it;
     }
     for (auto it = members_.begin(); it != members_.end();)
         it = listed.contains(it->first) ? std::next(it) : members_.erase(it);
@@ -41,8 +44,31 @@
 void member_table::suspect(std::string_view name, time_point now)
 {
     auto const found = members_.find(name);
-    if (found != members_.end())
-        found->second.suspected_until = now + suspicion_time;
+    if (found == members_.end())
+        return;
+    auto& it = found->second;
+    if (it.failures == 0)
+        it.unreachable_since = now;
+    constexpr std::uint32_t most_doublings = 4;
+    auto const factor = 1U << std::min(it.failures, most_doublings);
+    it.suspected_until =
+        now + std::min<duration>(suspicion_time * factor, longest_suspicion);
+    ++it.failures;
+}
+
+std::vector<std::string> member_table::removable(time_point now) const
+{
+    std::vector<std::string> out;
+    for (auto const& it : members_)
+    {
+        bool const gone = it.first != self_ && it.second.failures > 1 &&
+                          now - it.second.unreachable_since >= removal_time;
+        if (gone)
+            out.push_back(it.first);
+        else if (it.first < self_ && it.second.suspected_until <= now)
+            return {};
+    }
+    return out;
 }
 
 bool member_table::heard(std::string_view name, std::uint64_t incarnation,
@@ -57,6 +83,7 @@
     it.heard_incarnation = incarnation;
     it.heard_at = now;
     it.suspected_until = {};
+    it.failures = 0;
     return restarted;
 }
 
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -118,6 +118,7 @@
         if (auto const found = requests_.find(ref); found != requests_.end())
             check_times(*found->second, now);
     probe_owners(now);
+    remove_gone_members(now);
     schedulers_due_ = true;
 }
 
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -102,6 +102,19 @@
     resubmit_from(in.member, now);
 }
 
+void reducer::remove_gone_members(time_point now)
+{
+    constexpr duration interval = std::chrono::seconds(5);
+    if (now - members_checked_ < interval)
+        return;
+    members_checked_ = now;
+    for (auto const& name : members_.removable(now))
+    {
+        log("member_gone", nullptr, {{"member", name}});
+        out_.push_back(remove_member{name});
+    }
+}
+
 void reducer::on(peer_answered const& in, time_point now)
 {
     if (!members_.heard(in.member, in.incarnation, now))
--- a/packages/decision/tests/gateway/tables_test.cpp
+++ b/packages/decision/tests/gateway/tables_test.cpp
@@ -158,6 +158,47 @@
     EXPECT_GT(owned["vm-0"], 2 * owned["vm-1"]);
 }
 
+// Guards against pieces that wait again and again for a VM which was removed
+// for good, and against a list that only grows.
+TEST(member_table, takes_a_vm_that_is_gone_off_the_list)
+{
+    member_table first("vm-0");
+    member_table second("vm-1");
+    for (auto* it : {&first, &second})
+    {
+        it->assign(make_members(3));
+        it->suspect("vm-2", start);
+        it->suspect("vm-2", start + 10s);
+    }
+    EXPECT_TRUE(first.removable(start + 20s).empty());
+    EXPECT_EQ(first.removable(start + 31s), std::vector<std::string>{"vm-2"});
+    // One VM is enough for it, while that one can be reached.
+    EXPECT_TRUE(second.removable(start + 31s).empty());
+    second.suspect("vm-0", start + 31s);
+    EXPECT_EQ(second.removable(start + 31s), std::vector<std::string>{"vm-2"});
+    first.heard("vm-2", 1, start + 31s);
+    EXPECT_TRUE(first.removable(start + 100s).empty());
+}
+
+TEST(member_table, asks_an_unreachable_vm_less_and_less_often)
+{
+    member_table table("vm-0");
+    auto members = make_members(2);
+    table.assign(members);
+    std::string key = "k";
+    while (table.owner(key, start) == "vm-0")
+        key += 'k';
+    table.suspect("vm-1", start);
+    table.suspect("vm-1", start + 2s);
+    EXPECT_EQ(table.owner(key, start + 5s), "vm-0");
+    EXPECT_EQ(table.owner(key, start + 6s), "vm-1");
+    table.suspect("vm-1", start + 6s);
+    // A new process registers itself anew.
+    members[1].incarnation = 9;
+    table.assign(members);
+    EXPECT_EQ(table.owner(key, start + 7s), "vm-1");
+}
+
 TEST(member_table, notices_a_restart)
 {
     member_table table("vm-0");
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -88,6 +88,7 @@
     void carry_out(decision::gateway::call_stage const& it);
     void carry_out(decision::gateway::free_results const& it);
     void carry_out(decision::gateway::send_to_peer const& it);
+    void carry_out(decision::gateway::remove_member const& it);
     void carry_out(decision::gateway::log_decision const& it);
 
     caller_request* find_request(request_ref ref);
@@ -106,6 +107,7 @@
     void take_members(std::vector<platform::stored_object> const& objects,
                       bool listed);
     void take_manifest(std::vector<platform::stored_object> const& objects);
+    void ask_peer_for_manifest(time_point now);
     void register_member();
     void write_member(bool replace);
     bool self_registered() const;
@@ -132,6 +134,12 @@
     std::unordered_map<request_ref, caller_request> requests_;
     std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
     std::map<std::string, decision::gateway::member> members_;
+    std::map<std::string, std::uint64_t> member_revisions_;
+    std::string manifest_text_; //!< the object in force, for other VMs
+    bool manifest_reachable_ = true;
+    bool asking_peer_ = false;
+    std::size_t next_peer_ = 0;
+    time_point peer_asked_{};
     std::vector<decision::gateway::event> pending_;
     bool reducing_ = false;
     request_ref next_ref_ = 1;
--- a/packages/gateway/include/buckthornvale/gateway/peer/peer_sender.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/peer/peer_sender.hpp
@@ -16,6 +16,9 @@
 //! Path under which a VM takes messages.
 constexpr std::string_view messages_path = "/peer/messages";
 
+//! Path under which a VM gives its manifest when it is newer than "?after=N".
+constexpr std::string_view manifest_path = "/peer/manifest";
+
 //! Sends messages to other VMs, one call to each VM at a time. Messages that
 //! come while a call is under way go together with the next one.
 class peer_sender
--- a/packages/gateway/src/control_handler.cpp
+++ b/packages/gateway/src/control_handler.cpp
@@ -1,6 +1,7 @@
 #include "control_handler.hpp"
 
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
+#include <buckthornvale/http/text.hpp>
 #include <buckthornvale/platform/headers.hpp>
 
 namespace buckthornvale::gateway
@@ -56,6 +57,13 @@
     else if (path == metrics_path)
         from.answer(head_of(200, "text/plain; version=0.0.4"),
                     callbacks_.metrics());
+    else if (path == peer::manifest_path)
+    {
+        auto const after = http::split_once(head.target, '=').second;
+        auto const text =
+            callbacks_.manifest(http::parse_number(after).value_or(0));
+        from.answer(head_of(text.empty() ? 204 : 200, {}), text);
+    }
     else if (path == peer::messages_path)
     {
         auto envelope = peer::decode_envelope(body);
--- a/packages/gateway/src/control_handler.hpp
+++ b/packages/gateway/src/control_handler.hpp
@@ -12,8 +12,8 @@
 namespace buckthornvale::gateway
 {
 
-//! Answers the platform's question for readiness, scrapes of metrics, and the
-//! messages of other VMs.
+//! Answers the platform's question for readiness, scrapes of metrics, and what
+//! other VMs send and ask.
 class control_handler final : public net::request_handler
 {
 public:
@@ -22,6 +22,9 @@
         std::function<bool()> ready;
         std::function<std::string()> metrics;
 
+        //! The manifest object when its version is above the one given.
+        std::function<std::string(std::uint64_t after)> manifest;
+
         //! Takes an envelope and returns the answer, an envelope too.
         std::function<std::string(peer::envelope)> messages;
     };
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -91,6 +91,12 @@
         reduce(model::peer_sent{in.member, std::move(in.messages)});
         return peer::encode_envelope({settings_.vm_name, incarnation_, {}});
     };
+    callbacks.manifest = [this](std::uint64_t after)
+    {
+        auto const* current = reducer_.current_manifest();
+        bool const newer = current != nullptr && current->version > after;
+        return newer ? manifest_text_ : std::string();
+    };
     control_ = std::make_unique<control_handler>(
         loop, [this] { return now(); }, std::move(callbacks));
 }
@@ -192,6 +198,7 @@
         metrics_.set_active(requests_.size(), callers_.connections());
         log_.flush(at);
     }
+    ask_peer_for_manifest(at);
     check_drained(at);
     schedule_tick();
 }
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -20,6 +20,14 @@
 constexpr duration write_pause = 700ms;
 
 constexpr int status_conflict = 409;
+constexpr int status_ok = 200;
+
+constexpr char const* manifest_watch = "manifest";
+
+//! While the store is out of reach, another VM is asked for a newer manifest
+//! once per interval: the store may turn away single VMs only.
+constexpr duration peer_interval = 600ms;
+constexpr duration peer_timeout = 500ms;
 
 } // namespace
 
@@ -40,13 +48,15 @@
         {
             log(reachable ? "store_regained" : "store_lost",
                 {{"watch", name}, {"reason", reason}});
+            if (std::string_view(name) == manifest_watch)
+                manifest_reachable_ = reachable;
         };
         watchers_.push_back(std::make_unique<store::store_watcher>(
             loop_, client_, settings_.store.text(), kind, wait,
             [this] { return now(); }, std::move(callbacks)));
         watchers_.back()->start();
     };
-    add(platform::object_kind::manifest, manifest_wait, "manifest",
+    add(platform::object_kind::manifest, manifest_wait, manifest_watch,
         [this](objects const& all, bool, bool) { take_manifest(all); });
     add(platform::object_kind::runners, runners_wait, "runners",
         [this](objects const& all, bool listed, bool after_outage)
@@ -69,7 +79,12 @@
             log("manifest_unreadable",
                 {{"revision", std::to_string(it.revision)}});
         else
+        {
+            auto const* current = reducer_.current_manifest();
+            if (current == nullptr || current->version < value->version)
+                manifest_text_ = platform::encode_object(it);
             reduce(model::manifest_changed{std::move(value)});
+        }
     }
 }
 
@@ -107,6 +122,7 @@
             members_[it.name] = std::move(*entry);
         else
             members_.erase(it.name);
+        member_revisions_[it.name] = it.revision;
     }
     model::members_listed all;
     for (auto const& it : members_)
@@ -116,6 +132,55 @@
         register_member();
 }
 
+void gateway_process::ask_peer_for_manifest(time_point at)
+{
+    if (manifest_reachable_ || asking_peer_ || members_.size() < 2 ||
+        at - peer_asked_ < peer_interval)
+        return;
+    peer_asked_ = at;
+    auto to = members_.begin();
+    std::advance(to, next_peer_++ % members_.size());
+    if (to->first == self_.name)
+        return;
+    auto const* current = reducer_.current_manifest();
+    auto const target =
+        std::string(peer::manifest_path) +
+        "?after=" + std::to_string(current != nullptr ? current->version : 0);
+    net::call_options options;
+    options.connect_timeout = peer_timeout;
+    options.timeout = peer_timeout;
+    asking_peer_ = true;
+    net::make_call(
+        client_, to->second.address,
+        platform::encode_own_request("GET", target, to->second.address, 0, {}),
+        {}, options,
+        [this, name = to->first](net::call_result const& result)
+        {
+            asking_peer_ = false;
+            if (result.failure || result.head.status != status_ok)
+                return;
+            auto const object = platform::decode_object(result.body);
+            if (!object)
+                return;
+            log("manifest_from_peer", {{"member", name}});
+            take_manifest({*object});
+        });
+}
+
+void gateway_process::carry_out(model::remove_member const& effect)
+{
+    auto const call = platform::delete_member_call(
+        effect.member, member_revisions_[effect.member]);
+    net::call_options options;
+    options.timeout = write_timeout;
+    auto const address = settings_.store.text();
+    // A call that fails is made again: the reducer names the VM again.
+    net::make_call(
+        client_, address,
+        platform::encode_own_request(call.method, call.target, address, 0, {}),
+        {}, options, [](net::call_result const&) {});
+}
+
 bool gateway_process::self_registered() const
 {
     auto const found = members_.find(self_.name);
--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -2,10 +2,12 @@
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
 #include <gflags/gflags.h>
 
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -53,6 +55,39 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+void reload(gateway_process& process)
+{
+    auto const settings = read_settings();
+    if (settings.ok())
+        process.reload(*settings);
+    else
+        std::cerr << settings.status().message() << '\n';
+}
+
+std::filesystem::file_time_type settings_time()
+{
+    std::error_code ec;
+    return std::filesystem::last_write_time(settings_path(), ec);
+}
+
+//! The file may change without a signal.
+void watch_settings(asio::steady_timer& timer, gateway_process& process,
+                    std::filesystem::file_time_type known)
+{
+    constexpr std::chrono::seconds interval{2};
+    timer.expires_after(interval);
+    timer.async_wait(
+        [&timer, &process, known](asio::error_code ec)
+        {
+            if (ec)
+                return;
+            auto const present = settings_time();
+            if (present != known)
+                reload(process);
+            watch_settings(timer, process, present);
+        });
+}
+
 void wait_for_signals(asio::signal_set& signals, gateway_process& process)
 {
     signals.async_wait(
@@ -61,13 +96,7 @@
             if (ec)
                 return;
             if (number == SIGHUP)
-            {
-                auto const settings = read_settings();
-                if (settings.ok())
-                    process.reload(*settings);
-                else
-                    std::cerr << settings.status().message() << '\n';
-            }
+                reload(process);
             else
                 process.drain();
             wait_for_signals(signals, process);
@@ -81,6 +110,8 @@
     gateway_process process(loop, settings, random_incarnation(), 1);
     asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signals(signals, process);
+    asio::steady_timer settings_timer(loop);
+    watch_settings(settings_timer, process, settings_time());
     try
     {
         process.start();
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -91,6 +91,12 @@
 
 std::unique_ptr<gateway_process>
 fleet_fixture::start_gateway(std::string const& name)
+{
+    return start_gateway(name, objects);
+}
+
+std::unique_ptr<gateway_process>
+fleet_fixture::start_gateway(std::string const& name, store& its_store)
 {
     platform::node_settings settings;
     settings.vm_name = name;
@@ -99,7 +105,7 @@
     settings.callers = {"127.0.0.1", free_port(loop)};
     settings.readiness = {"127.0.0.1", free_port(loop)};
     settings.first_peer_port = free_port(loop);
-    settings.store = {"127.0.0.1", objects.port()};
+    settings.store = {"127.0.0.1", its_store.port()};
     settings.cpu_share = 1;
     settings.drain_timeout = 2s;
     settings.grace_period = 8s;
@@ -108,13 +114,13 @@
     settings.retry_window = 10s;
     callers_port = settings.callers.port;
     peer_port = settings.first_peer_port;
-    auto const members = objects.objects("members");
+    auto const members = its_store.objects("members");
     constexpr int no_log = -1;
     auto out = std::make_unique<gateway_process>(
         loop, settings, std::hash<std::string>()(name) + peer_port, no_log);
     out->start();
     EXPECT_TRUE(
-        run_until([&] { return objects.objects("members") > members; }));
+        run_until([&] { return its_store.objects("members") > members; }));
     // One more round, in which the lists arrive.
     auto const end = std::chrono::steady_clock::now() + 400ms;
     run_until([&] { return std::chrono::steady_clock::now() >= end; });
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -48,6 +48,8 @@
     std::unique_ptr<runner> add_runner(std::string const& id,
                                        std::string const& service);
     std::unique_ptr<gateway_process> start_gateway(std::string const& name);
+    std::unique_ptr<gateway_process> start_gateway(std::string const& name,
+                                                   store& its_store);
 
     //! Writes a manifest of the version with the routes of all tests.
     void put_manifest(int version, bool with_extra_route = false);
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -77,6 +77,27 @@
         { return status_of(exchange(request("GET", "/extra/x"))) == 200; }));
 }
 
+// Guards against a VM that stays on an old manifest because the store turns
+// away this VM only.
+TEST_F(gateway_process_day, takes_a_manifest_from_another_vm)
+{
+    auto const plain = add_runner("plain-1", "plain");
+    // Two stores stand for one that serves some VMs only.
+    store turned_away{loop};
+    objects.copy_to(turned_away);
+    auto const first = start_gateway("vm-0", turned_away);
+    auto const port = callers_port;
+    auto const second = start_gateway("vm-1", objects);
+    objects.copy_to(turned_away);
+    EXPECT_TRUE(run_until([&] { return turned_away.objects("members") == 2; }));
+    turned_away.set_down(true);
+    put_manifest(2, true);
+    callers_port = port;
+    EXPECT_TRUE(run_until(
+        [&]
+        { return status_of(exchange(request("GET", "/extra/x"))) == 200; }));
+}
+
 // Guards against a VM that misses changes because the store has forgotten
 // its history.
 TEST_F(gateway_process_day, lists_again_when_the_history_is_gone)
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -64,6 +64,13 @@
                                                  : std::next(it);
 }
 
+void store_standin::copy_to(store_standin& other) const
+{
+    for (auto const& kind : objects_)
+        for (auto const& it : kind.second)
+            other.put(kind.first, it.first, it.second.at("specification"));
+}
+
 void store_standin::set_down(bool down)
 {
     down_ = down;
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -28,6 +28,9 @@
              nlohmann::json specification);
     void remove(std::string const& kind, std::string const& name);
 
+    //! Writes all objects to the other store.
+    void copy_to(store_standin& other) const;
+
     //! While down, calls are answered with 503 and watches are cut.
     void set_down(bool down);
 
