--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -104,6 +104,7 @@
         time_point started{};
         std::vector<owned_piece> pieces;
         bool inputs_read = false; //!< told to the VMs that asked
+        bool repeated = false;    //!< its pieces are queued again
     };
 
     //! What the scheduler has placed on one runner.
@@ -113,7 +114,8 @@
         double held_bytes = 0;
         double foreign_bytes = 0; //!< held for others, seen from refusals
         time_point foreign_until{};
-        double slowness = 1; //!< moving average of real over nominal time
+        double slowness = 1;   //!< moving average of real over nominal time
+        time_point measured{}; //!< time of the last measured call
         std::int64_t started_at_ms = 0;
     };
 
@@ -137,12 +139,17 @@
     void drop_late(time_point now);
     time_point oldest_queued() const;
     void announce_inputs_read(time_point now);
+    void repeat_slow_calls(time_point now);
+    double slowness_of(std::string const& runner_id, time_point now) const;
+    void drop_copies(std::vector<owned_piece> const& pieces);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
     std::vector<owned_piece> take_batch(runner_state const& runner,
                                         time_point now);
     std::vector<runner_state*> free_runners(runner_directory& runners,
                                             time_point now);
+    void leave_out_slow(std::vector<runner_state*> const& usable,
+                        std::vector<runner_state*>& free, time_point now) const;
     void start_call(runner_state& runner, std::vector<owned_piece> pieces,
                     call_ref call, time_point now, effects& out);
     void expire_results(time_point now);
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -3,6 +3,8 @@
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace buckthornvale::decision::gateway
 {
@@ -23,6 +25,18 @@
 //! cost nothing yet is given up.
 constexpr duration tolerated_wait = 300ms;
 
+//! The pieces of a call that takes this many times its usual time, and a slack,
+//! are given to another runner too. The first result counts.
+constexpr double slow_factor = 1.6;
+constexpr duration slow_slack = 200ms;
+
+//! A runner this many times slower than the fastest one gets no call while the
+//! others can take all that waits.
+constexpr double left_out_slowness = 2.2;
+
+//! A runner's measured slowness halves in this time without calls.
+constexpr double slowness_half_life_s = 3;
+
 //! Weight of the newest call in the estimate of a runner's slowness.
 constexpr double new_weight = 0.3;
 
@@ -178,6 +192,13 @@
     if (answered)
         usual_call_ =
             usual_call_ == duration() ? took : (usual_call_ * 7 + took) / 8;
+    if (answered && call.repeated)
+        drop_copies(call.pieces);
+    if (answered)
+    {
+        placed.slowness = slowness_of(call.runner_id, now);
+        placed.measured = now;
+    }
     if (answered)
         placed.slowness +=
             new_weight *
@@ -189,6 +210,8 @@
         bool const made = answered && !ended.pieces[i].handle.empty();
         if (!made)
             placed.held_bytes -= it.work.result_bytes;
+        if (!answered && call.repeated)
+            continue;
         if (!answered)
         {
             requeue(std::move(it), ended.outcome == call_outcome::no_answer,
@@ -216,6 +239,50 @@
     }
 }
 
+double stage_scheduler::slowness_of(std::string const& runner_id,
+                                    time_point now) const
+{
+    auto const placed = loads_.find(runner_id);
+    if (placed == loads_.end())
+        return 1;
+    // Without news, a slow runner is believed to have recovered.
+    double const age = to_seconds(now - placed->second.measured);
+    return 1 + (placed->second.slowness - 1) *
+                   std::exp2(-age / slowness_half_life_s);
+}
+
+void stage_scheduler::repeat_slow_calls(time_point now)
+{
+    for (auto& entry : calls_)
+    {
+        auto& call = entry.second;
+        double const usual =
+            to_seconds(nominal_time(call.pieces.size())) *
+            std::max(1.0, slowness_of(call.runner_id, call.started));
+        if (call.repeated ||
+            now - call.started < from_seconds(usual * slow_factor) + slow_slack)
+            continue;
+        call.repeated = true;
+        for (auto const& it : call.pieces)
+        {
+            queue_.push_back(it);
+            ++queue_.back().attempts;
+        }
+    }
+}
+
+void stage_scheduler::drop_copies(std::vector<owned_piece> const& pieces)
+{
+    auto const is_copy = [&](owned_piece const& it)
+    {
+        return std::any_of(pieces.begin(), pieces.end(),
+                           [&](owned_piece const& made)
+                           { return is_same(it, made.member, made.work); });
+    };
+    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), is_copy),
+                 queue_.end());
+}
+
 void stage_scheduler::announce_inputs_read(time_point now)
 {
     for (auto& entry : calls_)
@@ -299,6 +366,21 @@
     return out;
 }
 
+void stage_scheduler::leave_out_slow(std::vector<runner_state*> const& usable,
+                                     std::vector<runner_state*>& free,
+                                     time_point now) const
+{
+    double fastest = std::numeric_limits<double>::max();
+    for (auto const* it : usable)
+        fastest = std::min(fastest, slowness_of(it->entry.id, now));
+    auto const slow = [&](runner_state const* it)
+    { return slowness_of(it->entry.id, now) > fastest * left_out_slowness; };
+    auto const slow_count = std::count_if(usable.begin(), usable.end(), slow);
+    auto const fast_count = usable.size() - std::size_t(slow_count);
+    if (queue_.size() <= fast_count * limits_.batch)
+        free.erase(std::remove_if(free.begin(), free.end(), slow), free.end());
+}
+
 std::vector<runner_state*>
 stage_scheduler::free_runners(runner_directory& runners, time_point now)
 {
@@ -324,9 +406,10 @@
     }
     std::sort(out.begin(), out.end(),
               [&](runner_state const* a, runner_state const* b) {
-                  return loads_[a->entry.id].slowness <
-                         loads_[b->entry.id].slowness;
+                  return slowness_of(a->entry.id, now) <
+                         slowness_of(b->entry.id, now);
               });
+    leave_out_slow(usable, out, now);
     return out;
 }
 
@@ -387,6 +470,7 @@
     expire_results(now);
     flush_released(next_call, out);
     announce_inputs_read(now);
+    repeat_slow_calls(now);
     drop_late(now);
     if (queue_.empty())
         return;
@@ -424,9 +508,7 @@
     double busy_s = 0;
     for (auto const* it : usable)
     {
-        auto const placed = loads_.find(it->entry.id);
-        double const slowness =
-            placed == loads_.end() ? 1 : std::max(placed->second.slowness, 0.1);
+        double const slowness = std::max(slowness_of(it->entry.id, now), 0.1);
         slots += limits_.slots / slowness;
     }
     for (auto const& it : calls_)
--- a/packages/decision/tests/gateway/stages_test.cpp
+++ b/packages/decision/tests/gateway/stages_test.cpp
@@ -366,6 +366,70 @@
     EXPECT_NE(pool.calls[2].runner_id, first);
 }
 
+// Guards against pieces that wait for a runner which has gone dark with their
+// call (an incident: four of six runners went dark, and requests were held for
+// five seconds).
+TEST(stage_scheduler, repeats_the_pieces_of_a_call_that_takes_too_long)
+{
+    fake_pool pool(2);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    scheduler.submit("vm", {make_piece(1)}, start);
+    pool.collect(scheduler, true);
+    auto const dark = pool.calls[1].runner_id;
+    pool.ends = {};
+    pool.now = start + 300ms;
+    pool.collect(scheduler, true);
+    EXPECT_EQ(pool.calls.size(), 1U);
+    pool.now = start + 700ms;
+    pool.collect(scheduler, true);
+    ASSERT_EQ(pool.calls.size(), 2U);
+    EXPECT_NE(pool.calls[2].runner_id, dark);
+    pool.run(scheduler, start + 2s, true);
+    EXPECT_EQ(pool.outcomes[piece_outcome::done], 1);
+    // The end of the first call changes nothing any more.
+    stage_call_ended broken;
+    broken.call = 1;
+    broken.outcome = call_outcome::no_answer;
+    scheduler.call_ended(broken, pool.runners, start + 3s);
+    EXPECT_EQ(scheduler.waiting(), 0U);
+}
+
+// Guards against batches that are given to a slow runner while the others can
+// take them, and against a runner that counts as slow for ever.
+TEST(stage_scheduler, leaves_a_slow_runner_out_while_others_suffice)
+{
+    fake_pool pool(2);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    std::vector<piece> pieces;
+    for (request_ref n = 1; n <= 44; ++n)
+        pieces.push_back(make_piece(n));
+    scheduler.submit("vm", pieces, start);
+    pool.collect(scheduler, true);
+    ASSERT_EQ(pool.calls.size(), 2U);
+    pool.ends = {};
+    pool.now = start + 376ms;
+    pool.finish(scheduler, 2);
+    pool.now = start + 1900ms;
+    pool.finish(scheduler, 1);
+    pool.collect(scheduler, true);
+    auto const slow = pool.calls[1].runner_id;
+    for (request_ref n = 100; n < 103; ++n)
+    {
+        auto const now = start + 2s + 500ms * std::int64_t(n - 100);
+        pool.run(scheduler, now, true);
+        scheduler.submit("vm", {make_piece(n)}, now);
+        pool.collect(scheduler, true);
+        EXPECT_NE(pool.calls.rbegin()->second.runner_id, slow);
+    }
+    pool.run(scheduler, start + 30s, true);
+    scheduler.submit("vm", {make_piece(200)}, pool.now);
+    scheduler.submit("vm2", {make_piece(201)}, pool.now);
+    pool.collect(scheduler, true);
+    EXPECT_EQ(scheduler.waiting(), 0U);
+}
+
 TEST(stage_scheduler, drops_the_pieces_of_callers_that_left)
 {
     stage_scheduler scheduler("s");
