--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -120,6 +120,7 @@
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
+    void log_calls(std::string const& service, std::size_t from);
 
     // Other VMs.
     void send_message(std::string const& name, peer_message message,
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -187,6 +187,16 @@
         return;
     it.owners[n] = owner;
     it.submitted_at[n] = now;
+    log("stage_submitted", &it,
+        {{"stage", std::to_string(n)},
+         {"service", stage.service},
+         {"scheduler", owner},
+         {"pieces", std::to_string(message.pieces.size())},
+         {"due_in_ms",
+          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                             message.pieces.front().due_in)
+                             .count())},
+         {"domain", domain}});
     send_message(owner, std::move(message), now);
 }
 
@@ -255,6 +265,29 @@
         send_message(members_.owner(it.first, now), std::move(it.second), now);
 }
 
+void reducer::log_calls(std::string const& service, std::size_t from)
+{
+    std::vector<log_decision> lines;
+    for (std::size_t n = from; n < out_.size(); ++n)
+    {
+        auto const* call = std::get_if<call_stage>(&out_[n]);
+        if (call == nullptr)
+            continue;
+        std::map<std::string, std::size_t> pieces;
+        for (auto const& it : call->pieces)
+            ++pieces[it.request_id];
+        for (auto const& it : pieces)
+            lines.push_back({"pieces_called",
+                             it.first,
+                             {{"service", service},
+                              {"call", std::to_string(call->call)},
+                              {"runner", call->runner_id},
+                              {"pieces", std::to_string(it.second)}}});
+    }
+    for (auto& it : lines)
+        out_.push_back(std::move(it));
+}
+
 void reducer::run_schedulers(time_point now)
 {
     schedulers_due_ = false;
@@ -262,7 +295,9 @@
     std::map<std::string, std::set<std::string>> services;
     for (auto& it : schedulers_)
     {
+        auto const before = out_.size();
         it.second.dispatch(runners_, next_call_, now, out_);
+        log_calls(it.first, before);
         for (auto& result : it.second.take_results())
         {
             services[result.member].insert(result.result.service);
