members: schedulers on large VMs; watches renewed less often

Cause: on the grown fleet a VM of 0.09 cores scheduled for 66 VMs and was taken for dead 307 times in 24 s. Change: the weight of a VM rises with the fourth power of its share of a core, less on a link under 100 Mbit/s; longer watches, pauses between changes.

--- a/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
@@ -93,8 +93,8 @@
 //! Bounds on what a caller may send and how long it may take.
 struct caller_limits
 {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4'194'304;
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
@@ -39,7 +39,7 @@
     std::string address; //!< "ip:port" of its peer endpoint
     std::string failure_domain;
     std::uint64_t incarnation = 0;
-    double cpu_share = 0; //!< of a core
+    double capacity = 0; //!< share of a core, less on a narrow link
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -13,15 +13,18 @@
 namespace
 {
 
-constexpr double least_share = 0.01;
+constexpr double least_capacity = 0.001;
+constexpr double capacity_exponent = 4;
 
-//! Weighted rendezvous hashing: a VM wins keys in proportion to its share.
+//! Weighted rendezvous hashing. The weight rises steeply with the capacity: a
+//! scheduler serves the whole fleet, and a small VM would be its bottleneck.
 double score(std::string_view key, member const& value)
 {
     auto const hash = fleet::rendezvous_weight(key, vm_id::of(value.name));
     constexpr double range = 18446744073709551616.0; // 2^64
     double const uniform = (double(hash) + 0.5) / range;
-    return -std::max(value.cpu_share, least_share) / std::log(uniform);
+    double const capacity = std::max(value.capacity, least_capacity);
+    return -std::pow(capacity, capacity_exponent) / std::log(uniform);
 }
 
 } // namespace
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -33,7 +33,7 @@
             member it;
             it.name = name;
             it.address = "10.0.1.1:7740";
-            it.cpu_share = std::string(name) == "vm-1" ? 1e9 : 1e-9;
+            it.capacity = std::string(name) == "vm-1" ? 1 : 0.001;
             in.members.push_back(it);
         }
         feed(in);
--- a/packages/decision/tests/gateway/tables_test.cpp
+++ b/packages/decision/tests/gateway/tables_test.cpp
@@ -110,7 +110,7 @@
     {
         member it;
         it.name = "vm-" + std::to_string(i);
-        it.cpu_share = 0.25;
+        it.capacity = 0.25;
         out.push_back(it);
     }
     return out;
@@ -149,13 +149,13 @@
 TEST(member_table, gives_more_keys_to_larger_vms)
 {
     auto members = make_members(4);
-    members[0].cpu_share = 1;
+    members[0].capacity = 0.5;
     member_table table("vm-0");
     table.assign(members);
     std::map<std::string, int> owned;
     for (int n = 0; n < 4000; ++n)
         ++owned[table.owner("key-" + std::to_string(n), start)];
-    EXPECT_GT(owned["vm-0"], 2 * owned["vm-1"]);
+    EXPECT_GT(owned["vm-0"], 10 * owned["vm-1"]);
 }
 
 // Guards against pieces that wait again and again for a VM which was removed
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -49,7 +49,7 @@
     void drain();
 
     //! The settings file has changed.
-    void reload(platform::node_settings settings);
+    void reload(platform::node_settings const& settings);
 
 private:
     //! A request of a caller that has no final answer.
--- a/packages/gateway/include/buckthornvale/gateway/net/tcp_stream.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/net/tcp_stream.hpp
@@ -72,7 +72,7 @@
     void write_queued();
     void fail(asio::error_code ec);
 
-    static constexpr std::size_t read_size = 8 * 1024;
+    static constexpr std::size_t read_size = 8'192;
 
     asio::ip::tcp::socket socket_;
     handler* handler_ = nullptr;
--- a/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
@@ -20,7 +20,7 @@
     static constexpr std::uint32_t max_lines_per_second = 500;
 
     //! Bytes that wait for the reader.
-    static constexpr std::size_t max_waiting = 256 * 1024;
+    static constexpr std::size_t max_waiting = 262'144;
 
     log_writer(int descriptor, std::string vm_name);
 
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -19,6 +19,13 @@
 using decision::time_point;
 using net::clock_function;
 
+//! How a watch is renewed.
+struct watch_times
+{
+    duration wait{};  //!< longest of one watch; silence is noticed after it
+    duration pause{}; //!< between changes and the next watch
+};
+
 //! Keeps the objects of one kind in step with the store: a list, then watches
 //! from its revision, and a list again when the history is gone.
 class store_watcher final : public net::answer_handler
@@ -40,7 +47,8 @@
 
     store_watcher(asio::io_context& loop, net::http_client& client,
                   std::string address, platform::object_kind kind,
-                  duration wait, clock_function clock, callback_set callbacks);
+                  watch_times times, clock_function clock,
+                  callback_set callbacks);
 
     void start();
     void stop();
@@ -67,7 +75,7 @@
     net::http_client& client_;
     std::string const address_;
     platform::object_kind const kind_;
-    duration const wait_;
+    watch_times const times_;
     clock_function clock_;
     callback_set callbacks_;
     asio::steady_timer timer_;
--- a/packages/gateway/src/control_handler.cpp
+++ b/packages/gateway/src/control_handler.cpp
@@ -17,7 +17,7 @@
 net::caller_limits control_limits()
 {
     net::caller_limits out;
-    out.max_body_bytes = 16 * 1024 * 1024;
+    out.max_body_bytes = 16'777'216;
     out.idle_timeout = 120s;
     return out;
 }
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -33,13 +33,16 @@
 
 //! Bytes of an answer that wait for a slow caller before its runner is read no
 //! further.
-constexpr std::size_t max_queued = 256 * 1024;
-constexpr std::size_t resume_queued = 64 * 1024;
+constexpr std::size_t max_queued = 262'144;
+constexpr std::size_t resume_queued = 65'536;
 
 //! New callers are taken for this long after the start of a drain: the
 //! platform notices only then that the VM is not ready.
 constexpr duration drain_listen = 2500ms;
 
+//! A narrower link counts against a VM that could schedule for the fleet.
+constexpr double wide_link_mbps = 100;
+
 //! Time before the end of the grace period at which the process ends.
 constexpr duration grace_margin = 600ms;
 
@@ -81,7 +84,8 @@
         platform::endpoint{settings_.address, settings_.first_peer_port}.text();
     self_.failure_domain = settings_.failure_domain;
     self_.incarnation = incarnation;
-    self_.cpu_share = settings_.cpu_share;
+    self_.capacity = settings_.cpu_share *
+                     std::min(1.0, settings_.link_mbps / wide_link_mbps);
     control_handler::callback_set callbacks;
     callbacks.ready = [this] { return reducer_.ready(); };
     callbacks.metrics = [this] { return metrics_.to_text(); };
@@ -133,7 +137,7 @@
     log_.write({what, {}, std::move(fields)}, now());
 }
 
-void gateway_process::reload(platform::node_settings settings)
+void gateway_process::reload(platform::node_settings const& settings)
 {
     // Addresses and identity stay as they are until a restart; the bounds are
     // read from the settings where they are used.
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -11,10 +11,10 @@
 namespace model = decision::gateway;
 using decision::duration;
 
-//! Longest waits of a watch. A watch that falls silent is noticed after it.
-constexpr duration manifest_wait = 5s;
-constexpr duration runners_wait = 8s;
-constexpr duration members_wait = 25s;
+//! Changes come in series, and each call to the store has its price.
+constexpr store::watch_times manifest_times = {8s, 150ms};
+constexpr store::watch_times runners_times = {15s, 350ms};
+constexpr store::watch_times members_times = {29s, 1500ms};
 
 constexpr duration write_timeout = 1500ms;
 constexpr duration write_pause = 700ms;
@@ -35,8 +35,9 @@
 {
     using objects = std::vector<platform::stored_object>;
     auto const add =
-        [this](platform::object_kind kind, duration wait, char const* name,
-               std::function<void(objects const&, bool, bool)> take)
+        [this](platform::object_kind kind, store::watch_times times,
+               char const* name,
+               std::function<void(objects const&, bool, bool)> const& take)
     {
         store::store_watcher::callback_set callbacks;
         callbacks.listed = [take](objects const& all, bool after_outage)
@@ -52,16 +53,16 @@
                 manifest_reachable_ = reachable;
         };
         watchers_.push_back(std::make_unique<store::store_watcher>(
-            loop_, client_, settings_.store.text(), kind, wait,
+            loop_, client_, settings_.store.text(), kind, times,
             [this] { return now(); }, std::move(callbacks)));
         watchers_.back()->start();
     };
-    add(platform::object_kind::manifest, manifest_wait, manifest_watch,
+    add(platform::object_kind::manifest, manifest_times, manifest_watch,
         [this](objects const& all, bool, bool) { take_manifest(all); });
-    add(platform::object_kind::runners, runners_wait, "runners",
+    add(platform::object_kind::runners, runners_times, "runners",
         [this](objects const& all, bool listed, bool after_outage)
         { take_runners(all, listed, after_outage); });
-    add(platform::object_kind::members, members_wait, "members",
+    add(platform::object_kind::members, members_times, "members",
         [this](objects const& all, bool listed, bool)
         { take_members(all, listed); });
 }
--- a/packages/gateway/src/net/http_client.cpp
+++ b/packages/gateway/src/net/http_client.cpp
@@ -21,7 +21,7 @@
 constexpr duration idle_margin = 700ms;
 
 //! Largest answer; larger ones are a fault of the server.
-constexpr http::parser_limits answer_limits = {64 * 1024, 64 * 1024 * 1024};
+constexpr http::parser_limits answer_limits = {65'536, 67'108'864};
 
 } // namespace
 
--- a/packages/gateway/src/net/http_server.cpp
+++ b/packages/gateway/src/net/http_server.cpp
@@ -14,7 +14,7 @@
 using namespace std::chrono_literals;
 
 //! Bytes of following requests that are kept while one is served.
-constexpr std::size_t max_ahead = 64 * 1024;
+constexpr std::size_t max_ahead = 65'536;
 
 //! Time that a caller gets to read its answer before its connection is reset.
 constexpr decision::duration linger_time = 1s;
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -30,15 +30,15 @@
         .Add({});
 }
 
-prometheus::Histogram& histogram(prometheus::Registry& registry,
-                                 char const* name, char const* help,
-                                 prometheus::Histogram::BucketBoundaries edges)
+prometheus::Histogram&
+histogram(prometheus::Registry& registry, char const* name, char const* help,
+          prometheus::Histogram::BucketBoundaries const& edges)
 {
     return prometheus::BuildHistogram()
         .Name(name)
         .Help(help)
         .Register(registry)
-        .Add({}, std::move(edges));
+        .Add({}, edges);
 }
 
 } // namespace
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -17,9 +17,6 @@
 constexpr duration first_pause = 100ms;
 constexpr duration longest_pause = 800ms;
 
-//! Pause between the changes that ended a watch and the next watch.
-constexpr duration change_pause = 200ms;
-
 //! Changes that come this soon after an outage may be entries that lapsed
 //! while the store was away and that return.
 constexpr duration outage_echo = 2200ms;
@@ -31,10 +28,10 @@
 
 store_watcher::store_watcher(asio::io_context& loop, net::http_client& client,
                              std::string address, platform::object_kind kind,
-                             duration wait, clock_function clock,
+                             watch_times times, clock_function clock,
                              callback_set callbacks)
     : loop_(loop), client_(client), address_(std::move(address)), kind_(kind),
-      wait_(wait), clock_(std::move(clock)), callbacks_(std::move(callbacks)),
+      times_(times), clock_(std::move(clock)), callbacks_(std::move(callbacks)),
       timer_(loop_)
 {
 }
@@ -61,7 +58,8 @@
 void store_watcher::call_watch()
 {
     watching_ = true;
-    send(platform::watch_call(kind_, revision_, wait_), wait_ + watch_slack);
+    send(platform::watch_call(kind_, revision_, times_.wait),
+         times_.wait + watch_slack);
 }
 
 void store_watcher::send(platform::store_call const& call, duration timeout)
@@ -195,8 +193,7 @@
         return;
     }
     callbacks_.changed(page->objects, after_outage(clock_()));
-    // Changes come in series; each call to the store has its price.
-    timer_.expires_after(change_pause);
+    timer_.expires_after(times_.pause);
     timer_.async_wait(
         [this](asio::error_code ec)
         {
--- a/packages/http/include/buckthornvale/http/message_parser.hpp
+++ b/packages/http/include/buckthornvale/http/message_parser.hpp
@@ -26,8 +26,8 @@
 
 struct parser_limits
 {
-    std::size_t max_header_bytes = 16 * 1024;
-    std::size_t max_body_bytes = 4 * 1024 * 1024;
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4'194'304;
 };
 
 //! Takes the parts of a message as they are parsed.
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -59,8 +59,8 @@
     bool started = false;
     bool no_body = false;
 
-    state(message_type type_, parser_limits limits_, message_sink& sink_)
-        : type(type_), limits(limits_), sink(sink_)
+    state(message_type of_type, parser_limits with_limits, message_sink& owner)
+        : type(of_type), limits(with_limits), sink(owner)
     {
         http_parser_settings_init(&callbacks);
         callbacks.on_message_begin = [](http_parser* it)
