stage scheduler: order the queue only when a runner is free

Cause: each event sorted the queue, moved all pieces and compared each new piece with all known ones; with 1,800 pieces waiting the scheduling VM of the grown fleet used 0.18 of a core and answered late, so that VMs took it for dead. Change: known pieces by hash; checks of times at most each 10 ms; sorting and batching only with a free runner.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -5,6 +5,8 @@
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 
+#include <absl/container/flat_hash_set.h>
+
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -136,6 +138,9 @@
     };
 
     duration nominal_time(std::size_t pieces) const;
+    template <class Predicate>
+    void drop_waiting(Predicate const& dropped);
+    void check_times(time_point now);
     void drop_late(time_point now);
     time_point oldest_queued() const;
     void announce_inputs_read(time_point now);
@@ -159,6 +164,8 @@
     piece_limits limits_;
     duration usual_call_{};
     std::deque<owned_piece> queue_;
+    absl::flat_hash_set<std::uint64_t> active_; //!< pieces known, by identity
+    time_point checked_{};
     std::map<call_ref, call_state> calls_;
     std::map<std::string, runner_load_state, std::less<>> loads_;
     std::map<std::string, held_result, std::less<>> held_;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -1,8 +1,10 @@
+#include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/gateway/stage_scheduler.hpp>
 
 #include <absl/container/flat_hash_set.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
@@ -37,6 +39,9 @@
 //! A runner's measured slowness halves in this time without calls.
 constexpr double slowness_half_life_s = 3;
 
+//! Least time between two looks at all pieces and calls.
+constexpr duration check_interval = 10ms;
+
 //! Weight of the newest call in the estimate of a runner's slowness.
 constexpr double new_weight = 0.3;
 
@@ -54,6 +59,15 @@
     return a.work.request < b.work.request;
 }
 
+//! Identity of a piece over all VMs.
+std::uint64_t key_of(std::string const& member, piece const& work)
+{
+    std::array<std::uint64_t, 5> const parts = {
+        stable_hash(member), work.request, work.round, work.stage, work.number};
+    return stable_hash({reinterpret_cast<char const*>(parts.data()),
+                        parts.size() * sizeof(parts[0])});
+}
+
 bool is_same(owned_piece const& it, std::string const& member,
              piece const& work)
 {
@@ -69,13 +83,7 @@
 {
     for (auto& work : pieces)
     {
-        auto const same = [&](owned_piece const& it)
-        { return is_same(it, member, work); };
-        bool known = std::any_of(queue_.begin(), queue_.end(), same);
-        for (auto const& it : calls_)
-            known = known || std::any_of(it.second.pieces.begin(),
-                                         it.second.pieces.end(), same);
-        if (known)
+        if (!active_.insert(key_of(member, work)).second)
             continue;
         owned_piece entry;
         entry.member = member;
@@ -87,25 +95,30 @@
     }
 }
 
+template <class Predicate>
+void stage_scheduler::drop_waiting(Predicate const& dropped)
+{
+    auto const kept = std::stable_partition(queue_.begin(), queue_.end(),
+                                            [&](owned_piece const& it)
+                                            { return !dropped(it); });
+    for (auto it = kept; it != queue_.end(); ++it)
+        active_.erase(key_of(it->member, it->work));
+    queue_.erase(kept, queue_.end());
+}
+
 void stage_scheduler::withdraw(std::string const& member,
                                std::vector<request_ref> const& requests)
 {
     absl::flat_hash_set<request_ref> const left(requests.begin(),
                                                 requests.end());
-    auto const end = std::remove_if(queue_.begin(), queue_.end(),
-                                    [&](owned_piece const& it) {
-                                        return it.member == member &&
-                                               left.contains(it.work.request);
-                                    });
-    queue_.erase(end, queue_.end());
+    drop_waiting(
+        [&](owned_piece const& it)
+        { return it.member == member && left.contains(it.work.request); });
 }
 
 void stage_scheduler::withdraw_all(std::string const& member)
 {
-    auto const end = std::remove_if(queue_.begin(), queue_.end(),
-                                    [&](owned_piece const& it)
-                                    { return it.member == member; });
-    queue_.erase(end, queue_.end());
+    drop_waiting([&](owned_piece const& it) { return it.member == member; });
 }
 
 void stage_scheduler::release(std::vector<std::string> const& handles)
@@ -142,6 +155,8 @@
 void stage_scheduler::finish(owned_piece& it, piece_outcome outcome,
                              std::string handle)
 {
+    if (outcome != piece_outcome::inputs_read)
+        active_.erase(key_of(it.member, it.work));
     piece_result result;
     result.service = service_;
     result.request = it.work.request;
@@ -467,15 +482,18 @@
 void stage_scheduler::dispatch(runner_directory& runners, call_ref& next_call,
                                time_point now, effects& out)
 {
-    expire_results(now);
     flush_released(next_call, out);
-    announce_inputs_read(now);
-    repeat_slow_calls(now);
-    drop_late(now);
+    if (now - checked_ >= check_interval)
+        check_times(now);
     if (queue_.empty())
         return;
+    // Most events come while all runners work; the queue is put in order only
+    // when one can take a batch.
+    auto const free = free_runners(runners, now);
+    if (free.empty())
+        return;
     std::sort(queue_.begin(), queue_.end(), before);
-    for (auto* runner : free_runners(runners, now))
+    for (auto* runner : free)
     {
         auto pieces = take_batch(*runner, now);
         if (!pieces.empty())
@@ -483,6 +501,15 @@
     }
 }
 
+void stage_scheduler::check_times(time_point now)
+{
+    checked_ = now;
+    expire_results(now);
+    announce_inputs_read(now);
+    repeat_slow_calls(now);
+    drop_late(now);
+}
+
 double stage_scheduler::room_share() const
 {
     double held = 0;
