--- a/packages/ctl/include/buckthornvale/ctl/store/change_plan.hpp
+++ b/packages/ctl/include/buckthornvale/ctl/store/change_plan.hpp
@@ -18,7 +18,7 @@
     std::string path;
     std::string file;           //!< empty for a removal
     std::uint64_t expected = 0; //!< version that the write is conditional on
-    objects::object stored;    //!< version 0: none is stored
+    objects::object stored;     //!< version 0: none is stored
     std::string after;
     bool is_removal = false;
 };
--- a/packages/ctl/src/store/apply.cpp
+++ b/packages/ctl/src/store/apply.cpp
@@ -37,7 +37,7 @@
 
 // Settles a write whose response was lost by reading the object back.
 objects::write_result settle(context& with, planned_change const& change,
-                              objects::write_result result)
+                             objects::write_result result)
 {
     auto const read = with.store.get(change.path);
     bool const is_written = change.is_removal
--- a/packages/daemon/tests/store_gateway_test.cpp
+++ b/packages/daemon/tests/store_gateway_test.cpp
@@ -20,7 +20,7 @@
         return {};
     }
     objects::write_result put(std::string const&, std::uint64_t,
-                               std::string const&) override
+                              std::string const&) override
     {
         ++writes;
         return {};
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -90,7 +90,7 @@
                       time_point now);
     bool try_again(active_request& it, bool may_have_run, time_point now);
     void give_up(active_request& it, refusal reason, time_point now);
-    void settle(active_request& it);
+    void settle(active_request& it, time_point now);
     void check_times(active_request& it, time_point now);
     void record_signal(active_request const& it, attempt_ended const& in,
                        time_point now);
@@ -165,7 +165,6 @@
     bool draining_ = false;
     bool runners_known_ = false;
     bool schedulers_due_ = false;
-    time_point now_{};
     effects out_;
 };
 
--- /dev/null
+++ b/packages/decision/src/gateway/log_text.hpp
@@ -0,0 +1,20 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_LOG_TEXT_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_LOG_TEXT_HPP
+
+#include <buckthornvale/decision/core/time.hpp>
+
+#include <string>
+
+namespace buckthornvale::decision::gateway
+{
+
+//! The time as whole milliseconds, for fields of the log.
+inline std::string in_milliseconds(duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -16,7 +16,6 @@
 
 effects reducer::reduce(event const& input, time_point now)
 {
-    now_ = now;
     std::visit([&](auto const& it) { on(it, now); }, input);
     if (schedulers_due_)
         run_schedulers(now);
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -1,4 +1,5 @@
 #include "active_request.hpp"
+#include "log_text.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/gateway/reducer.hpp>
 #include <buckthornvale/decision/gateway/runner_choice.hpp>
@@ -22,30 +23,14 @@
 //! Time that must be left for another send to make sense.
 constexpr duration least_time_for_retry = 30ms;
 
-//! An idempotent request without an answer is sent to another runner after
-//! this many times the usual time, within these bounds.
-constexpr double hedge_factor = 6;
-constexpr duration least_hedge_time = 120ms;
-constexpr duration most_hedge_time = 600ms;
-
-//! A stream that may be resumed goes on elsewhere after a pause of this many
-//! times the longest that its route allows.
-constexpr int stall_factor = 3;
-constexpr duration least_stall_time = 1s;
-
-//! Bounds of the time after which a refused caller may return.
-constexpr duration least_retry_after = 100ms;
-constexpr duration most_retry_after = 2s;
+//! Time after which a caller may return to a VM without a manifest.
+constexpr duration unready_retry_after = 100ms;
 
 //! Priorities that engines take: 0 first, 9 last.
 constexpr int urgent_priority = 3;
 constexpr int priority_step = 2;
 constexpr int last_priority = 9;
 
-//! Status of the product's own answers.
-constexpr int status_unavailable = 503;
-constexpr int status_bad_gateway = 502;
-
 std::uint64_t fingerprint_of(request_traits const& traits)
 {
     return stable_hash(traits.path + '\n' + traits.key + '\n' +
@@ -62,12 +47,6 @@
     return status >= 500;
 }
 
-std::string in_milliseconds(duration value)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
-}
-
 } // namespace
 
 refusal reducer::check_request(request_traits const& traits,
@@ -120,8 +99,8 @@
             {{"reason", traits.name},
              {"version", manifest_ ? std::to_string(manifest_->version) : ""}});
         refuse_request answer{in.request, reason, traits.status, {}};
-        if (traits.status == status_unavailable)
-            answer.retry_after = least_retry_after;
+        if (states_not_run(traits.status))
+            answer.retry_after = unready_retry_after;
         out_.push_back(answer);
         return;
     }
@@ -186,7 +165,7 @@
     }
     if (it.in_flight)
         out_.push_back(cancel_attempt{it.ref, it.attempt});
-    settle(it);
+    settle(it, now);
 }
 
 runner_state* reducer::choose_runner(active_request& it, time_point now)
@@ -320,7 +299,7 @@
         note_crash(it, false, now);
     if (it.caller_gone)
     {
-        settle(it);
+        settle(it, now);
         return;
     }
     switch (in.outcome)
@@ -377,7 +356,7 @@
          {"attempt", std::to_string(it.attempt)},
          {"took_ms", in_milliseconds(now - it.arrived)}});
     out_.push_back(deliver_answer{it.ref, it.attempt});
-    settle(it);
+    settle(it, now);
 }
 
 bool reducer::try_again(active_request& it, bool may_have_run, time_point now)
@@ -405,160 +384,4 @@
     return found == requests_.end() || found->second->attempt > attempt;
 }
 
-std::optional<duration> reducer::retry_after(active_request const& it,
-                                             refusal reason,
-                                             time_point now) const
-{
-    if (traits_of(reason).status != status_unavailable)
-        return std::nullopt;
-    duration wait = least_retry_after;
-    if (reason == refusal::cannot_finish_in_time ||
-        reason == refusal::stage_failed)
-        wait = expected_stage_time(it, now);
-    // Spread returns, so that refused callers do not come back as one burst.
-    constexpr std::uint64_t steps = 1000;
-    double const spread =
-        0.75 + 0.5 * double(stable_hash(it.traits.id) % steps) / steps;
-    wait = from_seconds(to_seconds(wait) * spread);
-    return std::clamp(wait, least_retry_after, most_retry_after);
-}
-
-void reducer::give_up(active_request& it, refusal reason, time_point now)
-{
-    auto const& traits = traits_of(reason);
-    int const status = states_not_run(traits.status) && it.executed > 0
-                           ? status_bad_gateway
-                           : traits.status;
-    log(it.streaming ? "stream_aborted" : "request_refused", &it,
-        {{"reason", traits.name},
-         {"status", std::to_string(status)},
-         {"runner", it.runner_id},
-         {"sends", std::to_string(it.sends)},
-         {"after_ms", in_milliseconds(now - it.arrived)}});
-    if (it.in_flight)
-        out_.push_back(cancel_attempt{it.ref, it.attempt});
-    if (it.caller_gone)
-        ;
-    else if (it.streaming)
-        out_.push_back(abort_stream{it.ref, reason});
-    else
-    {
-        refuse_request answer{it.ref, reason, status, {}};
-        if (status == status_unavailable)
-            answer.retry_after = retry_after(it, reason, now);
-        out_.push_back(answer);
-    }
-    settle(it);
-}
-
-void reducer::settle(active_request& it)
-{
-    if (it.in_flight)
-        if (auto* state = runners_.find(it.runner_id))
-        {
-            state->outstanding -= state->outstanding > 0 ? 1 : 0;
-            state->outstanding_tokens = std::max(
-                0.0, state->outstanding_tokens - it.traits.prompt_tokens);
-        }
-    release(it.pipeline.take_all(), now_);
-    std::set<std::string> owners;
-    for (auto const& owner : it.owners)
-        if (!it.pipeline.missing(owner.first).empty())
-            owners.insert(owner.second);
-    auto const ref = it.ref;
-    for (auto const& name : owners)
-        send_message(name, withdraw_pieces{{ref}}, now_);
-    requests_.erase(ref);
-}
-
-void reducer::on(stream_started const& in, time_point now)
-{
-    auto const found = requests_.find(in.request);
-    if (found == requests_.end() || found->second->attempt != in.attempt)
-        return;
-    auto& it = *found->second;
-    it.streaming = true;
-    it.progressed_at = now;
-    if (auto* state = runners_.find(it.runner_id))
-    {
-        if (in.load)
-        {
-            state->load = in.load;
-            state->load_at = now;
-        }
-        runners_.record(*state, runner_signal::served, now - it.sent_at, now);
-    }
-    // The runner has fetched its inputs before it made the first event.
-    release(it.pipeline.take_all(), now);
-}
-
-void reducer::on(stream_advanced const& in, time_point now)
-{
-    auto const found = requests_.find(in.request);
-    if (found != requests_.end() && found->second->attempt == in.attempt)
-        found->second->progressed_at = now;
-}
-
-void reducer::check_times(active_request& it, time_point now)
-{
-    if (it.expires <= now)
-    {
-        if (it.in_flight)
-        {
-            if (auto* state = runners_.find(it.runner_id);
-                state != nullptr && !it.streaming)
-                runners_.record(*state, runner_signal::silent, now - it.sent_at,
-                                now);
-            if (it.caller_gone)
-            {
-                out_.push_back(cancel_attempt{it.ref, it.attempt});
-                settle(it);
-                return;
-            }
-            ++it.executed;
-        }
-        give_up(it,
-                it.executed > 0 ? refusal::no_answer_in_time
-                                : refusal::cannot_finish_in_time,
-                now);
-        return;
-    }
-    if (!it.in_flight || it.caller_gone || !it.plan->repeatable() ||
-        it.executed + 1 >= it.plan->max_attempts)
-        return;
-    duration limit{};
-    auto* state = runners_.find(it.runner_id);
-    if (it.plan->kind == request_kind::stream)
-        limit = std::max<duration>(it.plan->gap_target * stall_factor,
-                                   least_stall_time);
-    else
-        limit = std::clamp<duration>(
-            from_seconds(hedge_factor *
-                         (state != nullptr ? state->latency_s : 0)),
-            least_hedge_time, most_hedge_time);
-    if (it.plan->kind == request_kind::stream && !it.streaming)
-        limit = std::max(limit, it.plan->target_latency);
-    if (now - it.progressed_at < limit)
-        return;
-    // Later requests wait for the budget again; this one keeps its runner.
-    if (!ledger_.take(it.service, members_.count(), now))
-    {
-        it.progressed_at = now;
-        return;
-    }
-    log("runner_silent", &it,
-        {{"runner", it.runner_id},
-         {"silent_ms", in_milliseconds(now - it.progressed_at)}});
-    out_.push_back(cancel_attempt{it.ref, it.attempt});
-    if (state != nullptr)
-    {
-        runners_.record(*state, runner_signal::silent, now - it.sent_at, now);
-        state->outstanding -= state->outstanding > 0 ? 1 : 0;
-    }
-    it.in_flight = false;
-    ++it.sends;
-    ++it.executed;
-    start_attempt(it, now);
-}
-
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -1,4 +1,5 @@
 #include "active_request.hpp"
+#include "log_text.hpp"
 #include <buckthornvale/decision/gateway/reducer.hpp>
 
 #include <algorithm>
--- a/packages/decision/src/gateway/refusal.cpp
+++ b/packages/decision/src/gateway/refusal.cpp
@@ -11,19 +11,16 @@
 
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
-constexpr std::array<refusal_traits, 15> refusals = {{
+constexpr std::array<refusal_traits, 12> refusals = {{
     {refusal::none, 500, "none"},
     {refusal::no_manifest, 503, "no_manifest"},
     {refusal::unknown_route, 404, "unknown_route"},
     {refusal::unknown_key, 401, "unknown_key"},
-    {refusal::malformed, 400, "malformed"},
-    {refusal::shutting_down, 503, "shutting_down"},
     {refusal::no_runner, 503, "no_runner"},
     {refusal::runners_full, 503, "runners_full"},
     {refusal::cannot_finish_in_time, 503, "cannot_finish_in_time"},
     {refusal::stage_failed, 503, "stage_failed"},
     {refusal::crashes_runners, 503, "crashes_runners"},
-    {refusal::too_many_requests, 429, "too_many_requests"},
     {refusal::runner_failed, 502, "runner_failed"},
     {refusal::no_answer_in_time, 504, "no_answer_in_time"},
     {refusal::bad_answer, 502, "bad_answer"},
--- a/standins/platform/memory_object_api.hpp
+++ b/standins/platform/memory_object_api.hpp
@@ -27,16 +27,15 @@
 
     buckthornvale::objects::read_result<buckthornvale::objects::object>
     get(std::string const& path) override;
-    buckthornvale::objects::write_result
-    put(std::string const& path, std::uint64_t expected,
-        std::string const& value) override;
+    buckthornvale::objects::write_result put(std::string const& path,
+                                             std::uint64_t expected,
+                                             std::string const& value) override;
     buckthornvale::objects::write_result
     remove(std::string const& path, std::uint64_t expected) override;
     buckthornvale::objects::read_result<buckthornvale::objects::object_page>
     list(std::string const& prefix, std::string const& after,
          std::size_t limit) override;
-    buckthornvale::objects::read_result<
-        buckthornvale::objects::object_changes>
+    buckthornvale::objects::read_result<buckthornvale::objects::object_changes>
     watch(std::string const& prefix, std::uint64_t from,
           decision::duration timeout) override;
     buckthornvale::objects::read_result<
