--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <standins/fleet_platform/runner_standin.hpp>
@@ -57,6 +58,8 @@
     //! Runs the loop until the condition holds; false after ten seconds.
     bool run_until(std::function<bool()> const& condition);
 
+    void run_for(std::chrono::milliseconds time);
+
     //! Text of a request; a new id each time.
     std::string request(std::string const& method, std::string const& path,
                         std::string const& body = {},
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -90,6 +90,8 @@
     auto const second = start_gateway("vm-1", objects);
     objects.copy_to(turned_away);
     EXPECT_TRUE(run_until([&] { return turned_away.objects("members") == 2; }));
+    // The list of VMs is read again at the latest 1.5 s after a change.
+    run_for(std::chrono::seconds(2));
     turned_away.set_down(true);
     put_manifest(2, true);
     callers_port = port;
