stages: number the requests of each process apart

Cause: a restarted VM numbered its requests from 1 again, so that a scheduler that still worked for its former process could return a result for another request, or ignore a new piece as known. Change: the number of the first request comes from the incarnation. A repeat after lost inputs takes from the retry budget too.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -12,9 +12,18 @@
 namespace buckthornvale::decision::gateway
 {
 
-//! Number of a request within the process that took it from its caller.
+//! Number of a request of the VM that took it from its caller.
 using request_ref = std::uint64_t;
 
+//! Number of the first request of a process. Processes of one VM number their
+//! requests apart: a result for a request of the former process must not be
+//! taken for one of this process.
+constexpr request_ref first_request_ref(std::uint64_t incarnation)
+{
+    constexpr unsigned process_bits = 32;
+    return (incarnation << process_bits) + 1;
+}
+
 //! A piece of a request that a stage service has to work on.
 struct piece
 {
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -315,7 +315,8 @@
     {
         constexpr int inputs_gone = 409;
         if (in.status == inputs_gone && !it.pipeline.empty() &&
-            it.pipeline.round() == 0)
+            it.pipeline.round() == 0 &&
+            ledger_.take(it.service, members_.count(), now))
         {
             it.pipeline.restart();
             it.tried.clear();
--- a/packages/decision/tests/gateway/stages_test.cpp
+++ b/packages/decision/tests/gateway/stages_test.cpp
@@ -314,6 +314,22 @@
     EXPECT_EQ(pool.domains["r-0"], 1U);
 }
 
+// Guards against a result of a VM's former process that is taken for a request
+// of its present one: both number their requests from the start.
+TEST(stage_message, processes_of_a_vm_number_their_requests_apart)
+{
+    auto const former = first_request_ref(7);
+    auto const present = first_request_ref(8);
+    constexpr request_ref requests_of_a_process = 1'000'000'000;
+    EXPECT_TRUE(former + requests_of_a_process < present ||
+                present + requests_of_a_process < former);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    scheduler.submit("vm", {make_piece(former)}, start);
+    scheduler.submit("vm", {make_piece(present)}, start);
+    EXPECT_EQ(scheduler.waiting(), 2U);
+}
+
 // Guards against a piece that is worked on twice because its VM asked again.
 TEST(stage_scheduler, ignores_pieces_that_it_knows)
 {
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -142,7 +142,7 @@
     time_point peer_asked_{};
     std::vector<decision::gateway::event> pending_;
     bool reducing_ = false;
-    request_ref next_ref_ = 1;
+    request_ref next_ref_;
     asio::steady_timer timer_;
     time_point limits_checked_{};
     bool draining_ = false;
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -77,7 +77,7 @@
                                          : model::caller_limits();
           },
           [this] { return now(); }),
-      timer_(loop)
+      next_ref_(model::first_request_ref(incarnation)), timer_(loop)
 {
     self_.name = settings_.vm_name;
     self_.address =
