gateway: handlers of calls and the acceptor end with their owners

Cause: the gateway tests under the address sanitizer read a server after its end (its accept was still pending) and would have leaked calls that own themselves. Change: a call can own its handler; a cancelled accept touches nothing; idle connections end with the client. In the program both end with the process.

--- a/packages/gateway/include/buckthornvale/gateway/net/http_client.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/net/http_client.hpp
@@ -72,6 +72,12 @@
                  std::shared_ptr<std::string const> body,
                  call_options const& options, answer_handler& handler);
 
+    //! The same with a handler that lives until its call has ended.
+    call_id call(std::string const& address, std::string head,
+                 std::shared_ptr<std::string const> body,
+                 call_options const& options,
+                 std::shared_ptr<answer_handler> handler);
+
     //! Closes the connection of the call; the handler hears nothing more.
     void cancel(call_id call);
 
--- a/packages/gateway/src/net/http_client.cpp
+++ b/packages/gateway/src/net/http_client.cpp
@@ -94,9 +94,16 @@
                  false);
     }
 
+    //! Keeps the handler until its call has ended.
+    void keep(std::shared_ptr<answer_handler> owned)
+    {
+        owned_ = std::move(owned);
+    }
+
     void drop()
     {
         handler_ = nullptr;
+        owned_.reset();
         stream_->detach();
         stream_->close();
     }
@@ -228,6 +235,7 @@
             return;
         }
         auto* awaiting = std::exchange(handler_, nullptr);
+        auto const owned = std::exchange(owned_, nullptr);
         auto const call = call_;
         body_.reset();
         bool const reusable = head.keep_alive && nothing_follows &&
@@ -251,6 +259,7 @@
     void fail(call_failure failure, bool reset)
     {
         auto* awaiting = std::exchange(handler_, nullptr);
+        auto const owned = std::exchange(owned_, nullptr);
         auto const self = shared_from_this();
         client_.finished(call_);
         drop();
@@ -273,6 +282,7 @@
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     answer_handler* handler_ = nullptr;
+    std::shared_ptr<answer_handler> owned_; //!< when the call owns its handler
     call_id call_ = 0;
     std::string head_;
     std::shared_ptr<std::string const> body_;
@@ -295,6 +305,9 @@
 {
     for (auto& it : calls_)
         it.second->drop();
+    for (auto& list : idle_)
+        for (auto& it : list.second)
+            it.link->drop();
 }
 
 call_id http_client::call(std::string const& address, std::string head,
@@ -314,6 +327,17 @@
     return id;
 }
 
+call_id http_client::call(std::string const& address, std::string head,
+                          std::shared_ptr<std::string const> body,
+                          call_options const& options,
+                          std::shared_ptr<answer_handler> handler)
+{
+    auto const id =
+        call(address, std::move(head), std::move(body), options, *handler);
+    calls_[id]->keep(std::move(handler));
+    return id;
+}
+
 void http_client::cancel(call_id call)
 {
     auto const found = calls_.find(call);
--- a/packages/gateway/src/net/http_server.cpp
+++ b/packages/gateway/src/net/http_server.cpp
@@ -296,7 +296,8 @@
     acceptor_.async_accept(
         [this](asio::error_code ec, asio::ip::tcp::socket socket)
         {
-            if (!acceptor_.is_open())
+            // The server may be gone by then.
+            if (ec == asio::error::operation_aborted)
                 return;
             if (!ec)
             {
--- a/packages/gateway/src/net/simple_call.cpp
+++ b/packages/gateway/src/net/simple_call.cpp
@@ -6,14 +6,12 @@
 namespace
 {
 
-//! Owns itself until its call has ended.
+//! Collects an answer.
 class simple_call final : public answer_handler
 {
 public:
     explicit simple_call(call_done done) : done_(std::move(done)) {}
 
-    void keep(std::shared_ptr<simple_call> self) { self_ = std::move(self); }
-
     bool on_answer_head(http::response_head const& head) override
     {
         result_.head = head;
@@ -25,15 +23,10 @@
         result_.body.append(bytes);
     }
 
-    void on_answer_end() override
-    {
-        auto const self = std::move(self_);
-        done_(result_);
-    }
+    void on_answer_end() override { done_(result_); }
 
     void on_answer_failed(call_failure failure, bool) override
     {
-        auto const self = std::move(self_);
         result_.failure = failure;
         done_(result_);
     }
@@ -41,7 +34,6 @@
 private:
     call_done done_;
     call_result result_;
-    std::shared_ptr<simple_call> self_;
 };
 
 } // namespace
@@ -50,11 +42,9 @@
                std::string head, std::string body, call_options const& options,
                call_done done)
 {
-    auto const handler = std::make_shared<simple_call>(std::move(done));
-    handler->keep(handler);
     client.call(address, std::move(head),
                 std::make_shared<std::string const>(std::move(body)), options,
-                *handler);
+                std::make_shared<simple_call>(std::move(done)));
 }
 
 } // namespace buckthornvale::gateway::net
