--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -58,6 +58,7 @@
     request_ref request = 0;
     std::uint32_t attempt = 0;
     std::optional<runner_load> load;
+    std::string last_event_id; //!< last whole event that the caller got
 };
 
 //! A further event of a stream was passed on.
@@ -65,6 +66,7 @@
 {
     request_ref request = 0;
     std::uint32_t attempt = 0;
+    std::string last_event_id; //!< last whole event that the caller got
 };
 
 //! Number of a call to a stage runner.
--- a/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
@@ -44,9 +44,6 @@
     //! own more keys. This VM itself when it knows no other.
     std::string const& owner(std::string_view key, time_point now) const;
 
-    //! Two reachable VMs that keep count for the key; this VM may be one.
-    std::vector<std::string> keepers(std::uint64_t key, time_point now) const;
-
     //! VMs to take off the list. Only the first reachable VM by name names any,
     //! so that the store gets one call; a VM that lives registers again.
     std::vector<std::string> removable(time_point now) const;
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -84,6 +84,9 @@
     std::string pick_service(route const& of, std::uint64_t seed) const;
     void start_attempt(active_request& it, time_point now);
     runner_state* choose_runner(active_request& it, time_point now);
+    active_request* find_attempt(request_ref ref, std::uint32_t attempt);
+    void leave_runner(active_request& it);
+    bool restart_stages(active_request& it, time_point now);
     void end_attempt(active_request& it, attempt_ended const& in,
                      time_point now);
     void judge_answer(active_request& it, attempt_ended const& in,
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -31,7 +31,6 @@
 {
     runner entry;
     std::uint32_t outstanding = 0; //!< sends of this VM that have not ended
-    double outstanding_tokens = 0; //!< prompt tokens not yet answered
     std::optional<runner_load> load;
     time_point load_at{};
     double latency_s = 0;       //!< moving average of served sends; 0: unknown
@@ -96,6 +95,10 @@
     std::map<std::string, std::string, std::less<>> id_by_address_;
 };
 
+//! Keeps the load that a runner has stated, if it stated one.
+void note_load(runner_state& state, std::optional<runner_load> load,
+               time_point now);
+
 //! Estimated requests in progress at the runner, over all VMs.
 double estimated_load(runner_state const& state, time_point now);
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -24,6 +25,12 @@
     return (incarnation << process_bits) + 1;
 }
 
+//! Address of the runner that holds the result: a handle is "ip:port/id".
+inline std::string_view address_of(std::string_view handle)
+{
+    return handle.substr(0, handle.find('/'));
+}
+
 //! A piece of a request that a stage service has to work on.
 struct piece
 {
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
@@ -32,6 +32,9 @@
     //! Pieces of a stage that has started and that have no result.
     std::vector<std::uint32_t> missing(std::uint32_t stage) const;
 
+    //! True while a stage that has started lacks a result.
+    bool lacks_results(std::uint32_t stage) const;
+
     //! Results of the stages that this one needs, in their order.
     std::vector<std::string> inputs_of(std::uint32_t stage) const;
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -22,7 +22,8 @@
 struct owned_piece
 {
     std::string member;
-    piece work; //!< its relative times are void here
+    piece work;            //!< its relative times are void here
+    std::uint64_t key = 0; //!< identity over all VMs
     time_point queued{};
     time_point due{};
     time_point deadline{};
@@ -139,16 +140,23 @@
 
     duration nominal_time(std::size_t pieces) const;
     template <class Predicate>
-    void drop_waiting(Predicate const& dropped);
+    std::vector<owned_piece> take_waiting(Predicate const& wanted);
+    template <class Predicate>
+    void forget_waiting(Predicate const& dropped);
     void check_times(time_point now);
     void drop_late(time_point now);
-    time_point oldest_queued() const;
     void announce_inputs_read(time_point now);
     void repeat_slow_calls(time_point now);
     double slowness_of(std::string const& runner_id, time_point now) const;
     void drop_copies(std::vector<owned_piece> const& pieces);
     void finish(owned_piece& it, piece_outcome outcome, std::string handle);
     void requeue(owned_piece it, bool counts, time_point now);
+    void judge_runner(call_state const& call, stage_call_ended const& ended,
+                      bool answered, runner_directory& runners, time_point now);
+    void measure(call_state const& call, time_point now);
+    void end_unanswered(call_state& call, bool counts, time_point now);
+    void end_piece(owned_piece& it, made_piece const& made,
+                   std::string const& runner_id, time_point now);
     std::vector<owned_piece> take_batch(runner_state const& runner,
                                         time_point now);
     std::vector<runner_state*> free_runners(runner_directory& runners,
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -115,22 +115,6 @@
     return *best;
 }
 
-std::vector<std::string> member_table::keepers(std::uint64_t key,
-                                               time_point now) const
-{
-    constexpr std::size_t keeper_count = 2;
-    auto const text = std::to_string(key);
-    std::vector<std::pair<double, std::string>> scored;
-    for (auto const& it : members_)
-        if (it.first == self_ || it.second.suspected_until <= now)
-            scored.emplace_back(score(text, it.second.value), it.first);
-    std::sort(scored.rbegin(), scored.rend());
-    std::vector<std::string> out;
-    for (std::size_t i = 0; i < std::min(keeper_count, scored.size()); ++i)
-        out.push_back(scored[i].second);
-    return out;
-}
-
 member const* member_table::find(std::string_view name) const
 {
     auto const found = members_.find(name);
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -44,9 +44,8 @@
                                 std::move(fields)});
 }
 
-void reducer::on(manifest_changed const& in, time_point now)
+void reducer::on(manifest_changed const& in, time_point)
 {
-    static_cast<void>(now);
     if (in.value == nullptr ||
         (manifest_ != nullptr && in.value->version <= manifest_->version))
         return;
@@ -70,9 +69,8 @@
          {"after_outage", in.after_outage ? "true" : "false"}});
 }
 
-void reducer::on(runner_changed const& in, time_point now)
+void reducer::on(runner_changed const& in, time_point)
 {
-    static_cast<void>(now);
     runners_.upsert(in.value);
     schedulers_due_ = true;
     log("runner_changed", nullptr,
@@ -89,17 +87,15 @@
          {"after_outage", in.after_outage ? "true" : "false"}});
 }
 
-void reducer::on(members_listed const& in, time_point now)
+void reducer::on(members_listed const& in, time_point)
 {
-    static_cast<void>(now);
     members_.assign(in.members);
     log("members_listed", nullptr,
         {{"count", std::to_string(in.members.size())}});
 }
 
-void reducer::on(drain_started const&, time_point now)
+void reducer::on(drain_started const&, time_point)
 {
-    static_cast<void>(now);
     draining_ = true;
     log("drain_started", nullptr,
         {{"active", std::to_string(requests_.size())}});
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -81,16 +81,11 @@
 void reducer::settle(active_request& it, time_point now)
 {
     if (it.in_flight)
-        if (auto* state = runners_.find(it.runner_id))
-        {
-            state->outstanding -= state->outstanding > 0 ? 1 : 0;
-            state->outstanding_tokens = std::max(
-                0.0, state->outstanding_tokens - it.traits.prompt_tokens);
-        }
+        leave_runner(it);
     release(it.pipeline.take_all(), now);
     std::set<std::string> owners;
     for (auto const& owner : it.owners)
-        if (!it.pipeline.missing(owner.first).empty())
+        if (it.pipeline.lacks_results(owner.first))
             owners.insert(owner.second);
     auto const ref = it.ref;
     for (auto const& name : owners)
@@ -100,30 +95,30 @@
 
 void reducer::on(stream_started const& in, time_point now)
 {
-    auto const found = requests_.find(in.request);
-    if (found == requests_.end() || found->second->attempt != in.attempt)
+    auto* it = find_attempt(in.request, in.attempt);
+    if (it == nullptr)
         return;
-    auto& it = *found->second;
-    it.streaming = true;
-    it.progressed_at = now;
-    if (auto* state = runners_.find(it.runner_id))
+    it->streaming = true;
+    it->progressed_at = now;
+    if (!in.last_event_id.empty())
+        it->last_event_id = in.last_event_id;
+    if (auto* state = runners_.find(it->runner_id))
     {
-        if (in.load)
-        {
-            state->load = in.load;
-            state->load_at = now;
-        }
-        runners_.record(*state, runner_signal::served, now - it.sent_at, now);
+        note_load(*state, in.load, now);
+        runners_.record(*state, runner_signal::served, now - it->sent_at, now);
     }
     // The runner has fetched its inputs before it made the first event.
-    release(it.pipeline.take_all(), now);
+    release(it->pipeline.take_all(), now);
 }
 
 void reducer::on(stream_advanced const& in, time_point now)
 {
-    auto const found = requests_.find(in.request);
-    if (found != requests_.end() && found->second->attempt == in.attempt)
-        found->second->progressed_at = now;
+    auto* it = find_attempt(in.request, in.attempt);
+    if (it == nullptr)
+        return;
+    it->progressed_at = now;
+    if (!in.last_event_id.empty())
+        it->last_event_id = in.last_event_id;
 }
 
 void reducer::check_times(active_request& it, time_point now)
@@ -178,11 +173,8 @@
          {"silent_ms", in_milliseconds(now - it.progressed_at)}});
     out_.push_back(cancel_attempt{it.ref, it.attempt});
     if (state != nullptr)
-    {
         runners_.record(*state, runner_signal::silent, now - it.sent_at, now);
-        state->outstanding -= state->outstanding > 0 ? 1 : 0;
-    }
-    it.in_flight = false;
+    leave_runner(it);
     ++it.sends;
     ++it.executed;
     start_attempt(it, now);
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -39,26 +39,21 @@
         take_result(it, now);
 }
 
-void reducer::accept(std::string const&, release_results const& in,
-                     time_point now)
+void reducer::accept(std::string const&, release_results const& in, time_point)
 {
-    static_cast<void>(now);
     scheduler(in.service).release(in.handles);
     schedulers_due_ = true;
 }
 
 void reducer::accept(std::string const& from, withdraw_pieces const& in,
-                     time_point now)
+                     time_point)
 {
-    static_cast<void>(now);
     for (auto& it : schedulers_)
         it.second.withdraw(from, in.requests);
 }
 
-void reducer::accept(std::string const& from, report_crash const& in,
-                     time_point now)
+void reducer::accept(std::string const&, report_crash const& in, time_point now)
 {
-    static_cast<void>(from);
     if (in.cleared)
         crashes_.cleared(in.fingerprint);
     else
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -31,6 +31,9 @@
 constexpr int priority_step = 2;
 constexpr int last_priority = 9;
 
+//! Status with which an engine states that results of the stages are gone.
+constexpr int status_inputs_gone = 409;
+
 std::uint64_t fingerprint_of(request_traits const& traits)
 {
     return stable_hash(traits.path + '\n' + traits.key + '\n' +
@@ -202,7 +205,6 @@
     it.sent_at = now;
     it.progressed_at = now;
     ++state->outstanding;
-    state->outstanding_tokens += it.traits.prompt_tokens;
     send_attempt send;
     send.request = it.ref;
     send.attempt = it.attempt;
@@ -234,11 +236,7 @@
     auto* state = runners_.find(it.runner_id);
     if (state == nullptr)
         return;
-    if (in.load)
-    {
-        state->load = in.load;
-        state->load_at = now;
-    }
+    note_load(*state, in.load, now);
     auto const took = now - it.sent_at;
     switch (in.outcome)
     {
@@ -264,27 +262,35 @@
     }
 }
 
+reducer::active_request* reducer::find_attempt(request_ref ref,
+                                               std::uint32_t attempt)
+{
+    auto const found = requests_.find(ref);
+    bool const present =
+        found != requests_.end() && found->second->attempt == attempt;
+    return present ? found->second.get() : nullptr;
+}
+
+void reducer::leave_runner(active_request& it)
+{
+    it.in_flight = false;
+    if (auto* state = runners_.find(it.runner_id))
+        state->outstanding -= state->outstanding > 0 ? 1 : 0;
+}
+
 void reducer::on(attempt_ended const& in, time_point now)
 {
-    auto const found = requests_.find(in.request);
-    if (found == requests_.end() || !found->second->in_flight ||
-        found->second->attempt != in.attempt)
+    auto* it = find_attempt(in.request, in.attempt);
+    if (it == nullptr || !it->in_flight)
         return;
-    auto& it = *found->second;
-    record_signal(it, in, now);
-    end_attempt(it, in, now);
+    record_signal(*it, in, now);
+    end_attempt(*it, in, now);
 }
 
 void reducer::end_attempt(active_request& it, attempt_ended const& in,
                           time_point now)
 {
-    if (auto* state = runners_.find(it.runner_id))
-    {
-        state->outstanding -= state->outstanding > 0 ? 1 : 0;
-        state->outstanding_tokens =
-            std::max(0.0, state->outstanding_tokens - it.traits.prompt_tokens);
-    }
-    it.in_flight = false;
+    leave_runner(it);
     if (!in.last_event_id.empty())
         it.last_event_id = in.last_event_id;
     if (in.outcome != attempt_outcome::not_sent)
@@ -312,20 +318,10 @@
             give_up(it, refusal::no_runner, now);
         break;
     case attempt_outcome::refused:
-    {
-        constexpr int inputs_gone = 409;
-        if (in.status == inputs_gone && !it.pipeline.empty() &&
-            it.pipeline.round() == 0 &&
-            ledger_.take(it.service, members_.count(), now))
-        {
-            it.pipeline.restart();
-            it.tried.clear();
-            advance(it, now);
-        }
-        else if (!try_again(it, false, now))
+        if (!(in.status == status_inputs_gone && restart_stages(it, now)) &&
+            !try_again(it, false, now))
             give_up(it, refusal::runners_full, now);
         break;
-    }
     case attempt_outcome::no_answer:
     case attempt_outcome::broken_off:
         if (!try_again(it, true, now))
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -146,8 +146,7 @@
         return it.home_domain;
     // Each piece fetches all inputs, so it is made where they lie.
     auto const& handle = inputs.front();
-    auto const domain = runners_.failure_domain_of(
-        std::string_view(handle).substr(0, handle.find('/')));
+    auto const domain = runners_.failure_domain_of(address_of(handle));
     return domain.empty() ? it.home_domain : std::string(domain);
 }
 
@@ -193,10 +192,7 @@
          {"service", stage.service},
          {"scheduler", owner},
          {"pieces", std::to_string(message.pieces.size())},
-         {"due_in_ms",
-          std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                             message.pieces.front().due_in)
-                             .count())},
+         {"due_in_ms", in_milliseconds(message.pieces.front().due_in)},
          {"domain", domain}});
     send_message(owner, std::move(message), now);
 }
@@ -226,7 +222,7 @@
     }
     if (made)
     {
-        if (it.pipeline.missing(result.stage).empty())
+        if (!it.pipeline.lacks_results(result.stage))
             advance(it, now);
         return;
     }
@@ -237,13 +233,8 @@
     log("piece_failed", &it,
         {{"stage", std::to_string(result.stage)},
          {"outcome", std::to_string(static_cast<int>(result.outcome))}});
-    if (result.outcome == piece_outcome::input_gone &&
-        it.pipeline.round() + 1 < max_rounds && !it.in_flight)
-    {
-        it.pipeline.restart();
-        advance(it, now);
+    if (result.outcome == piece_outcome::input_gone && restart_stages(it, now))
         return;
-    }
     give_up(it,
             result.outcome == piece_outcome::late ||
                     result.outcome == piece_outcome::overloaded
@@ -252,6 +243,19 @@
             now);
 }
 
+bool reducer::restart_stages(active_request& it, time_point now)
+{
+    if (it.pipeline.empty() || it.pipeline.round() + 1 >= max_rounds)
+        return false;
+    // After the stages the request is sent once more.
+    if (it.sends > 0 && !ledger_.take(it.service, members_.count(), now))
+        return false;
+    it.pipeline.restart();
+    it.tried.clear();
+    advance(it, now);
+    return true;
+}
+
 void reducer::release(std::vector<std::pair<std::string, std::string>> results,
                       time_point now)
 {
@@ -293,28 +297,28 @@
 {
     schedulers_due_ = false;
     std::map<std::string, return_results> by_member;
-    std::map<std::string, std::set<std::string>> services;
     for (auto& it : schedulers_)
     {
         auto const before = out_.size();
         it.second.dispatch(runners_, next_call_, now, out_);
         log_calls(it.first, before);
-        for (auto& result : it.second.take_results())
+        auto results = it.second.take_results();
+        if (results.empty())
+            continue;
+        backlog const present = {
+            it.first, it.second.expected_wait(runners_, now),
+            it.second.usual_call_time(), it.second.room_share()};
+        std::set<std::string> told;
+        for (auto& result : results)
         {
-            services[result.member].insert(result.result.service);
-            by_member[result.member].results.push_back(
-                std::move(result.result));
+            auto& message = by_member[result.member];
+            if (told.insert(result.member).second)
+                message.backlogs.push_back(present);
+            message.results.push_back(std::move(result.result));
         }
     }
     for (auto& it : by_member)
-    {
-        for (auto const& service : services[it.first])
-            it.second.backlogs.push_back(
-                {service, scheduler(service).expected_wait(runners_, now),
-                 scheduler(service).usual_call_time(),
-                 scheduler(service).room_share()});
         send_message(it.first, std::move(it.second), now);
-    }
     // Results for this VM itself may have started further stages.
     if (schedulers_due_)
         run_schedulers(now);
@@ -342,9 +346,8 @@
     schedulers_due_ = true;
 }
 
-void reducer::on(stage_results_freed const& in, time_point now)
+void reducer::on(stage_results_freed const& in, time_point)
 {
-    static_cast<void>(now);
     for (auto& it : schedulers_)
         it.second.results_freed(in.call);
     schedulers_due_ = true;
@@ -358,7 +361,7 @@
         std::vector<std::uint32_t> stages;
         for (auto const& owner : it.owners)
             if (owner.second == member &&
-                !it.pipeline.missing(owner.first).empty())
+                it.pipeline.lacks_results(owner.first))
                 stages.push_back(owner.first);
         for (auto const n : stages)
             submit_missing(it, n, now);
@@ -377,7 +380,7 @@
         auto& it = *entry.second;
         for (auto const& owner : it.owners)
         {
-            if (it.pipeline.missing(owner.first).empty())
+            if (!it.pipeline.lacks_results(owner.first))
                 continue;
             if (owner.second != members_.self())
                 waited_for.insert(owner.second);
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -206,6 +206,15 @@
     }
 }
 
+void note_load(runner_state& state, std::optional<runner_load> load,
+               time_point now)
+{
+    if (!load)
+        return;
+    state.load = load;
+    state.load_at = now;
+}
+
 double estimated_load(runner_state const& state, time_point now)
 {
     double const own = state.outstanding;
--- a/packages/decision/src/gateway/stage_pipeline.cpp
+++ b/packages/decision/src/gateway/stage_pipeline.cpp
@@ -64,6 +64,11 @@
     return out;
 }
 
+bool stage_pipeline::lacks_results(std::uint32_t stage) const
+{
+    return stages_[stage].started && !stages_[stage].done();
+}
+
 std::vector<std::string> stage_pipeline::inputs_of(std::uint32_t stage) const
 {
     std::vector<std::string> out;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <limits>
 
 namespace buckthornvale::decision::gateway
@@ -16,42 +15,23 @@
 
 using namespace std::chrono_literals;
 
-//! A call that takes this many times its nominal time is given up.
-constexpr int timeout_factor = 8;
-constexpr duration timeout_slack = 500ms;
-
 //! Part of a runner's room that is planned with: sizes of results vary.
 constexpr double usable_room = 0.94;
 
-//! While pieces wait longer than this, a piece that has missed its time and has
-//! cost nothing yet is given up.
+//! A piece that has waited longer than this, has missed its time and has cost
+//! nothing yet is given up.
 constexpr duration tolerated_wait = 300ms;
 
-//! The pieces of a call that takes this many times its usual time, and a slack,
-//! are given to another runner too. The first result counts.
-constexpr double slow_factor = 1.6;
-constexpr duration slow_slack = 200ms;
-
 //! A runner this many times slower than the fastest one gets no call while the
 //! others can take all that waits.
 constexpr double left_out_slowness = 2.2;
 
-//! A runner's measured slowness halves in this time without calls.
-constexpr double slowness_half_life_s = 3;
-
 //! Least time between two looks at all pieces and calls.
 constexpr duration check_interval = 10ms;
 
-//! Weight of the newest call in the estimate of a runner's slowness.
-constexpr double new_weight = 0.3;
-
 //! A piece waits this long for a runner of its failure domain.
 constexpr duration domain_wait = 150ms;
 
-//! A call whose turn has come has read its inputs after this time. They are
-//! given up then: room for results is what limits batches under load.
-constexpr duration fetch_time = 100ms;
-
 bool before(owned_piece const& a, owned_piece const& b)
 {
     if (a.due != b.due)
@@ -68,14 +48,6 @@
                         parts.size() * sizeof(parts[0])});
 }
 
-bool is_same(owned_piece const& it, std::string const& member,
-             piece const& work)
-{
-    return it.work.request == work.request && it.work.round == work.round &&
-           it.work.stage == work.stage && it.work.number == work.number &&
-           it.member == member;
-}
-
 } // namespace
 
 void stage_scheduler::submit(std::string const& member,
@@ -83,9 +55,10 @@
 {
     for (auto& work : pieces)
     {
-        if (!active_.insert(key_of(member, work)).second)
-            continue;
         owned_piece entry;
+        entry.key = key_of(member, work);
+        if (!active_.insert(entry.key).second)
+            continue;
         entry.member = member;
         entry.queued = now;
         entry.due = now + work.due_in;
@@ -96,14 +69,22 @@
 }
 
 template <class Predicate>
-void stage_scheduler::drop_waiting(Predicate const& dropped)
+std::vector<owned_piece> stage_scheduler::take_waiting(Predicate const& wanted)
 {
     auto const kept = std::stable_partition(queue_.begin(), queue_.end(),
                                             [&](owned_piece const& it)
-                                            { return !dropped(it); });
-    for (auto it = kept; it != queue_.end(); ++it)
-        active_.erase(key_of(it->member, it->work));
+                                            { return !wanted(it); });
+    std::vector<owned_piece> out(std::make_move_iterator(kept),
+                                 std::make_move_iterator(queue_.end()));
     queue_.erase(kept, queue_.end());
+    return out;
+}
+
+template <class Predicate>
+void stage_scheduler::forget_waiting(Predicate const& dropped)
+{
+    for (auto const& it : take_waiting(dropped))
+        active_.erase(it.key);
 }
 
 void stage_scheduler::withdraw(std::string const& member,
@@ -111,21 +92,21 @@
 {
     absl::flat_hash_set<request_ref> const left(requests.begin(),
                                                 requests.end());
-    drop_waiting(
+    forget_waiting(
         [&](owned_piece const& it)
         { return it.member == member && left.contains(it.work.request); });
 }
 
 void stage_scheduler::withdraw_all(std::string const& member)
 {
-    drop_waiting([&](owned_piece const& it) { return it.member == member; });
+    forget_waiting([&](owned_piece const& it) { return it.member == member; });
 }
 
 void stage_scheduler::release(std::vector<std::string> const& handles)
 {
     for (auto const& handle : handles)
     {
-        auto& out = released_[handle.substr(0, handle.find('/'))];
+        auto& out = released_[std::string(address_of(handle))];
         out.handles.push_back(handle);
         auto const found = held_.find(handle);
         if (found == held_.end())
@@ -147,16 +128,11 @@
     freeing_.erase(found);
 }
 
-duration stage_scheduler::nominal_time(std::size_t pieces) const
-{
-    return limits_.call_time + limits_.piece_time * std::int64_t(pieces);
-}
-
 void stage_scheduler::finish(owned_piece& it, piece_outcome outcome,
                              std::string handle)
 {
     if (outcome != piece_outcome::inputs_read)
-        active_.erase(key_of(it.member, it.work));
+        active_.erase(it.key);
     piece_result result;
     result.service = service_;
     result.request = it.work.request;
@@ -178,164 +154,24 @@
         queue_.push_back(std::move(it));
 }
 
-void stage_scheduler::call_ended(stage_call_ended const& ended,
-                                 runner_directory& runners, time_point now)
-{
-    auto const found = calls_.find(ended.call);
-    if (found == calls_.end())
-        return;
-    call_state call = std::move(found->second);
-    calls_.erase(found);
-    auto& placed = loads_[call.runner_id];
-    placed.calls -= placed.calls > 0 ? 1 : 0;
-    auto* runner = runners.find(call.runner_id);
-    duration const took = now - call.started;
-    bool const answered = ended.outcome == call_outcome::answered &&
-                          ended.pieces.size() == call.pieces.size();
-    if (runner != nullptr)
-    {
-        auto const failed = ended.outcome == call_outcome::no_answer
-                                ? runner_signal::silent
-                                : runner_signal::unreachable;
-        auto const signal = answered             ? runner_signal::served
-                            : ended.other_runner ? runner_signal::replaced
-                                                 : failed;
-        runners.record(*runner, signal, took, now);
-        if (signal == runner_signal::silent)
-            runners.record(*runner, runner_signal::unreachable, took, now);
-    }
-    if (answered)
-        usual_call_ =
-            usual_call_ == duration() ? took : (usual_call_ * 7 + took) / 8;
-    if (answered && call.repeated)
-        drop_copies(call.pieces);
-    if (answered)
-    {
-        placed.slowness = slowness_of(call.runner_id, now);
-        placed.measured = now;
-    }
-    if (answered)
-        placed.slowness +=
-            new_weight *
-            (to_seconds(took) / to_seconds(nominal_time(call.pieces.size())) -
-             placed.slowness);
-    for (std::size_t i = 0; i < call.pieces.size(); ++i)
-    {
-        auto& it = call.pieces[i];
-        bool const made = answered && !ended.pieces[i].handle.empty();
-        if (!made)
-            placed.held_bytes -= it.work.result_bytes;
-        if (!answered && call.repeated)
-            continue;
-        if (!answered)
-        {
-            requeue(std::move(it), ended.outcome == call_outcome::no_answer,
-                    now);
-            continue;
-        }
-        auto const& result = ended.pieces[i];
-        if (made)
-        {
-            held_[result.handle] = {call.runner_id, it.work.result_bytes,
-                                    now + limits_.result_lifetime};
-            finish(it, piece_outcome::done, result.handle);
-        }
-        else if (result.outcome == piece_outcome::failed)
-        {
-            if (result.no_room)
-            {
-                placed.foreign_bytes += it.work.result_bytes;
-                placed.foreign_until = now + limits_.result_lifetime;
-            }
-            requeue(std::move(it), !result.no_room, now);
-        }
-        else
-            finish(it, result.outcome, {});
-    }
-}
-
-double stage_scheduler::slowness_of(std::string const& runner_id,
-                                    time_point now) const
-{
-    auto const placed = loads_.find(runner_id);
-    if (placed == loads_.end())
-        return 1;
-    // Without news, a slow runner is believed to have recovered.
-    double const age = to_seconds(now - placed->second.measured);
-    return 1 + (placed->second.slowness - 1) *
-                   std::exp2(-age / slowness_half_life_s);
-}
-
-void stage_scheduler::repeat_slow_calls(time_point now)
-{
-    for (auto& entry : calls_)
-    {
-        auto& call = entry.second;
-        double const usual =
-            to_seconds(nominal_time(call.pieces.size())) *
-            std::max(1.0, slowness_of(call.runner_id, call.started));
-        if (call.repeated ||
-            now - call.started < from_seconds(usual * slow_factor) + slow_slack)
-            continue;
-        call.repeated = true;
-        for (auto const& it : call.pieces)
-        {
-            queue_.push_back(it);
-            ++queue_.back().attempts;
-        }
-    }
-}
-
 void stage_scheduler::drop_copies(std::vector<owned_piece> const& pieces)
 {
-    auto const is_copy = [&](owned_piece const& it)
-    {
-        return std::any_of(pieces.begin(), pieces.end(),
-                           [&](owned_piece const& made)
-                           { return is_same(it, made.member, made.work); });
-    };
-    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), is_copy),
-                 queue_.end());
-}
-
-void stage_scheduler::announce_inputs_read(time_point now)
-{
-    for (auto& entry : calls_)
-    {
-        auto& call = entry.second;
-        if (call.inputs_read || now - call.started < fetch_time)
-            continue;
-        call.inputs_read = true;
-        for (auto& it : call.pieces)
-            if (!it.work.inputs.empty())
-                finish(it, piece_outcome::inputs_read, {});
-    }
-}
-
-time_point stage_scheduler::oldest_queued() const
-{
-    return std::min_element(queue_.begin(), queue_.end(),
-                            [](owned_piece const& a, owned_piece const& b)
-                            { return a.queued < b.queued; })
-        ->queued;
+    absl::flat_hash_set<std::uint64_t> made;
+    for (auto const& it : pieces)
+        made.insert(it.key);
+    take_waiting([&](owned_piece const& it) { return made.contains(it.key); });
 }
 
 void stage_scheduler::drop_late(time_point now)
 {
-    bool const pressed =
-        !queue_.empty() && now - oldest_queued() > tolerated_wait;
     auto const too_late = [&](owned_piece const& it)
     {
         bool const untouched = it.work.inputs.empty() && it.attempts == 0;
         return now + nominal_time(1) > it.deadline ||
-               (pressed && untouched && it.due < now &&
-                now - it.queued > tolerated_wait);
+               (untouched && it.due < now && now - it.queued > tolerated_wait);
     };
-    for (auto& it : queue_)
-        if (too_late(it))
-            finish(it, piece_outcome::late, {});
-    queue_.erase(std::remove_if(queue_.begin(), queue_.end(), too_late),
-                 queue_.end());
+    for (auto& it : take_waiting(too_late))
+        finish(it, piece_outcome::late, {});
 }
 
 std::vector<owned_piece> stage_scheduler::take_batch(runner_state const& runner,
@@ -428,28 +264,6 @@
     return out;
 }
 
-void stage_scheduler::start_call(runner_state& runner,
-                                 std::vector<owned_piece> pieces, call_ref call,
-                                 time_point now, effects& out)
-{
-    auto& placed = loads_[runner.entry.id];
-    ++placed.calls;
-    call_stage started;
-    started.call = call;
-    started.runner_id = runner.entry.id;
-    started.address = runner.entry.address;
-    started.timeout =
-        nominal_time(pieces.size()) * timeout_factor + timeout_slack;
-    for (auto const& it : pieces)
-    {
-        placed.held_bytes += it.work.result_bytes;
-        started.pieces.push_back(it.work);
-        started.pieces.back().time_left = it.deadline - now;
-    }
-    calls_.emplace(call, call_state{runner.entry.id, now, std::move(pieces)});
-    out.push_back(std::move(started));
-}
-
 void stage_scheduler::expire_results(time_point now)
 {
     for (auto it = held_.begin(); it != held_.end();)
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -187,7 +187,7 @@
 TEST_F(gateway_streams, abort_a_broken_stream_that_cannot_be_resumed)
 {
     arrive("/stream/x", 6s);
-    feed(stream_started{last, 1, {}});
+    feed(stream_started{last, 1, {}, {}});
     auto const out = end_attempt(attempt_outcome::broken_off, 200, true);
     EXPECT_TRUE(all<send_attempt>(out).empty());
     EXPECT_EQ(all<abort_stream>(out).size(), 1U);
@@ -196,7 +196,7 @@
 TEST_F(gateway_streams, go_on_at_another_runner_after_the_last_event)
 {
     auto const first = only<send_attempt>(arrive("/resume/x", 6s));
-    feed(stream_started{last, 1, {}});
+    feed(stream_started{last, 1, {}, {}});
     attempt_ended in;
     in.request = last;
     in.attempt = attempt++;
@@ -211,9 +211,9 @@
 TEST_F(gateway_streams, go_on_elsewhere_after_a_long_pause)
 {
     arrive("/resume/x", 6s);
-    feed(stream_started{last, 1, {}});
+    feed(stream_started{last, 1, {}, {}});
     EXPECT_TRUE(all<send_attempt>(advance(900ms)).empty());
-    feed(stream_advanced{last, 1});
+    feed(stream_advanced{last, 1, {}});
     EXPECT_TRUE(all<send_attempt>(advance(900ms)).empty());
     auto const out = advance(300ms);
     EXPECT_EQ(all<cancel_attempt>(out).size(), 1U);
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -58,7 +58,7 @@
     auto const sent = only<send_attempt>(end_call(call, piece_outcome::done));
     EXPECT_EQ(sent.inputs, call.address + "/h1");
     // The first event shows that the inputs were read.
-    auto const out = feed(stream_started{last, 1, {}});
+    auto const out = feed(stream_started{last, 1, {}, {}});
     EXPECT_EQ(only<free_results>(out).handles.size(), 1U);
 }
 
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -62,7 +62,6 @@
         std::string request_id;
         time_point arrived{};
         std::unique_ptr<runner_attempt> attempt;
-        std::string last_event_id;
         bool answer_started = false;
         bool paused = false;
     };
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -273,7 +273,6 @@
     it.head = head;
     it.body = std::make_shared<std::string const>(std::move(body));
     it.request_id = decoded.traits.id;
-    it.last_event_id = decoded.traits.last_event_id;
     it.arrived = now();
     ref_by_connection_[from.id()] = ref;
     reduce(model::request_arrived{ref, std::move(decoded.traits)});
@@ -318,7 +317,7 @@
     own.time_left = effect.time_left;
     own.priority = effect.priority;
     own.inputs = effect.inputs;
-    own.last_event_id = it->last_event_id;
+    own.last_event_id = effect.last_event_id;
     net::call_options options;
     options.connect_timeout =
         std::min(runner_connect_timeout, effect.time_left);
@@ -381,8 +380,6 @@
     bool const first = !it->answer_started;
     start_stream(*it, *to, from);
     to->send_part(events);
-    if (!from.last_id().empty())
-        it->last_event_id = from.last_id();
     if (to->queued() > max_queued && !it->paused)
     {
         it->paused = true;
@@ -390,9 +387,10 @@
     }
     if (first)
         reduce(model::stream_started{from.request(), from.number(),
-                                     from.answer().load});
+                                     from.answer().load, from.last_id()});
     else
-        reduce(model::stream_advanced{from.request(), from.number()});
+        reduce(model::stream_advanced{from.request(), from.number(),
+                                      from.last_id()});
 }
 
 void gateway_process::on_attempt_ended(runner_attempt& from,
