gateway: one way to make a call of its own

Read again, behaviour unchanged: - the watch of the store and the link to a VM each collected an answer as make_call does, and seven places built head, body and options by hand; make_call takes the call and builds the head, and all of them use it; - two timers of the watcher went on in the same way; its stop was never called; - whether the manifest's watch reaches the store was kept a second time; - revisions of members stood in a map of their own that only grew; - status 200 was defined in five files; events were copied into the queue; - reload stored a drain timeout that nothing read and said that it took effect; - gone: two counters of connections and a time that flush did not use.

23 gateway tests pass, assertions as they were.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -66,6 +66,13 @@
         bool paused = false;
     };
 
+    //! A VM on the list, with the revision of its object.
+    struct registered_member
+    {
+        decision::gateway::member value;
+        std::uint64_t revision = 0;
+    };
+
     // net::request_handler
     void on_request(net::server_connection& from, http::request_head& head,
                     std::string& body) override;
@@ -78,7 +85,7 @@
     on_attempt_ended(runner_attempt& from,
                      decision::gateway::attempt_ended const& outcome) override;
 
-    void reduce(decision::gateway::event const& input);
+    void reduce(decision::gateway::event input);
     void carry_out(decision::gateway::send_attempt const& it);
     void carry_out(decision::gateway::cancel_attempt const& it);
     void carry_out(decision::gateway::deliver_answer const& it);
@@ -107,6 +114,7 @@
                       bool listed);
     void take_manifest(std::vector<platform::stored_object> const& objects);
     void ask_peer_for_manifest(time_point now);
+    void write_store(platform::store_call call, net::call_done done);
     void register_member();
     void write_member(bool replace);
     bool self_registered() const;
@@ -132,10 +140,9 @@
     std::vector<std::unique_ptr<store::store_watcher>> watchers_;
     std::unordered_map<request_ref, caller_request> requests_;
     std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
-    std::map<std::string, decision::gateway::member> members_;
-    std::map<std::string, std::uint64_t> member_revisions_;
+    std::map<std::string, registered_member> members_;
     std::string manifest_text_; //!< the object in force, for other VMs
-    bool manifest_reachable_ = true;
+    store::store_watcher const* manifest_watcher_ = nullptr;
     bool asking_peer_ = false;
     std::size_t next_peer_ = 0;
     time_point peer_asked_{};
--- a/packages/gateway/include/buckthornvale/gateway/net/http_client.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/net/http_client.hpp
@@ -91,9 +91,6 @@
     //! Closes the idle connections to the address.
     void forget(std::string const& address);
 
-    std::size_t idle_connections() const;
-    std::uint64_t opened_connections() const { return opened_; }
-
 private:
     class connection;
 
@@ -113,7 +110,6 @@
     asio::io_context& loop_;
     clock_function clock_;
     call_id next_call_ = 1;
-    std::uint64_t opened_ = 0;
     std::map<call_id, std::shared_ptr<connection>> calls_;
     std::map<std::string, std::vector<idle_connection>> idle_;
 };
--- a/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
@@ -28,7 +28,7 @@
                decision::time_point now);
 
     //! Hands waiting lines to the descriptor.
-    void flush(decision::time_point now);
+    void flush();
 
     std::uint64_t dropped() const { return dropped_; }
 
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 #define BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 
-#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/gateway/net/simple_call.hpp>
 #include <buckthornvale/platform/store_codec.hpp>
 
 #include <asio/io_context.hpp>
@@ -28,7 +28,7 @@
 
 //! Keeps the objects of one kind in step with the store: a list, then watches
 //! from its revision, and a list again when the history is gone.
-class store_watcher final : public net::answer_handler
+class store_watcher
 {
 public:
     struct callback_set
@@ -51,27 +51,21 @@
                   callback_set callbacks);
 
     void start();
-    void stop();
 
     bool is_reachable() const { return reachable_; }
 
-    // answer_handler
-    bool on_answer_head(http::response_head const& head) override;
-    void on_answer_body(std::string_view bytes) override;
-    void on_answer_end() override;
-    void on_answer_failed(net::call_failure failure, bool reset) override;
-
 private:
     void call_list();
     void call_watch();
     void send(platform::store_call const& call, duration timeout);
+    void take_answer(net::call_result const& result);
     void retry_later(std::string const& reason);
-    void take_list();
-    void take_changes();
+    void go_on_after(duration pause);
+    void take_list(std::string const& body);
+    void take_changes(std::string const& body);
     void note_reachable();
     bool after_outage(time_point now) const;
 
-    asio::io_context& loop_;
     net::http_client& client_;
     std::string const address_;
     platform::object_kind const kind_;
@@ -87,9 +81,6 @@
     std::uint64_t revision_ = 0;
     std::string after_; //!< where the next page of the list starts
     std::vector<platform::stored_object> listed_;
-    int status_ = 0;
-    std::string body_;
-    net::call_id call_ = 0;
 };
 
 } // namespace buckthornvale::gateway::store
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "control_handler.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/gateway/gateway_process.hpp>
+#include <buckthornvale/http/text.hpp>
 
 #include <asio/post.hpp>
 
@@ -139,10 +140,8 @@
 
 void gateway_process::reload(platform::node_settings const& settings)
 {
-    // Addresses and identity stay as they are until a restart; the bounds are
-    // read from the settings where they are used.
+    // All else stays as it is until a restart.
     settings_.grace_period = settings.grace_period;
-    settings_.drain_timeout = settings.drain_timeout;
     log("settings_reloaded", {});
 }
 
@@ -173,7 +172,7 @@
     if (!done && since < settings_.grace_period - grace_margin)
         return;
     log("stopped", {{"active", std::to_string(requests_.size())}});
-    log_.flush(at);
+    log_.flush();
     loop_.stop();
 }
 
@@ -200,16 +199,16 @@
         callers_.check_limits(at);
         control_->check_limits(at);
         metrics_.set_active(requests_.size(), callers_.connections());
-        log_.flush(at);
+        log_.flush();
     }
     ask_peer_for_manifest(at);
     check_drained(at);
     schedule_tick();
 }
 
-void gateway_process::reduce(model::event const& input)
+void gateway_process::reduce(model::event input)
 {
-    pending_.push_back(input);
+    pending_.push_back(std::move(input));
     if (reducing_)
         return;
     reducing_ = true;
@@ -351,8 +350,9 @@
     http::connection_headers const connection(head.headers);
     for (auto const& it : head.headers)
     {
-        bool const framing = http::find_header({&it, 1}, "content-length") ||
-                             connection.contains(it.name);
+        bool const framing =
+            http::equals_ignoring_case(it.name, "content-length") ||
+            connection.contains(it.name);
         if (!framing)
             http::append_header(out, it.name, it.value);
     }
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -11,8 +11,6 @@
 using namespace std::chrono_literals;
 namespace model = decision::gateway;
 
-constexpr int status_ok = 200;
-
 constexpr decision::duration connect_timeout = 300ms;
 constexpr decision::duration free_timeout = 2s;
 
@@ -50,15 +48,13 @@
         item.inputs = it.inputs;
         items.push_back(std::move(item));
     }
-    auto body = platform::encode_stage_items(items);
-    auto head = platform::encode_own_request("POST", platform::stage_run_target,
-                                             effect.address, body.size(),
-                                             effect.runner_id);
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = effect.timeout;
     metrics_.count_stage_call(items.size());
-    net::make_call(client_, effect.address, std::move(head), std::move(body),
+    net::make_call(client_, effect.address,
+                   {"POST", std::string(platform::stage_run_target),
+                    platform::encode_stage_items(items), effect.runner_id},
                    options,
                    [this, call = effect.call,
                     n = items.size()](net::call_result const& result)
@@ -83,7 +79,7 @@
     auto const results = platform::decode_stage_results(result.body, pieces);
     if (answer.not_executed)
         out.outcome = model::call_outcome::not_sent;
-    else if (result.head.status == status_ok && results)
+    else if (result.head.status == http::status_ok && results)
     {
         out.outcome = model::call_outcome::answered;
         for (auto const& it : *results)
@@ -96,15 +92,13 @@
 
 void gateway_process::carry_out(model::free_results const& effect)
 {
-    auto body = platform::encode_handles(effect.handles);
-    auto head = platform::encode_own_request(
-        "POST", platform::stage_free_target, effect.address, body.size(),
-        effect.runner_id);
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = free_timeout;
     // Results that cannot be freed lapse by themselves.
-    net::make_call(client_, effect.address, std::move(head), std::move(body),
+    net::make_call(client_, effect.address,
+                   {"POST", std::string(platform::stage_free_target),
+                    platform::encode_handles(effect.handles), effect.runner_id},
                    options,
                    [this, call = effect.call](net::call_result const&)
                    { reduce(model::stage_results_freed{call}); });
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -20,10 +20,6 @@
 constexpr duration write_pause = 700ms;
 
 constexpr int status_conflict = 409;
-constexpr int status_ok = 200;
-
-constexpr char const* manifest_watch = "manifest";
-
 //! While the store is out of reach, another VM is asked for a newer manifest
 //! once per interval: the store may turn away single VMs only.
 constexpr duration peer_interval = 600ms;
@@ -49,16 +45,16 @@
         {
             log(reachable ? "store_regained" : "store_lost",
                 {{"watch", name}, {"reason", reason}});
-            if (std::string_view(name) == manifest_watch)
-                manifest_reachable_ = reachable;
         };
         watchers_.push_back(std::make_unique<store::store_watcher>(
             loop_, client_, settings_.store.text(), kind, times,
             [this] { return now(); }, std::move(callbacks)));
         watchers_.back()->start();
+        return watchers_.back().get();
     };
-    add(platform::object_kind::manifest, manifest_times, manifest_watch,
-        [this](objects const& all, bool, bool) { take_manifest(all); });
+    manifest_watcher_ =
+        add(platform::object_kind::manifest, manifest_times, "manifest",
+            [this](objects const& all, bool, bool) { take_manifest(all); });
     add(platform::object_kind::runners, runners_times, "runners",
         [this](objects const& all, bool listed, bool after_outage)
         { take_runners(all, listed, after_outage); });
@@ -120,14 +116,13 @@
     {
         auto entry = it.deleted ? std::nullopt : platform::decode_member(it);
         if (entry)
-            members_[it.name] = std::move(*entry);
+            members_[it.name] = {std::move(*entry), it.revision};
         else
             members_.erase(it.name);
-        member_revisions_[it.name] = it.revision;
     }
     model::members_listed all;
     for (auto const& it : members_)
-        all.members.push_back(it.second);
+        all.members.push_back(it.second.value);
     reduce(all);
     if (!self_registered())
         register_member();
@@ -135,8 +130,8 @@
 
 void gateway_process::ask_peer_for_manifest(time_point at)
 {
-    if (manifest_reachable_ || asking_peer_ || members_.size() < 2 ||
-        at - peer_asked_ < peer_interval)
+    if (manifest_watcher_->is_reachable() || asking_peer_ ||
+        members_.size() < 2 || at - peer_asked_ < peer_interval)
         return;
     peer_asked_ = at;
     auto to = members_.begin();
@@ -152,13 +147,11 @@
     options.timeout = peer_timeout;
     asking_peer_ = true;
     net::make_call(
-        client_, to->second.address,
-        platform::encode_own_request("GET", target, to->second.address, 0, {}),
-        {}, options,
+        client_, to->second.value.address, {"GET", target, {}, {}}, options,
         [this, name = to->first](net::call_result const& result)
         {
             asking_peer_ = false;
-            if (result.failure || result.head.status != status_ok)
+            if (result.failure || result.head.status != http::status_ok)
                 return;
             auto const object = platform::decode_object(result.body);
             if (!object)
@@ -170,23 +163,33 @@
 
 void gateway_process::carry_out(model::remove_member const& effect)
 {
-    auto const call = platform::delete_member_call(
-        effect.member, member_revisions_[effect.member]);
+    auto const found = members_.find(effect.member);
+    if (found == members_.end())
+        return;
+    // A call that fails is made again: the reducer names the VM again.
+    write_store(
+        platform::delete_member_call(effect.member, found->second.revision),
+        [](net::call_result const&) {});
+}
+
+void gateway_process::write_store(platform::store_call call,
+                                  net::call_done done)
+{
     net::call_options options;
     options.timeout = write_timeout;
-    auto const address = settings_.store.text();
-    // A call that fails is made again: the reducer names the VM again.
-    net::make_call(
-        client_, address,
-        platform::encode_own_request(call.method, call.target, address, 0, {}),
-        {}, options, [](net::call_result const&) {});
+    net::make_call(client_, settings_.store.text(),
+                   {std::move(call.method),
+                    std::move(call.target),
+                    std::move(call.body),
+                    {}},
+                   options, std::move(done));
 }
 
 bool gateway_process::self_registered() const
 {
     auto const found = members_.find(self_.name);
     return found != members_.end() &&
-           found->second.incarnation == self_.incarnation;
+           found->second.value.incarnation == self_.incarnation;
 }
 
 void gateway_process::register_member()
@@ -199,15 +202,9 @@
 
 void gateway_process::write_member(bool replace)
 {
-    auto const call = replace ? platform::replace_member_call(self_)
-                              : platform::create_member_call(self_);
-    net::call_options options;
-    options.timeout = write_timeout;
-    auto const address = settings_.store.text();
-    auto head = platform::encode_own_request(call.method, call.target, address,
-                                             call.body.size(), {});
-    net::make_call(
-        client_, address, std::move(head), call.body, options,
+    write_store(
+        replace ? platform::replace_member_call(self_)
+                : platform::create_member_call(self_),
         [this, replace](net::call_result const& result)
         {
             int const status = result.failure ? 0 : result.head.status;
--- a/packages/gateway/src/net/http_client.cpp
+++ b/packages/gateway/src/net/http_client.cpp
@@ -316,10 +316,7 @@
 {
     auto link = take_idle(address, options.max_idle);
     if (link == nullptr)
-    {
         link = std::make_shared<connection>(*this, address);
-        ++opened_;
-    }
     auto const id = next_call_++;
     calls_.emplace(id, link);
     link->begin(id, std::move(head), std::move(body), options, handler,
@@ -443,12 +440,4 @@
     idle_.erase(found);
 }
 
-std::size_t http_client::idle_connections() const
-{
-    std::size_t n = 0;
-    for (auto const& it : idle_)
-        n += it.second.size();
-    return n;
-}
-
 } // namespace buckthornvale::gateway::net
--- a/packages/gateway/src/net/simple_call.cpp
+++ b/packages/gateway/src/net/simple_call.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/gateway/net/simple_call.hpp>
+#include <buckthornvale/platform/headers.hpp>
 
 namespace buckthornvale::gateway::net
 {
@@ -38,13 +39,16 @@
 
 } // namespace
 
-void make_call(http_client& client, std::string const& address,
-               std::string head, std::string body, call_options const& options,
-               call_done done)
+call_id make_call(http_client& client, std::string const& address,
+                  own_call call, call_options const& options, call_done done)
 {
-    client.call(address, std::move(head),
-                std::make_shared<std::string const>(std::move(body)), options,
-                std::make_shared<simple_call>(std::move(done)));
+    auto head =
+        platform::encode_own_request(call.method, call.target, address,
+                                     call.body.size(), call.expected_runner);
+    return client.call(
+        address, std::move(head),
+        std::make_shared<std::string const>(std::move(call.body)), options,
+        std::make_shared<simple_call>(std::move(done)));
 }
 
 } // namespace buckthornvale::gateway::net
--- a/packages/gateway/src/observe/log_writer.cpp
+++ b/packages/gateway/src/observe/log_writer.cpp
@@ -93,7 +93,7 @@
     append_line(value);
 }
 
-void log_writer::flush(decision::time_point)
+void log_writer::flush()
 {
     if (waiting_.empty())
         return;
--- a/packages/gateway/src/peer/peer_sender.cpp
+++ b/packages/gateway/src/peer/peer_sender.cpp
@@ -1,5 +1,4 @@
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
-#include <buckthornvale/platform/headers.hpp>
 
 #include <algorithm>
 
@@ -18,12 +17,10 @@
 //! Messages that wait for one VM; older ones are given up.
 constexpr std::size_t max_waiting = 4096;
 
-constexpr int status_ok = 200;
-
 } // namespace
 
 //! The messages to one VM.
-class peer_sender::link final : public net::answer_handler
+class peer_sender::link
 {
 public:
     link(peer_sender& owner, std::string member)
@@ -41,23 +38,38 @@
             send_waiting();
     }
 
-    bool on_answer_head(http::response_head const& head) override
-    {
-        status_ = head.status;
-        body_.clear();
-        return true;
-    }
-
-    void on_answer_body(std::string_view bytes) override
+private:
+    void send_waiting()
     {
-        body_.append(bytes);
+        calling_ = true;
+        in_flight_ = std::exchange(waiting_, {});
+        envelope value;
+        value.member = owner_.self_;
+        value.incarnation = owner_.incarnation_;
+        value.messages = in_flight_;
+        net::call_options options;
+        options.connect_timeout = connect_timeout;
+        options.timeout = answer_timeout;
+        net::make_call(
+            owner_.client_, address_,
+            {"POST", std::string(messages_path), encode_envelope(value), {}},
+            options,
+            [this](net::call_result const& result) { take_answer(result); });
     }
 
-    void on_answer_end() override
+    void take_answer(net::call_result const& result)
     {
         calling_ = false;
-        auto const answer = decode_envelope(body_);
-        if (status_ != status_ok || !answer || answer->member != member_)
+        if (result.failure && may_repeat(*result.failure))
+        {
+            repeat();
+            return;
+        }
+        bool const answered =
+            !result.failure && result.head.status == http::status_ok;
+        auto const answer =
+            answered ? decode_envelope(result.body) : std::optional<envelope>();
+        if (!answer || answer->member != member_)
         {
             give_up();
             return;
@@ -69,41 +81,21 @@
             send_waiting();
     }
 
-    void on_answer_failed(net::call_failure failure, bool) override
+    //! A kept connection may have ended between two calls. Messages are
+    //! idempotent, so that one repeat on a new connection does no harm.
+    bool may_repeat(net::call_failure failure) const
     {
-        calling_ = false;
-        // A kept connection may have ended between two calls. Messages are
-        // idempotent, so that one repeat on a new connection does no harm.
-        if (failure != net::call_failure::timed_out && !repeated_)
-        {
-            repeated_ = true;
-            owner_.client_.forget(address_);
-            std::move(waiting_.begin(), waiting_.end(),
-                      std::back_inserter(in_flight_));
-            waiting_ = std::exchange(in_flight_, {});
-            send_waiting();
-            return;
-        }
-        give_up();
+        return failure != net::call_failure::timed_out && !repeated_;
     }
 
-private:
-    void send_waiting()
+    void repeat()
     {
-        calling_ = true;
-        in_flight_ = std::exchange(waiting_, {});
-        envelope value;
-        value.member = owner_.self_;
-        value.incarnation = owner_.incarnation_;
-        value.messages = in_flight_;
-        auto body = std::make_shared<std::string>(encode_envelope(value));
-        net::call_options options;
-        options.connect_timeout = connect_timeout;
-        options.timeout = answer_timeout;
-        auto head = platform::encode_own_request("POST", messages_path,
-                                                 address_, body->size(), {});
-        owner_.client_.call(address_, std::move(head), std::move(body), options,
-                            *this);
+        repeated_ = true;
+        owner_.client_.forget(address_);
+        std::move(waiting_.begin(), waiting_.end(),
+                  std::back_inserter(in_flight_));
+        waiting_ = std::exchange(in_flight_, {});
+        send_waiting();
     }
 
     void give_up()
@@ -123,8 +115,6 @@
     std::vector<peer_message> in_flight_;
     bool calling_ = false;
     bool repeated_ = false;
-    int status_ = 0;
-    std::string body_;
 };
 
 peer_sender::peer_sender(net::http_client& client, std::string self,
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -9,8 +9,6 @@
 using decision::gateway::attempt_ended;
 using decision::gateway::attempt_outcome;
 
-constexpr int status_ok = 200;
-
 } // namespace
 
 runner_attempt::runner_attempt(listener& owner,
@@ -31,7 +29,7 @@
     has_head_ = true;
     head_ = head;
     answer_ = answer;
-    streaming_ = stream_ && head.status == status_ok && answer.sealed &&
+    streaming_ = stream_ && head.status == http::status_ok && answer.sealed &&
                  !answer.encoded && answer.request_id == request_id_;
     return true;
 }
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -1,5 +1,4 @@
 #include <buckthornvale/gateway/store/store_watcher.hpp>
-#include <buckthornvale/platform/headers.hpp>
 
 #include <algorithm>
 
@@ -25,7 +24,6 @@
 //! while the store was away and that return.
 constexpr duration outage_echo = 2200ms;
 
-constexpr int status_ok = 200;
 constexpr int status_gone = 410;
 
 } // namespace
@@ -34,9 +32,8 @@
                              std::string address, platform::object_kind kind,
                              watch_times times, clock_function clock,
                              callback_set callbacks)
-    : loop_(loop), client_(client), address_(std::move(address)), kind_(kind),
-      times_(times), clock_(std::move(clock)), callbacks_(std::move(callbacks)),
-      timer_(loop_)
+    : client_(client), address_(std::move(address)), kind_(kind), times_(times),
+      clock_(std::move(clock)), callbacks_(std::move(callbacks)), timer_(loop)
 {
 }
 
@@ -45,12 +42,6 @@
     call_list();
 }
 
-void store_watcher::stop()
-{
-    client_.cancel(call_);
-    timer_.cancel();
-}
-
 void store_watcher::call_list()
 {
     watching_ = false;
@@ -74,49 +65,37 @@
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
-    auto head = platform::encode_own_request(call.method, call.target, address_,
-                                             call.body.size(), {});
-    call_ =
-        client_.call(address_, std::move(head),
-                     std::make_shared<std::string>(call.body), options, *this);
-}
-
-bool store_watcher::on_answer_head(http::response_head const& head)
-{
-    status_ = head.status;
-    body_.clear();
-    return true;
+    net::make_call(
+        client_, address_, {call.method, call.target, call.body, {}}, options,
+        [this](net::call_result const& result) { take_answer(result); });
 }
 
-void store_watcher::on_answer_body(std::string_view bytes)
-{
-    body_.append(bytes);
-}
-
-void store_watcher::on_answer_end()
+void store_watcher::take_answer(net::call_result const& result)
 {
+    if (result.failure)
+    {
+        constexpr char const* names[] = {"no connection", "no answer",
+                                         "answer broke off",
+                                         "no answer in time"};
+        retry_later(names[static_cast<std::size_t>(*result.failure)]);
+        return;
+    }
+    int const status = result.head.status;
     // Any other refusal of the revision is met in the same way.
     bool const history_gone =
-        status_ == status_gone || status_ == 400 || status_ == 404;
+        status == status_gone || status == 400 || status == 404;
     if (watching_ && history_gone)
     {
         note_reachable();
         after_.clear();
         call_list();
     }
-    else if (status_ != status_ok)
-        retry_later("status " + std::to_string(status_));
+    else if (status != http::status_ok)
+        retry_later("status " + std::to_string(status));
     else if (watching_)
-        take_changes();
+        take_changes(result.body);
     else
-        take_list();
-}
-
-void store_watcher::on_answer_failed(net::call_failure failure, bool)
-{
-    constexpr char const* names[] = {"no connection", "no answer",
-                                     "answer broke off", "no answer in time"};
-    retry_later(names[static_cast<std::size_t>(failure)]);
+        take_list(result.body);
 }
 
 void store_watcher::retry_later(std::string const& reason)
@@ -128,8 +107,12 @@
     }
     auto const factor = 1U << std::min<std::uint32_t>(failures_, 3);
     ++failures_;
-    timer_.expires_after(
-        std::min<duration>(first_pause * factor, longest_pause));
+    go_on_after(std::min<duration>(first_pause * factor, longest_pause));
+}
+
+void store_watcher::go_on_after(duration pause)
+{
+    timer_.expires_after(pause);
     timer_.async_wait(
         [this](asio::error_code ec)
         {
@@ -157,9 +140,9 @@
     return regained_at_ != time_point() && now - regained_at_ < outage_echo;
 }
 
-void store_watcher::take_list()
+void store_watcher::take_list(std::string const& body)
 {
-    auto page = platform::decode_list(body_);
+    auto page = platform::decode_list(body);
     if (!page.ok())
     {
         retry_later(std::string(page.status().message()));
@@ -184,9 +167,9 @@
     call_watch();
 }
 
-void store_watcher::take_changes()
+void store_watcher::take_changes(std::string const& body)
 {
-    auto const page = platform::decode_changes(body_);
+    auto const page = platform::decode_changes(body);
     if (!page.ok())
     {
         retry_later(std::string(page.status().message()));
@@ -200,13 +183,7 @@
         return;
     }
     callbacks_.changed(page->objects, after_outage(clock_()));
-    timer_.expires_after(times_.pause);
-    timer_.async_wait(
-        [this](asio::error_code ec)
-        {
-            if (!ec)
-                call_watch();
-        });
+    go_on_after(times_.pause);
 }
 
 } // namespace buckthornvale::gateway::store
--- a/packages/gateway/tests/log_writer_test.cpp
+++ b/packages/gateway/tests/log_writer_test.cpp
@@ -39,7 +39,7 @@
     log_writer log(pipe.ends[1], "vm-1");
     log.write({"request_refused", "id\"\n{", {{"reason", "a\\b"}}},
               decision::time_point(1s));
-    log.flush(decision::time_point(1s));
+    log.flush();
     auto const line = pipe.read_some();
     EXPECT_EQ(std::count(line.begin(), line.end(), '\n'), 1);
     auto const value = nlohmann::json::parse(line);
@@ -58,7 +58,7 @@
         for (int n = 0; n < 2000; ++n)
             log.write({"x", "id", {{"k", std::string(100, 'v')}}},
                       decision::time_point(std::chrono::seconds(second)));
-        log.flush(decision::time_point(std::chrono::seconds(second)));
+        log.flush();
     }
     EXPECT_GT(log.dropped(), 100'000U);
 }
--- a/packages/http/include/buckthornvale/http/message.hpp
+++ b/packages/http/include/buckthornvale/http/message.hpp
@@ -14,6 +14,8 @@
 namespace buckthornvale::http
 {
 
+constexpr int status_ok = 200;
+
 struct header
 {
     std::string name; //!< compared without regard to case
