objects: the list of VMs backs off apart from the settings

Cause: reads of the list of VMs took the budget's purpose of the settings. While the objects were out, each failed settings call lengthened the back-off of both, up to 10 s, so a new VM found its peers late and took its settings from them late. Ruled out: the reads' share of the store's rate; one read a second is far below it. Change: a purpose of its own for the list of VMs, with the same reserve as the settings; the reserves stand in a table beside the names.

--- a/packages/daemon/src/store_gateway.cpp
+++ b/packages/daemon/src/store_gateway.cpp
@@ -331,10 +331,10 @@
 
 void store_gateway::read_vm_list()
 {
-    if (!permitted(call_purpose::settings, call_direction::read))
+    if (!permitted(call_purpose::vm_list, call_direction::read))
         return;
     auto const result = api_.vms();
-    report(call_purpose::settings, result.status);
+    report(call_purpose::vm_list, result.status);
     if (!result.is_done())
         return;
     decision::vm_list_read read;
--- a/packages/daemon/tests/store_gateway_test.cpp
+++ b/packages/daemon/tests/store_gateway_test.cpp
@@ -4,6 +4,7 @@
 
 #include <condition_variable>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace buckthornvale::daemon
@@ -11,7 +12,7 @@
 namespace
 {
 
-//! Fake of the object API that only counts writes.
+//! Fake of the object API that counts writes and tells an empty list of VMs.
 class counting_api final : public objects::object_api
 {
 public:
@@ -42,7 +43,9 @@
     }
     objects::read_result<std::vector<objects::platform_vm>> vms() override
     {
-        return {};
+        objects::read_result<std::vector<objects::platform_vm>> result;
+        result.status = objects::call_status::done;
+        return result;
     }
     void cancel_watches() override {}
 
@@ -71,6 +74,17 @@
         return value;
     }
 
+    //! The next event; nothing when none comes in time.
+    std::optional<decision::event> take_within(decision::duration limit)
+    {
+        std::unique_lock lock(mutex_);
+        if (!posted_.wait_for(lock, limit, [this] { return !events_.empty(); }))
+            return std::nullopt;
+        auto value = std::move(events_.front());
+        events_.erase(events_.begin());
+        return value;
+    }
+
 private:
     std::mutex mutex_;
     std::condition_variable posted_;
@@ -105,5 +119,24 @@
     EXPECT_EQ(budget.counters(objects::call_purpose::claim).failed, 0u);
 }
 
+// Guards against a new VM that finds no peers during an outage of the objects,
+// because failed reads of settings hold back its list of VMs.
+TEST(store_gateway, reads_the_list_of_vms_while_settings_back_off)
+{
+    objects::store_budget_settings settings;
+    settings.backoff_base = std::chrono::hours(1);
+    settings.backoff_limit = std::chrono::hours(1);
+    objects::shared_store_budget budget(settings, 1);
+    budget.failed(objects::call_purpose::settings);
+    counting_api api;
+    kept_events events;
+    store_gateway gateway(api, budget, events);
+    // A first read that is held back would be followed by no other.
+    gateway.start_vm_list(std::chrono::hours(1));
+    auto const event = events.take_within(std::chrono::seconds(20));
+    ASSERT_TRUE(event);
+    EXPECT_TRUE(std::holds_alternative<decision::vm_list_read>(*event));
+}
+
 } // namespace
 } // namespace buckthornvale::daemon
--- a/packages/objects/include/buckthornvale/objects/budget/store_budget.hpp
+++ b/packages/objects/include/buckthornvale/objects/budget/store_budget.hpp
@@ -20,11 +20,12 @@
 {
     claim,
     settings,
+    vm_list, //!< of a service apart from the objects, so it backs off alone
     lease,
     status
 };
 
-constexpr std::size_t call_purpose_count = 4;
+constexpr std::size_t call_purpose_count = 5;
 
 std::string_view name_of(call_purpose purpose);
 
@@ -63,7 +64,7 @@
 };
 
 //! This VM's part of the store's budget. Reads and writes have one token
-//! bucket each; a quarter of a bucket per step of importance is kept for the
+//! bucket each; a share of a bucket that grows with importance is kept for the
 //! more important purposes. A purpose whose calls fail backs off with
 //! jitter. Not thread-safe.
 class store_budget
--- a/packages/objects/src/budget/store_budget.cpp
+++ b/packages/objects/src/budget/store_budget.cpp
@@ -12,7 +12,21 @@
 // The least important purpose needs a token above three reserved quarters,
 // so a bucket of less than four tokens would never let it through.
 constexpr double least_capacity = 4.;
-constexpr double reserve_step = 0.25; // of a bucket, per step of importance
+
+//! Name of a purpose, and the share of a bucket that it leaves to others.
+struct purpose_traits
+{
+    std::string_view name;
+    double reserved_share;
+};
+
+constexpr std::array<purpose_traits, call_purpose_count> purposes = {{
+    {"claim", 0.},
+    {"settings", 0.25},
+    {"vm_list", 0.25},
+    {"lease", 0.5},
+    {"status", 0.75},
+}};
 
 // Beyond this the doubled delay exceeds any limit.
 constexpr std::uint32_t most_doublings = 20;
@@ -26,9 +40,7 @@
 
 std::string_view name_of(call_purpose purpose)
 {
-    constexpr std::array<std::string_view, call_purpose_count> names = {
-        "claim", "settings", "lease", "status"};
-    return names[index_of(purpose)];
+    return purposes[index_of(purpose)].name;
 }
 
 store_budget::store_budget(store_budget_settings const& settings,
@@ -61,7 +73,7 @@
     auto& tokens = buckets_[static_cast<std::size_t>(direction)];
     tokens.fill(now);
     auto const reserved =
-        reserve_step * static_cast<double>(index_of(purpose)) * tokens.capacity;
+        purposes[index_of(purpose)].reserved_share * tokens.capacity;
     auto const missing = reserved + 1. - tokens.tokens;
     if (missing > 0.)
     {
