--- a/examples/use_package/serving.cpp
+++ b/examples/use_package/serving.cpp
@@ -5,7 +5,7 @@
 
 int main()
 {
-    // The header of the front end includes those of cpp-httplib.
+    // The header of the front end includes those of the event loop.
     using buckthornvale::serving::http::http_front;
     static_assert(!std::is_copy_constructible_v<http_front>);
     return buckthornvale::serving::http::is_plain_name("clearers") ? 0 : 1;
--- a/packages/daemon/src/entry_node.cpp
+++ b/packages/daemon/src/entry_node.cpp
@@ -26,6 +26,12 @@
 
 constexpr decision::duration vm_list_period = std::chrono::seconds(1);
 
+// Callers keep idle connections beside those that wait for an answer.
+constexpr std::size_t connections_per_caller = 4;
+
+// For health checks and operators.
+constexpr std::size_t spare_connections = 32;
+
 decision::wall_time wall_now()
 {
     auto const now = std::chrono::system_clock::now();
@@ -52,13 +58,15 @@
     settings.address = from.http.address;
     settings.port = from.http.port;
     settings.incarnation = incarnation;
-    settings.server.threads = from.http.threads;
-    settings.max_waiting = from.http.threads - from.http.threads / 4;
-    auto& limits = settings.server.connection;
+    settings.max_waiting = from.http.max_callers;
+    auto& limits = settings.server;
+    limits.max_connections =
+        from.http.max_callers * connections_per_caller + spare_connections;
     limits.max_body_bytes = from.limits.body_bytes;
-    limits.max_head_bytes = from.limits.header_bytes;
-    limits.idle = std::chrono::ceil<milliseconds>(from.limits.idle);
-    limits.receive = std::chrono::ceil<milliseconds>(from.limits.request_read);
+    limits.max_header_bytes = from.limits.header_bytes;
+    limits.idle_timeout = from.limits.idle;
+    limits.header_timeout = from.limits.request_read;
+    limits.receive_timeout = from.limits.request_read;
     settings.operator_key_sha256 = from.http.operator_key_sha256;
     return settings;
 }
--- a/packages/daemon/src/peer_gateway.cpp
+++ b/packages/daemon/src/peer_gateway.cpp
@@ -1,5 +1,5 @@
-#include <buckthornvale/daemon/address.hpp>
 #include <buckthornvale/daemon/peer_gateway.hpp>
+#include <buckthornvale/net/endpoint.hpp>
 
 #include <type_traits>
 #include <utility>
@@ -82,11 +82,11 @@
     std::vector<peer::peer_address> peers;
     for (auto const& it : effect.peers)
     {
-        auto const address = parse_address(it.address);
+        auto const address = net::parse_endpoint(it.address);
         if (!address)
             continue;
-        peers.push_back(
-            {it.vm, address->host, address->port, it.link, it.dial});
+        peers.push_back({it.vm, address->address().to_string(), address->port(),
+                         it.link, it.dial});
     }
     link_.set_peers(peers);
 }
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -2,14 +2,14 @@
 #define BUCKTHORNVALE_GATEWAY_GATEWAY_PROCESS_HPP
 
 #include <buckthornvale/decision/gateway/reducer.hpp>
-#include <buckthornvale/gateway/net/http_client.hpp>
-#include <buckthornvale/gateway/net/http_server.hpp>
-#include <buckthornvale/gateway/net/simple_call.hpp>
 #include <buckthornvale/gateway/observe/gateway_metrics.hpp>
 #include <buckthornvale/gateway/observe/log_writer.hpp>
+#include <buckthornvale/gateway/own_call.hpp>
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
 #include <buckthornvale/gateway/runner_attempt.hpp>
 #include <buckthornvale/gateway/store/store_watcher.hpp>
+#include <buckthornvale/net/http_client.hpp>
+#include <buckthornvale/net/http_server.hpp>
 #include <buckthornvale/platform/node_settings.hpp>
 
 #include <asio/io_context.hpp>
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -3,7 +3,7 @@
 
 #include <buckthornvale/decision/gateway/event.hpp>
 #include <buckthornvale/gateway/event_splitter.hpp>
-#include <buckthornvale/gateway/net/http_client.hpp>
+#include <buckthornvale/net/http_client.hpp>
 #include <buckthornvale/platform/headers.hpp>
 
 #include <cstdint>
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 #define BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 
-#include <buckthornvale/gateway/net/simple_call.hpp>
+#include <buckthornvale/gateway/own_call.hpp>
 #include <buckthornvale/platform/store_codec.hpp>
 
 #include <asio/io_context.hpp>
--- a/packages/gateway/src/control_handler.cpp
+++ b/packages/gateway/src/control_handler.cpp
@@ -14,9 +14,9 @@
 
 constexpr std::string_view metrics_path = "/metrics";
 
-net::caller_limits control_limits()
+net::server_limits control_limits()
 {
-    net::caller_limits out;
+    net::server_limits out;
     out.max_body_bytes = 16'777'216;
     out.idle_timeout = 120s;
     return out;
--- a/packages/gateway/src/control_handler.hpp
+++ b/packages/gateway/src/control_handler.hpp
@@ -1,8 +1,8 @@
 #ifndef BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
 #define BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
 
-#include <buckthornvale/gateway/net/http_server.hpp>
 #include <buckthornvale/gateway/peer/peer_codec.hpp>
+#include <buckthornvale/net/http_server.hpp>
 
 #include <asio/io_context.hpp>
 
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -47,6 +47,16 @@
 //! Time before the end of the grace period at which the process ends.
 constexpr duration grace_margin = 600ms;
 
+net::server_limits server_limits_of(model::caller_limits const& from)
+{
+    net::server_limits out;
+    out.max_header_bytes = from.max_header_bytes;
+    out.max_body_bytes = from.max_body_bytes;
+    out.header_timeout = from.header_timeout;
+    out.idle_timeout = from.idle_timeout;
+    return out;
+}
+
 } // namespace
 
 gateway_process::gateway_process(asio::io_context& loop,
@@ -74,8 +84,9 @@
           [this]
           {
               auto const* manifest = reducer_.current_manifest();
-              return manifest != nullptr ? manifest->limits
-                                         : model::caller_limits();
+              return server_limits_of(manifest != nullptr
+                                          ? manifest->limits
+                                          : model::caller_limits());
           },
           [this] { return now(); }),
       next_ref_(model::first_request_ref(incarnation)), timer_(loop)
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -52,13 +52,13 @@
     options.connect_timeout = connect_timeout;
     options.timeout = effect.timeout;
     metrics_.count_stage_call(items.size());
-    net::make_call(client_, effect.address,
-                   {"POST", std::string(platform::stage_run_target),
-                    platform::encode_stage_items(items), effect.runner_id},
-                   options,
-                   [this, call = effect.call,
-                    n = items.size()](net::call_result const& result)
-                   { end_stage_call(call, n, result); });
+    make_call(client_, effect.address,
+              {"POST", std::string(platform::stage_run_target),
+               platform::encode_stage_items(items), effect.runner_id},
+              options,
+              [this, call = effect.call,
+               n = items.size()](net::call_result const& result)
+              { end_stage_call(call, n, result); });
 }
 
 void gateway_process::end_stage_call(model::call_ref call, std::size_t pieces,
@@ -96,12 +96,12 @@
     options.connect_timeout = connect_timeout;
     options.timeout = free_timeout;
     // Results that cannot be freed lapse by themselves.
-    net::make_call(client_, effect.address,
-                   {"POST", std::string(platform::stage_free_target),
-                    platform::encode_handles(effect.handles), effect.runner_id},
-                   options,
-                   [this, call = effect.call](net::call_result const&)
-                   { reduce(model::stage_results_freed{call}); });
+    make_call(client_, effect.address,
+              {"POST", std::string(platform::stage_free_target),
+               platform::encode_handles(effect.handles), effect.runner_id},
+              options,
+              [this, call = effect.call](net::call_result const&)
+              { reduce(model::stage_results_freed{call}); });
 }
 
 } // namespace buckthornvale::gateway
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -146,19 +146,19 @@
     options.connect_timeout = peer_timeout;
     options.timeout = peer_timeout;
     asking_peer_ = true;
-    net::make_call(
-        client_, to->second.value.address, {"GET", target, {}, {}}, options,
-        [this, name = to->first](net::call_result const& result)
-        {
-            asking_peer_ = false;
-            if (result.failure || result.head.status != http::status_ok)
-                return;
-            auto const object = platform::decode_object(result.body);
-            if (!object)
-                return;
-            log("manifest_from_peer", {{"member", name}});
-            take_manifest({*object});
-        });
+    make_call(client_, to->second.value.address, {"GET", target, {}, {}},
+              options,
+              [this, name = to->first](net::call_result const& result)
+              {
+                  asking_peer_ = false;
+                  if (result.failure || result.head.status != http::status_ok)
+                      return;
+                  auto const object = platform::decode_object(result.body);
+                  if (!object)
+                      return;
+                  log("manifest_from_peer", {{"member", name}});
+                  take_manifest({*object});
+              });
 }
 
 void gateway_process::carry_out(model::remove_member const& effect)
@@ -177,12 +177,12 @@
 {
     net::call_options options;
     options.timeout = write_timeout;
-    net::make_call(client_, settings_.store.text(),
-                   {std::move(call.method),
-                    std::move(call.target),
-                    std::move(call.body),
-                    {}},
-                   options, std::move(done));
+    make_call(client_, settings_.store.text(),
+              {std::move(call.method),
+               std::move(call.target),
+               std::move(call.body),
+               {}},
+              options, std::move(done));
 }
 
 bool gateway_process::self_registered() const
--- /dev/null
+++ b/packages/gateway/src/own_call.cpp
@@ -0,0 +1,20 @@
+#include <buckthornvale/gateway/own_call.hpp>
+#include <buckthornvale/platform/headers.hpp>
+
+namespace buckthornvale::gateway
+{
+
+net::call_id make_call(net::http_client& client, std::string const& address,
+                       own_call call, net::call_options const& options,
+                       net::call_done done)
+{
+    net::short_request request;
+    request.head =
+        platform::encode_own_request(call.method, call.target, address,
+                                     call.body.size(), call.expected_runner);
+    request.body = std::move(call.body);
+    return net::make_call(client, address, std::move(request), options,
+                          std::move(done));
+}
+
+} // namespace buckthornvale::gateway
--- a/packages/gateway/src/peer/peer_sender.cpp
+++ b/packages/gateway/src/peer/peer_sender.cpp
@@ -50,7 +50,7 @@
         net::call_options options;
         options.connect_timeout = connect_timeout;
         options.timeout = answer_timeout;
-        net::make_call(
+        make_call(
             owner_.client_, address_,
             {"POST", std::string(messages_path), encode_envelope(value), {}},
             options,
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -65,9 +65,9 @@
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
-    net::make_call(
-        client_, address_, {call.method, call.target, call.body, {}}, options,
-        [this](net::call_result const& result) { take_answer(result); });
+    make_call(client_, address_, {call.method, call.target, call.body, {}},
+              options,
+              [this](net::call_result const& result) { take_answer(result); });
 }
 
 void store_watcher::take_answer(net::call_result const& result)
--- a/packages/http/include/buckthornvale/http/text.hpp
+++ b/packages/http/include/buckthornvale/http/text.hpp
@@ -28,6 +28,18 @@
 std::pair<std::string_view, std::string_view> split_once(std::string_view text,
                                                          char separator);
 
+//! Decodes "%41" and the like; empty when an escape is malformed.
+std::optional<std::string> percent_decoded(std::string_view text);
+
+//! Escapes all but letters, digits and "-._~".
+std::string percent_encoded(std::string_view text);
+
+//! Decoded value of the first parameter of the name in a query such as
+//! "a=1&b=x%20y"; "+" stands for a blank. Empty without one, or when it is
+//! malformed.
+std::optional<std::string> query_parameter(std::string_view query,
+                                           std::string_view name);
+
 std::string concat(std::initializer_list<std::string_view> parts);
 
 //! Reads a whole text as an unsigned decimal number; empty for anything else.
--- a/packages/http/src/text.cpp
+++ b/packages/http/src/text.cpp
@@ -17,6 +17,18 @@
     return it >= 'A' && it <= 'Z' ? char(it + 32) : it;
 }
 
+bool is_hex_digit(char it)
+{
+    return (it >= '0' && it <= '9') || (lower(it) >= 'a' && lower(it) <= 'f');
+}
+
+bool is_unreserved(char it)
+{
+    constexpr std::string_view marks = "-._~";
+    return (it >= '0' && it <= '9') || (lower(it) >= 'a' && lower(it) <= 'z') ||
+           marks.find(it) != std::string_view::npos;
+}
+
 std::optional<std::uint64_t> parse_integer(std::string_view text, int base)
 {
     text = trimmed(text);
@@ -109,4 +121,59 @@
     return value;
 }
 
+std::optional<std::string> percent_decoded(std::string_view text)
+{
+    constexpr std::size_t digits = 2;
+    std::string out;
+    while (!text.empty())
+    {
+        if (text[0] != '%')
+        {
+            out += text[0];
+            text.remove_prefix(1);
+            continue;
+        }
+        auto const escape = text.substr(1, digits);
+        bool const complete =
+            escape.size() == digits &&
+            std::all_of(escape.begin(), escape.end(), is_hex_digit);
+        auto const value = complete ? parse_integer(escape, 16) : std::nullopt;
+        if (!value)
+            return std::nullopt;
+        out += static_cast<char>(*value);
+        text.remove_prefix(1 + digits);
+    }
+    return out;
+}
+
+std::string percent_encoded(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string out;
+    for (char const it : text)
+    {
+        auto const byte = static_cast<unsigned char>(it);
+        if (is_unreserved(it))
+            out += it;
+        else
+            out.append({'%', digits[byte >> 4U], digits[byte & 15U]});
+    }
+    return out;
+}
+
+std::optional<std::string> query_parameter(std::string_view query,
+                                           std::string_view name)
+{
+    for (auto const it : split(query, '&'))
+    {
+        auto const parts = split_once(it, '=');
+        if (percent_decoded(parts.first) != name)
+            continue;
+        std::string value(parts.second);
+        std::replace(value.begin(), value.end(), '+', ' ');
+        return percent_decoded(value);
+    }
+    return std::nullopt;
+}
+
 } // namespace buckthornvale::http
--- a/packages/http/tests/text_test.cpp
+++ b/packages/http/tests/text_test.cpp
@@ -29,6 +29,20 @@
     EXPECT_FALSE(equals_ignoring_case("abc", "abcd"));
 }
 
+// Guards against half an escape that is passed on, and against a parameter that
+// is read from another's value.
+TEST(text, decodes_and_encodes_paths_and_queries)
+{
+    EXPECT_EQ(percent_decoded("a%2Fb%c3%a4"), "a/b\xc3\xa4");
+    for (auto const it : {"%", "%2", "%2x", "%-1", "a% 1"})
+        EXPECT_FALSE(percent_decoded(it)) << it;
+    EXPECT_EQ(percent_encoded("a-b&c d"), "a-b%26c%20d");
+    EXPECT_EQ(percent_decoded(percent_encoded("\xff%&=+")), "\xff%&=+");
+    EXPECT_EQ(query_parameter("x=b=1&b=x+y%2B", "b"), "x y+");
+    EXPECT_EQ(query_parameter("b", "b"), "");
+    EXPECT_FALSE(query_parameter("ab=1", "b"));
+}
+
 // Guards against headers of one connection that travel to the next one.
 TEST(message, knows_the_headers_of_a_connection)
 {
--- a/packages/gateway/include/buckthornvale/gateway/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -1,10 +1,10 @@
-#ifndef BUCKTHORNVALE_GATEWAY_NET_HTTP_CLIENT_HPP
-#define BUCKTHORNVALE_GATEWAY_NET_HTTP_CLIENT_HPP
+#ifndef BUCKTHORNVALE_NET_HTTP_CLIENT_HPP
+#define BUCKTHORNVALE_NET_HTTP_CLIENT_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
-#include <buckthornvale/gateway/net/http_server.hpp>
-#include <buckthornvale/gateway/net/tcp_stream.hpp>
 #include <buckthornvale/http/message_parser.hpp>
+#include <buckthornvale/net/clock.hpp>
+#include <buckthornvale/net/tcp_stream.hpp>
 
 #include <asio/io_context.hpp>
 
@@ -16,11 +16,9 @@
 #include <string_view>
 #include <vector>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
-using decision::duration;
-
 //! How a call failed.
 enum class call_failure
 {
@@ -56,6 +54,9 @@
     //! A kept connection that was idle longer is not used. The peer may have
     //! dropped it, and a request that cannot be repeated would be lost.
     duration max_idle = std::chrono::seconds(60);
+
+    //! False for a connection that serves this call alone.
+    bool keep_connection = true;
 };
 
 //! Calls HTTP/1.1 servers over kept connections, one call at a time on each.
@@ -114,6 +115,6 @@
     std::map<std::string, std::vector<idle_connection>> idle_;
 };
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
 
 #endif
--- a/packages/gateway/include/buckthornvale/gateway/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -1,10 +1,9 @@
-#ifndef BUCKTHORNVALE_GATEWAY_NET_HTTP_SERVER_HPP
-#define BUCKTHORNVALE_GATEWAY_NET_HTTP_SERVER_HPP
+#ifndef BUCKTHORNVALE_NET_HTTP_SERVER_HPP
+#define BUCKTHORNVALE_NET_HTTP_SERVER_HPP
 
-#include <buckthornvale/decision/core/time.hpp>
-#include <buckthornvale/decision/gateway/manifest.hpp>
-#include <buckthornvale/gateway/net/tcp_stream.hpp>
 #include <buckthornvale/http/message_parser.hpp>
+#include <buckthornvale/net/clock.hpp>
+#include <buckthornvale/net/tcp_stream.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -12,21 +11,55 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
-using decision::time_point;
-using decision::gateway::caller_limits;
+class server_connection;
 
-//! Gives the present time to the event loop.
-using clock_function = std::function<time_point()>;
+//! Times and sizes that bound what callers may send and hold.
+struct server_limits
+{
+    std::size_t max_header_bytes = 16'384;
+    std::size_t max_body_bytes = 4'194'304;
+    duration header_timeout = std::chrono::seconds(3);
+    duration idle_timeout = std::chrono::seconds(15);
 
-class server_connection;
+    //! From the first byte of a request to its last.
+    duration receive_timeout = std::chrono::seconds(60);
+
+    //! Time in which a caller takes none of the bytes that wait for it.
+    duration send_timeout = std::chrono::seconds(10);
+
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+};
+
+//! Why the server ends a connection without a request for its handler.
+enum class rejection
+{
+    malformed,
+    header_too_large,
+    body_too_large,
+    header_too_slow,
+    body_too_slow,
+    too_many_connections
+};
+
+//! What the caller of such a connection is told.
+struct rejection_answer
+{
+    int status = 400;
+    std::string content_type; //!< empty without a body
+    std::string body;
+};
+
+//! Status and no body.
+rejection_answer plain_rejection(rejection reason);
 
 //! Serves the requests of a server. Each request gets exactly one answer,
 //! which may come later, unless the caller leaves first.
@@ -44,10 +77,15 @@
 
     //! More of an answer may be queued.
     virtual void on_drained(server_connection& from) = 0;
+
+    //! Nothing: the connection ends without an answer.
+    virtual std::optional<rejection_answer> on_rejected(rejection reason)
+    {
+        return plain_rejection(reason);
+    }
 };
 
-//! Times and sizes that bound what a caller may send.
-using limits_function = std::function<caller_limits()>;
+using limits_function = std::function<server_limits()>;
 
 class http_server;
 
@@ -62,8 +100,15 @@
     ~server_connection() override;
 
     void start();
+
+    //! Answers without reading a request, and ends.
+    void reject(rejection reason);
+
     std::uint64_t id() const { return id_; }
 
+    //! Address of the caller; unspecified when the connection has ended.
+    asio::ip::address remote_address() const;
+
     //! Sends a whole answer. `head` holds the status line and headers without
     //! those of the connection and without the empty line.
     void answer(std::string head, std::string_view body);
@@ -107,10 +152,11 @@
     };
 
     void parse(std::string_view bytes);
-    void refuse(int status);
     void finish_answer();
     void close_gracefully();
     void close_now();
+    void check_receiving(server_limits const& limits, time_point now);
+    bool takes_nothing(server_limits const& limits, time_point now);
     void append_connection_headers(std::string& head) const;
 
     http_server& server_;
@@ -124,7 +170,9 @@
     bool chunked_ = false;
     bool answer_started_ = false;
     bool finish_soon_ = false;
-    time_point since_{}; //!< start of the state, or of the present request
+    time_point since_{};      //!< start of the state, or of the present request
+    std::uint64_t taken_ = 0; //!< bytes that the caller had taken when seen
+    time_point taken_since_{}; //!< time since when it has taken no more
 };
 
 //! Accepts connections on one address.
@@ -176,6 +224,6 @@
         connections_;
 };
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
 
 #endif
--- a/packages/gateway/include/buckthornvale/gateway/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -1,16 +1,17 @@
-#ifndef BUCKTHORNVALE_GATEWAY_NET_TCP_STREAM_HPP
-#define BUCKTHORNVALE_GATEWAY_NET_TCP_STREAM_HPP
+#ifndef BUCKTHORNVALE_NET_TCP_STREAM_HPP
+#define BUCKTHORNVALE_NET_TCP_STREAM_HPP
 
 #include <asio/ip/tcp.hpp>
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
 //! A TCP connection that reads as bytes come and never blocks on a write. All
@@ -58,6 +59,9 @@
         return in_flight_.size() - in_flight_done_ + pending_.size();
     }
 
+    //! Bytes that the socket has taken since the start.
+    std::uint64_t written() const { return written_; }
+
     //! Ends the sending direction after the queued bytes.
     void shutdown_after_write();
 
@@ -67,6 +71,9 @@
     void reset();
     bool is_open() const { return open_; }
 
+    //! Unspecified when the peer is not connected.
+    asio::ip::address remote_address() const;
+
 private:
     void read();
     void write_queued();
@@ -79,6 +86,7 @@
     std::array<char, read_size> in_{};
     std::string in_flight_; //!< not changed while a write is in progress
     std::size_t in_flight_done_ = 0;
+    std::uint64_t written_ = 0;
     std::string pending_;
     bool open_ = true;
     bool paused_ = false;
@@ -87,6 +95,6 @@
     bool shutdown_pending_ = false;
 };
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
 
 #endif
--- a/packages/gateway/src/net/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -1,11 +1,11 @@
-#include <buckthornvale/gateway/net/http_client.hpp>
-#include <buckthornvale/platform/node_settings.hpp>
+#include <buckthornvale/net/endpoint.hpp>
+#include <buckthornvale/net/http_client.hpp>
 
 #include <asio/post.hpp>
 
 #include <algorithm>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
 namespace
@@ -61,6 +61,7 @@
         body_ = std::move(body);
         ends_ = now + options.timeout;
         skipping_ = false;
+        keep_ = options.keep_connection;
         no_body_ = head_.compare(0, 5, "HEAD ") == 0;
         parser_.next();
         if (connected_)
@@ -69,17 +70,13 @@
             return;
         }
         connect_ends_ = now + options.connect_timeout;
-        auto const to = platform::parse_endpoint(address_);
-        asio::error_code ec;
-        auto const ip = to.ok() ? asio::ip::make_address(to->address, ec)
-                                : asio::ip::address();
-        if (!to.ok() || ec)
+        auto const to = parse_endpoint(address_);
+        if (!to)
         {
             fail_later(call_failure::not_sent);
             return;
         }
-        stream_->connect({ip, to->port},
-                         [self = shared_from_this()](asio::error_code e)
+        stream_->connect(*to, [self = shared_from_this()](asio::error_code e)
                          { self->on_connected(e); });
     }
 
@@ -238,7 +235,7 @@
         auto const owned = std::exchange(owned_, nullptr);
         auto const call = call_;
         body_.reset();
-        bool const reusable = head.keep_alive && nothing_follows &&
+        bool const reusable = keep_ && head.keep_alive && nothing_follows &&
                               !head.ends_with_connection &&
                               stream_->queued() == 0 && stream_->is_open();
         auto const self = shared_from_this();
@@ -294,6 +291,7 @@
     bool skipping_ = false;
     bool interim_ = false;
     bool no_body_ = false;
+    bool keep_ = true;
 };
 
 http_client::http_client(asio::io_context& loop, clock_function clock)
@@ -314,7 +312,8 @@
                           std::shared_ptr<std::string const> body,
                           call_options const& options, answer_handler& handler)
 {
-    auto link = take_idle(address, options.max_idle);
+    auto link = options.keep_connection ? take_idle(address, options.max_idle)
+                                        : nullptr;
     if (link == nullptr)
         link = std::make_shared<connection>(*this, address);
     auto const id = next_call_++;
@@ -440,4 +439,4 @@
     idle_.erase(found);
 }
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
--- a/packages/gateway/src/net/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -1,11 +1,11 @@
-#include <buckthornvale/gateway/net/http_server.hpp>
+#include <buckthornvale/net/http_server.hpp>
 
 #include <asio/post.hpp>
 
 #include <algorithm>
 #include <vector>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
 namespace
@@ -17,17 +17,36 @@
 constexpr std::size_t max_ahead = 65'536;
 
 //! Time that a caller gets to read its answer before its connection is reset.
-constexpr decision::duration linger_time = 1s;
+constexpr duration linger_time = 1s;
 
 constexpr std::chrono::milliseconds accept_pause{50};
 
-http::parser_limits parser_limits_of(caller_limits const& limits)
+http::parser_limits parser_limits_of(server_limits const& limits)
 {
     return {limits.max_header_bytes, limits.max_body_bytes};
 }
 
 } // namespace
 
+rejection_answer plain_rejection(rejection reason)
+{
+    switch (reason)
+    {
+    case rejection::malformed:
+        break;
+    case rejection::header_too_large:
+        return {431, {}, {}};
+    case rejection::body_too_large:
+        return {413, {}, {}};
+    case rejection::header_too_slow:
+    case rejection::body_too_slow:
+        return {408, {}, {}};
+    case rejection::too_many_connections:
+        return {503, {}, {}};
+    }
+    return {400, {}, {}};
+}
+
 server_connection::server_connection(http_server& server, std::uint64_t id,
                                      asio::ip::tcp::socket socket)
     : server_(server), id_(id),
@@ -77,13 +96,13 @@
     case http::parse_error::none:
         break;
     case http::parse_error::malformed:
-        refuse(400);
+        reject(rejection::malformed);
         return;
     case http::parse_error::header_too_large:
-        refuse(431);
+        reject(rejection::header_too_large);
         return;
     case http::parse_error::body_too_large:
-        refuse(413);
+        reject(rejection::body_too_large);
         return;
     }
     if (!parser_.complete())
@@ -197,13 +216,27 @@
                });
 }
 
-void server_connection::refuse(int status)
+void server_connection::reject(rejection reason)
 {
+    stream_->attach(*this);
     state_ = state::serving;
     keep_alive_ = false;
+    auto const told = server_.handler_.on_rejected(reason);
+    if (!told)
+    {
+        close_gracefully();
+        return;
+    }
     std::string head;
-    http::append_status_line(head, status);
-    answer(std::move(head), {});
+    http::append_status_line(head, told->status);
+    if (!told->content_type.empty())
+        http::append_header(head, "Content-Type", told->content_type);
+    answer(std::move(head), told->body);
+}
+
+asio::ip::address server_connection::remote_address() const
+{
+    return stream_->remote_address();
 }
 
 void server_connection::abort()
@@ -243,15 +276,48 @@
 void server_connection::check_limits(time_point now)
 {
     auto const limits = server_.limits_();
-    if (state_ == state::lingering && now - since_ > linger_time &&
-        stream_->queued() == 0)
+    if (takes_nothing(limits, now))
+    {
+        if (state_ == state::serving)
+            server_.handler_.on_caller_left(*this);
         close_now();
-    else if (state_ == state::reading && !parser_.started() &&
-             now - since_ > limits.idle_timeout)
-        close_gracefully();
-    else if (state_ == state::reading && parser_.started() &&
-             !parser_.head_complete() && now - since_ > limits.header_timeout)
-        refuse(408);
+    }
+    else if (state_ == state::lingering && now - since_ > linger_time &&
+             stream_->queued() == 0)
+        close_now();
+    else if (state_ == state::reading)
+        check_receiving(limits, now);
+}
+
+void server_connection::check_receiving(server_limits const& limits,
+                                        time_point now)
+{
+    auto const waited = now - since_;
+    if (!parser_.started())
+    {
+        if (waited > limits.idle_timeout)
+            close_gracefully();
+    }
+    else if (!parser_.head_complete())
+    {
+        if (waited > limits.header_timeout)
+            reject(rejection::header_too_slow);
+    }
+    else if (waited > limits.receive_timeout)
+        reject(rejection::body_too_slow);
+}
+
+bool server_connection::takes_nothing(server_limits const& limits,
+                                      time_point now)
+{
+    auto const taken = stream_->written();
+    if (stream_->queued() == 0 || taken != taken_)
+    {
+        taken_ = taken;
+        taken_since_ = now;
+        return false;
+    }
+    return now - taken_since_ > limits.send_timeout;
 }
 
 void server_connection::on_end(asio::error_code)
@@ -304,8 +370,13 @@
                 auto const id = next_id_++;
                 auto connection = std::make_shared<server_connection>(
                     *this, id, std::move(socket));
+                bool const full =
+                    connections_.size() >= limits_().max_connections;
                 connections_.emplace(id, connection);
-                connection->start();
+                if (full)
+                    connection->reject(rejection::too_many_connections);
+                else
+                    connection->start();
             }
             if (!ec)
             {
@@ -370,4 +441,4 @@
     return found == connections_.end() ? nullptr : found->second.get();
 }
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
--- /dev/null
+++ b/packages/net/src/short_call.cpp
@@ -0,0 +1,65 @@
+#include <buckthornvale/net/short_call.hpp>
+
+namespace buckthornvale::net
+{
+
+namespace
+{
+
+//! Collects an answer.
+class short_call final : public answer_handler
+{
+public:
+    short_call(std::size_t max_bytes, call_done done)
+        : max_bytes_(max_bytes), done_(std::move(done))
+    {
+    }
+
+    bool on_answer_head(http::response_head const& head) override
+    {
+        result_.head = head;
+        return true;
+    }
+
+    void on_answer_body(std::string_view bytes) override
+    {
+        too_large_ =
+            too_large_ || result_.body.size() + bytes.size() > max_bytes_;
+        if (!too_large_)
+            result_.body.append(bytes);
+    }
+
+    void on_answer_end() override
+    {
+        if (too_large_)
+            result_.failure = call_failure::broken_off;
+        done_(result_);
+    }
+
+    void on_answer_failed(call_failure failure, bool) override
+    {
+        result_.failure = failure;
+        done_(result_);
+    }
+
+private:
+    std::size_t max_bytes_;
+    call_done done_;
+    call_result result_;
+    bool too_large_ = false;
+};
+
+} // namespace
+
+call_id make_call(http_client& client, std::string const& address,
+                  short_request request, call_options const& options,
+                  call_done done)
+{
+    return client.call(
+        address, std::move(request.head),
+        std::make_shared<std::string const>(std::move(request.body)), options,
+        std::make_shared<short_call>(request.max_answer_bytes,
+                                     std::move(done)));
+}
+
+} // namespace buckthornvale::net
--- a/packages/gateway/src/net/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -1,11 +1,11 @@
-#include <buckthornvale/gateway/net/tcp_stream.hpp>
+#include <buckthornvale/net/tcp_stream.hpp>
 
 #include <asio/buffer.hpp>
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace buckthornvale::gateway::net
+namespace buckthornvale::net
 {
 
 namespace
@@ -109,6 +109,7 @@
         return false;
     if (ec)
         n = 0;
+    written_ += n;
     if (n < first.size())
     {
         pending_.append(first.substr(n));
@@ -144,6 +145,7 @@
                 return;
             }
             self->in_flight_done_ += n;
+            self->written_ += n;
             if (self->queued() > 0)
             {
                 self->write_queued();
@@ -173,6 +175,13 @@
         owner->on_end(ec);
 }
 
+asio::ip::address tcp_stream::remote_address() const
+{
+    asio::error_code ec;
+    auto const peer = socket_.remote_endpoint(ec);
+    return ec ? asio::ip::address() : peer.address();
+}
+
 void tcp_stream::reset()
 {
     asio::error_code ec;
@@ -189,4 +198,4 @@
     socket_.close(ec);
 }
 
-} // namespace buckthornvale::gateway::net
+} // namespace buckthornvale::net
--- /dev/null
+++ b/packages/net/tests/loopback_test.cpp
@@ -0,0 +1,180 @@
+#include <buckthornvale/http/text.hpp>
+#include <buckthornvale/net/endpoint.hpp>
+#include <buckthornvale/net/http_server.hpp>
+#include <buckthornvale/net/loop_thread.hpp>
+#include <buckthornvale/net/short_call.hpp>
+
+#include <asio/connect.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace buckthornvale::net
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! Only ends a test that hangs.
+constexpr std::chrono::seconds hang_limit{60};
+
+//! Answers each request with as many bytes as its target names.
+class fake_handler final : public request_handler
+{
+public:
+    void on_request(server_connection& from, http::request_head& head,
+                    std::string&) override
+    {
+        ++requests;
+        auto const n = http::parse_number(head.target.substr(1)).value_or(0);
+        std::string answer;
+        http::append_status_line(answer, http::status_ok);
+        from.answer(std::move(answer), std::string(n, 'x'));
+    }
+    void on_caller_left(server_connection&) override {}
+    void on_drained(server_connection&) override {}
+
+    std::atomic<int> requests{0};
+};
+
+//! A server and a client on one loop.
+class loopback_test : public testing::Test
+{
+protected:
+    void start(server_limits limits)
+    {
+        limits_ = limits;
+        server.listen("127.0.0.1", 0);
+        address = endpoint_text("127.0.0.1", server.port());
+        loop.start(5ms,
+                   [this](time_point now)
+                   {
+                       server.check_limits(now);
+                       client.check_times(now);
+                   });
+    }
+
+    ~loopback_test() override { loop.stop(); }
+
+    call_result call(std::string const& target, std::size_t max_bytes,
+                     bool keep_connection)
+    {
+        std::promise<call_result> done;
+        loop.post(
+            [&]
+            {
+                short_request request;
+                request.head = "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+                request.max_answer_bytes = max_bytes;
+                call_options options;
+                options.keep_connection = keep_connection;
+                make_call(client, address, std::move(request), options,
+                          [&](call_result const& it) { done.set_value(it); });
+            });
+        return done.get_future().get();
+    }
+
+    std::size_t connections()
+    {
+        std::size_t n = 0;
+        loop.run([&] { n = server.connections(); });
+        return n;
+    }
+
+    bool eventually_connected(std::size_t n)
+    {
+        auto const end = std::chrono::steady_clock::now() + hang_limit;
+        while (connections() != n)
+        {
+            if (std::chrono::steady_clock::now() > end)
+                return false;
+            std::this_thread::sleep_for(2ms);
+        }
+        return true;
+    }
+
+    asio::ip::tcp::socket connect(asio::io_context& own) const
+    {
+        asio::ip::tcp::socket out(own);
+        out.connect(*parse_endpoint(address));
+        return out;
+    }
+
+    server_limits limits_;
+    fake_handler handler;
+    loop_thread loop;
+    http_server server{loop.loop(), handler, [this] { return limits_; },
+                       steady_now};
+    http_client client{loop.loop(), steady_now};
+    std::string address;
+};
+
+// Guards against a connection that serves a later call although it was to
+// serve one alone.
+TEST_F(loopback_test, keeps_a_connection_only_when_told_to)
+{
+    start({});
+    EXPECT_FALSE(call("/3", 100, true).failure);
+    EXPECT_FALSE(call("/3", 100, true).failure);
+    EXPECT_EQ(connections(), 1U);
+    EXPECT_EQ(call("/3", 100, false).body, "xxx");
+    EXPECT_TRUE(eventually_connected(1));
+    EXPECT_EQ(handler.requests, 3);
+}
+
+// Guards against an answer above its bound that is taken for a whole one.
+TEST_F(loopback_test, fails_a_call_whose_answer_is_too_large)
+{
+    start({});
+    EXPECT_EQ(call("/101", 100, true).failure, call_failure::broken_off);
+    EXPECT_FALSE(call("/100", 100, true).failure);
+}
+
+// Guards against callers that never read their answers and hold memory and a
+// descriptor for good.
+TEST_F(loopback_test, closes_a_connection_whose_caller_takes_nothing)
+{
+    server_limits limits;
+    limits.send_timeout = 100ms;
+    start(limits);
+    asio::io_context own;
+    auto caller = connect(own);
+    std::string const request = "GET /50000000 HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(caller, asio::buffer(request));
+    EXPECT_TRUE(eventually_connected(1));
+    EXPECT_TRUE(eventually_connected(0));
+    EXPECT_EQ(handler.requests, 1);
+}
+
+// Guards against a body that never ends and holds its connection for good.
+TEST_F(loopback_test, answers_a_body_that_comes_too_slowly)
+{
+    server_limits limits;
+    limits.receive_timeout = 50ms;
+    start(limits);
+    asio::io_context own;
+    auto caller = connect(own);
+    std::string const request =
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx";
+    asio::write(caller, asio::buffer(request));
+    std::string seen;
+    asio::error_code ec;
+    asio::read(caller, asio::dynamic_buffer(seen), ec);
+    EXPECT_EQ(seen.substr(0, 12), "HTTP/1.1 408");
+    EXPECT_EQ(handler.requests, 0);
+}
+
+// Guards against text that names no address and is taken for one.
+TEST(endpoint, reads_an_address_and_a_port_only)
+{
+    EXPECT_EQ(parse_endpoint("10.0.0.1:80")->port(), 80);
+    for (auto const it : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0",
+                          "10.0.0.1:65536", "host:80", ":80", "10.0.0.1:8x"})
+        EXPECT_FALSE(parse_endpoint(it)) << it;
+}
+
+} // namespace
+} // namespace buckthornvale::net
--- a/packages/serving/include/buckthornvale/serving/upstream/load_poller.hpp
+++ b/packages/serving/include/buckthornvale/serving/upstream/load_poller.hpp
@@ -2,17 +2,15 @@
 #define BUCKTHORNVALE_SERVING_UPSTREAM_LOAD_POLLER_HPP
 
 #include <buckthornvale/decision/requests/attempt_messages.hpp>
-#include <buckthornvale/serving/upstream/worker_pool.hpp>
+#include <buckthornvale/net/loop_thread.hpp>
+#include <buckthornvale/net/short_call.hpp>
 
 #include <absl/container/flat_hash_map.h>
 
 #include <chrono>
-#include <condition_variable>
 #include <cstdint>
 #include <memory>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace buckthornvale::serving::upstream
@@ -27,8 +25,7 @@
     decision::runner_kind kind = decision::runner_kind::engine;
 };
 
-//! Takes what the poller reads. Called on the poller's threads; must not
-//! block.
+//! Takes what the poller reads. Called on the poller's thread; must not block.
 class load_listener
 {
 public:
@@ -42,12 +39,10 @@
 {
     std::chrono::milliseconds period{500}; //!< between reads of one runner
     std::chrono::milliseconds timeout{1000};
-    std::size_t max_concurrent = 8;
 };
 
-//! Reads GET /v1/load and GET /v1/cache_events of each runner. A runner whose
-//! read has not ended is left out of a round, so a frozen runner holds at most
-//! one thread.
+//! Reads GET /v1/load and GET /v1/cache_events of each runner on one event
+//! loop. A runner whose read has not ended is left out of a round.
 class load_poller
 {
 public:
@@ -69,20 +64,23 @@
     };
     using state_ptr = std::shared_ptr<state>;
 
-    void work();
-    void start_round();
-    void poll(state& target);
-    void poll_load(state& target);
-    void poll_cache(state& target);
+    void assign(std::vector<polled_runner> const& runners);
+    void check_times(decision::time_point now);
+    void poll(state_ptr const& target);
+    void take_load(state& target, net::call_result const& answer);
+    void poll_cache(state_ptr const& target);
+    void take_cache(state& target, net::call_result const& answer);
+    void fetch(state const& target, std::string const& path,
+               net::call_done done);
 
     poll_settings settings_;
     load_listener& listener_;
-    std::mutex mutex_;
-    std::condition_variable changed_;
+    net::loop_thread loop_;
+
+    // On the loop only.
+    net::http_client client_;
     absl::flat_hash_map<decision::runner_id, state_ptr> runners_;
-    bool stopped_ = false;
-    worker_pool workers_;
-    std::thread scheduler_;
+    decision::time_point next_round_{};
 };
 
 } // namespace buckthornvale::serving::upstream
--- a/packages/serving/src/http/http_front.cpp
+++ b/packages/serving/src/http/http_front.cpp
@@ -1,19 +1,18 @@
+#include <buckthornvale/http/text.hpp>
 #include <buckthornvale/serving/http/caller_codec.hpp>
 #include <buckthornvale/serving/http/http_front.hpp>
 #include <buckthornvale/serving/http/key_digest.hpp>
 
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
 
 namespace buckthornvale::serving::http
 {
 
 namespace requests = decision::requests;
 
+using buckthornvale::http::request_head;
 using decision::error;
 using decision::error_kind;
-using httplib::Request;
-using httplib::Response;
 
 namespace
 {
@@ -22,9 +21,12 @@
 constexpr char event_type[] = "text/event-stream";
 constexpr char text_type[] = "text/plain; charset=utf-8";
 
-//! Advice to callers that this VM refuses for lack of threads.
+//! Advice to callers that this VM refuses for want of room.
 constexpr std::chrono::milliseconds busy_retry_after{200};
 
+//! Bounds how late a limit of a connection is noticed.
+constexpr std::chrono::milliseconds tick_period{20};
+
 requests::answer refusal(error failure)
 {
     requests::answer value;
@@ -34,215 +36,199 @@
     return value;
 }
 
-std::string busy_response()
-{
-    auto const value = refusal({error_kind::overloaded,
-                                "this VM has no thread left for a connection"});
-    auto const body = encode_answer(value, {});
-    return absl::StrCat("HTTP/1.1 503 Service Unavailable\r\n"
-                        "Content-Type: application/json\r\n"
-                        "Connection: close\r\nContent-Length: ",
-                        body.size(), "\r\n\r\n", body);
-}
-
-//! The error of a request that cpp-httplib refused before any handler ran.
-error unrouted_error(connection const* caller, int status)
+error error_of(net::rejection reason)
 {
-    auto const fault =
-        caller == nullptr ? receive_fault::none : caller->fault();
-    if (fault == receive_fault::body_too_large || status == 413)
+    switch (reason)
+    {
+    case net::rejection::body_too_large:
         return {error_kind::body_too_large, "the limit is 1 MB"};
-    if (fault == receive_fault::head_too_large || status == 414)
+    case net::rejection::header_too_large:
         return {error_kind::malformed_request,
                 "the request line and headers exceed 16 KB; shorten them"};
-    if (fault == receive_fault::too_slow)
+    case net::rejection::header_too_slow:
+    case net::rejection::body_too_slow:
         return {error_kind::malformed_request,
                 "the request did not arrive within the time limit; send it "
                 "without pauses"};
+    case net::rejection::too_many_connections:
+        return {error_kind::overloaded,
+                "this VM has no room left for a connection"};
+    case net::rejection::malformed:
+        break;
+    }
     return {error_kind::malformed_request,
-            "no such endpoint or malformed HTTP; see the caller interface"};
+            "malformed HTTP; see the caller interface"};
 }
 
-requests::send_answer const* as_answer(reply const& item)
+std::string head_of(int status, std::string_view type)
 {
-    return std::get_if<requests::send_answer>(&item);
+    std::string out;
+    buckthornvale::http::append_status_line(out, status);
+    buckthornvale::http::append_header(out, "Content-Type", type);
+    return out;
 }
 
-//! Writes the events of one streamed answer, starting with `first`.
-class event_writer
+void answer(net::server_connection& to, int status, std::string_view type,
+            std::string_view body)
 {
-public:
-    event_writer(std::shared_ptr<caller_session> session,
-                 std::string organisation, reply first)
-        : session_(std::move(session)), organisation_(std::move(organisation)),
-          next_(std::move(first))
-    {
-    }
+    to.answer(head_of(status, type), body);
+}
 
-    //! Writes the next event; false ends the connection.
-    bool operator()(httplib::DataSink& sink)
-    {
-        auto* const caller = connection_server::current();
-        if (!next_)
-            next_ = session_->next(caller->socket());
-        if (!next_)
-        {
-            caller->abandon();
-            return false;
-        }
-        auto const item = *std::exchange(next_, std::nullopt);
-        auto const text = encode(item);
-        if (!sink.write(text.data(), text.size()))
-            return false;
-        if (as_answer(item) != nullptr)
-            sink.done();
-        return true;
-    }
+std::string_view header_of(request_head const& head, std::string_view name)
+{
+    return buckthornvale::http::find_header(head.headers, name)
+        .value_or(std::string_view());
+}
 
-private:
-    std::string encode(reply const& item) const
-    {
-        if (auto const* last = as_answer(item))
-        {
-            return encode_event(
-                "end",
-                encode_answer(last->body, {session_->id(), organisation_}));
-        }
-        return encode_event("token",
-                            encode_token(std::get<requests::send_token>(item)));
-    }
+std::string_view query_of(request_head const& head)
+{
+    return buckthornvale::http::split_once(head.target, '?').second;
+}
+
+//! False when the parameter is there and is no time; without it the query
+//! looks in the present time window only.
+bool read_issued_at(request_head const& head, requests::outcome_asked& query)
+{
+    auto const text =
+        buckthornvale::http::query_parameter(query_of(head), "issued_at_ms");
+    if (!text)
+        return true;
+    std::int64_t ms = 0;
+    if (!absl::SimpleAtoi(*text, &ms) || ms < 0)
+        return false;
+    query.issued_at = decision::wall_time(std::chrono::milliseconds(ms));
+    return true;
+}
 
-    std::shared_ptr<caller_session> session_;
-    std::string organisation_;
-    std::optional<reply> next_;
-};
+//! Reads the query of `key`; an error names the field and the remedy.
+error read_query(request_head const& head, std::string_view key,
+                 requests::outcome_asked& query)
+{
+    query.organisation =
+        buckthornvale::http::query_parameter(query_of(head), "organisation")
+            .value_or("");
+    query.idempotency_key = key;
+    auto const bearer = bearer_key(header_of(head, "Authorization"));
+    if (bearer.empty())
+        return {error_kind::unauthenticated, ""};
+    if (!is_plain_name(query.organisation))
+        return {error_kind::malformed_request,
+                "query parameter 'organisation' must be the name of the "
+                "organisation"};
+    if (!is_plain_name(query.idempotency_key))
+        return {error_kind::malformed_request,
+                "the key in the path must have 1 to 128 letters, digits or "
+                "._:~-"};
+    if (!read_issued_at(head, query))
+        return {error_kind::malformed_request,
+                "query parameter 'issued_at_ms' must be the time of issue "
+                "that was sent with the key"};
+    query.key_sha256 = key_digest(bearer);
+    return {};
+}
 
 } // namespace
 
+net::server_limits default_front_limits()
+{
+    net::server_limits out;
+    out.max_header_bytes = std::size_t{16} * 1024;
+    out.max_body_bytes = std::size_t{1024} * 1024;
+    out.header_timeout = std::chrono::seconds(10);
+    out.receive_timeout = std::chrono::seconds(10);
+    out.idle_timeout = std::chrono::seconds(5);
+    out.max_connections = 512;
+    return out;
+}
+
 http_front::http_front(front_settings settings, front_callbacks callbacks,
                        request_sink& sink)
     : settings_(std::move(settings)), callbacks_(std::move(callbacks)),
-      sink_(sink), replies_(settings_.max_waiting), server_(settings_.server)
+      sink_(sink), server_(
+                       loop_.loop(), *this, [this] { return settings_.server; },
+                       net::steady_now)
 {
-    server_.set_busy_response(busy_response());
-    add_caller_routes();
-    add_operator_routes();
 }
 
 http_front::~http_front()
 {
     stop_accepting();
     finish();
+    loop_.stop();
 }
 
 bool http_front::start()
 {
-    auto const& host = settings_.address;
-    auto const bound =
-        settings_.port == 0
-            ? server_.bind_to_any_port(host)
-            : (server_.bind_to_port(host, settings_.port) ? settings_.port
-                                                          : -1);
-    if (bound <= 0)
+    try
+    {
+        server_.listen(settings_.address, settings_.port);
+    }
+    catch (asio::system_error const&)
+    {
         return false;
-    port_ = static_cast<std::uint16_t>(bound);
-    server_.raise_backlog();
-    listener_ = std::thread([this] { server_.listen_after_bind(); });
+    }
+    port_ = server_.port();
+    started_ = true;
+    loop_.start(tick_period,
+                [this](decision::time_point now) { check_times(now); });
     return true;
 }
 
-bool http_front::deliver(requests::send_token const& message)
+void http_front::check_times(decision::time_point now)
 {
-    return replies_.deliver(message);
+    server_.check_limits(now);
+    if (!stopping_ || finish_told_ || server_.connections() > 0)
+        return;
+    finish_told_ = true;
+    finished_.set_value();
 }
 
-bool http_front::deliver(requests::send_answer const& message)
+void http_front::stop_accepting()
 {
-    return replies_.deliver(message);
+    loop_.post(
+        [this]
+        {
+            if (stopping_)
+                return;
+            stopping_ = true;
+            server_.stop_listening();
+            server_.finish_all();
+        });
 }
 
-void http_front::stop_accepting()
+void http_front::finish()
 {
-    if (listener_.joinable())
-        server_.stop_accepting();
+    if (started_)
+        finished_.get_future().wait();
+    started_ = false;
 }
 
-void http_front::finish()
+bool http_front::is_waiting(decision::request_id id) const
 {
-    if (listener_.joinable())
-        listener_.join();
+    std::lock_guard const lock(mutex_);
+    return waiting_.contains(id);
 }
 
-void http_front::add_caller_routes()
+std::size_t http_front::waiting() const
 {
-    server_.Post(R"(/v1/pipelines/([^/]+)/requests)",
-                 [this](Request const& request, Response& response)
-                 { handle_request(request, response); });
-    server_.Get(R"(/v1/outcomes/([^/]+))",
-                [this](Request const& request, Response& response)
-                { handle_outcome(request, response); });
-    server_.set_error_handler(httplib::Server::HandlerWithResponse(
-        [this](Request const& request, Response& response)
-        {
-            if (!response.body.empty() || response.content_provider_)
-                return httplib::Server::HandlerResponse::Unhandled;
-            handle_unrouted(request, response);
-            return httplib::Server::HandlerResponse::Handled;
-        }));
-    server_.set_post_routing_handler(
-        [this](Request const&, Response& response)
-        {
-            if (server_.stopping())
-                response.set_header("Connection", "close");
-        });
+    std::lock_guard const lock(mutex_);
+    return waiting_.size();
 }
 
-void http_front::add_operator_routes()
-{
-    server_.Get("/healthz", [](Request const&, Response& response)
-                { response.set_content("live\n", text_type); });
-    server_.Get("/readyz",
-                [this](Request const&, Response& response)
-                {
-                    auto const ready = callbacks_.ready();
-                    response.status = ready ? 200 : 503;
-                    response.set_content(ready ? "ready\n" : "not ready\n",
-                                         text_type);
-                });
-    server_.Get("/metrics", [this](Request const&, Response& response)
-                { response.set_content(callbacks_.metrics(), text_type); });
-    server_.Get(
-        "/v1/status",
-        [this](Request const& request, Response& response)
-        {
-            if (is_operator(request))
-                response.set_content(callbacks_.status(), json_type);
-            else
-                refuse({error_kind::forbidden, "the status is for operators"},
-                       "", response);
-        });
-    server_.Post("/v1/drain",
-                 [this](Request const& request, Response& response)
-                 {
-                     if (!is_operator(request))
-                         return refuse({error_kind::forbidden,
-                                        "draining is for operators"},
-                                       "", response);
-                     callbacks_.drain();
-                     response.status = 202;
-                     response.set_content(R"({"draining":true})", json_type);
-                 });
+bool http_front::deliver(requests::send_token const& message)
+{
+    if (!is_waiting(message.request))
+        return false;
+    loop_.post([this, message] { send(message); });
+    return true;
 }
 
-bool http_front::is_operator(Request const& request) const
+bool http_front::deliver(requests::send_answer const& message)
 {
-    if (settings_.operator_key_sha256.empty())
-        return request.remote_addr == "127.0.0.1" ||
-               request.remote_addr == "::1";
-    auto const header = request.get_header_value("Authorization");
-    auto const key = bearer_key(header);
-    return !key.empty() &&
-           same_digest(key_digest(key), settings_.operator_key_sha256);
+    if (!is_waiting(message.request))
+        return false;
+    loop_.post([this, message] { send(message); });
+    return true;
 }
 
 decision::request_id http_front::next_id()
@@ -250,154 +236,231 @@
     return {settings_.incarnation, ++counter_};
 }
 
-void http_front::refuse(error failure, std::string const& organisation,
-                        Response& response)
+std::optional<decision::request_id>
+http_front::open_session(net::server_connection& from, open_request value)
 {
-    auto const value = refusal(std::move(failure));
-    response.status = status_of_answer(value);
-    response.set_content(encode_answer(value, {next_id(), organisation}),
-                         json_type);
+    value.connection = from.id();
+    auto const id = next_id();
+    {
+        std::lock_guard const lock(mutex_);
+        if (waiting_.size() < settings_.max_waiting)
+            waiting_.insert(id);
+        else
+            value.connection = 0;
+    }
+    if (value.connection == 0)
+    {
+        refuse(from,
+               {error_kind::overloaded, "this VM has too many waiting callers"},
+               value.organisation);
+        return std::nullopt;
+    }
+    by_connection_[from.id()] = id;
+    requests_.emplace(id, std::move(value));
+    return id;
 }
 
-void http_front::handle_unrouted(Request const&, Response& response)
+void http_front::close_session(decision::request_id id)
 {
-    auto const status = response.status;
-    refuse(unrouted_error(connection_server::current(), status), "", response);
-    // An unknown path keeps its 404.
-    if (status == 404)
-        response.status = status;
+    auto const found = requests_.find(id);
+    if (found == requests_.end())
+        return;
+    by_connection_.erase(found->second.connection);
+    requests_.erase(found);
+    std::lock_guard const lock(mutex_);
+    waiting_.erase(id);
 }
 
-std::shared_ptr<caller_session>
-http_front::open_session(std::string const& organisation, Response& response)
+void http_front::on_caller_left(net::server_connection& from)
 {
-    auto const id = next_id();
-    auto channel = replies_.add(id, settings_.max_pending_bytes);
-    if (channel)
-        return std::make_shared<caller_session>(replies_, sink_, id,
-                                                std::move(channel));
-    refuse({error_kind::overloaded, "this VM has too many waiting callers"},
-           organisation, response);
-    return nullptr;
+    auto const found = by_connection_.find(from.id());
+    if (found == by_connection_.end())
+        return;
+    auto const id = found->second;
+    close_session(id);
+    sink_.gone({id});
 }
 
-void http_front::handle_request(Request const& request, Response& response)
+std::optional<net::rejection_answer>
+http_front::on_rejected(net::rejection reason)
 {
-    auto parsed = parse_caller_request(
-        request.matches[1].str(), request.get_header_value("Authorization"),
-        request.body);
-    if (auto* const failure = std::get_if<error>(&parsed))
-        return refuse(std::move(*failure), "", response);
-    auto& call = std::get<requests::caller_request>(parsed);
-    auto const organisation = call.organisation;
-    auto const stream = call.stream;
-    auto const session = open_session(organisation, response);
-    if (!session)
-        return;
-    sink_.submit({session->id(), std::move(call), callbacks_.wall_now()});
-    if (stream)
-        answer_stream(session, organisation, response);
-    else
-        answer_plain(*session, organisation, response);
-}
-
-void http_front::answer_plain(caller_session& session,
-                              std::string const& organisation,
-                              Response& response)
-{
-    auto* const caller = connection_server::current();
-    auto item = session.next(caller->socket());
-    // Tokens to a caller that wants the whole answer are not needed.
-    while (item && as_answer(*item) == nullptr)
-        item = session.next(caller->socket());
-    if (!item)
-        return caller->abandon();
-    auto const& value = as_answer(*item)->body;
-    response.status = status_of_answer(value);
-    response.set_content(encode_answer(value, {session.id(), organisation}),
-                         json_type);
-}
-
-void http_front::answer_stream(std::shared_ptr<caller_session> const& session,
-                               std::string const& organisation,
-                               Response& response)
-{
-    auto* const caller = connection_server::current();
-    auto first = session->next(caller->socket());
-    if (!first)
-        return caller->abandon();
-    // The status is known before the first event: an answer that comes
-    // without any token gives its own.
-    auto const* answer = as_answer(*first);
-    response.status = answer == nullptr ? 200 : status_of_answer(answer->body);
-    auto const writer = std::make_shared<event_writer>(session, organisation,
-                                                       std::move(*first));
-    response.set_chunked_content_provider(
-        event_type, [writer](std::size_t, httplib::DataSink& sink)
-        { return (*writer)(sink); });
+    if (reason == net::rejection::header_too_slow)
+        return std::nullopt;
+    auto const value = refusal(error_of(reason));
+    return net::rejection_answer{status_of_answer(value), json_type,
+                                 encode_answer(value, {next_id(), ""})};
 }
 
-namespace
+void http_front::refuse(net::server_connection& to, error failure,
+                        std::string const& organisation,
+                        std::optional<int> status)
 {
+    auto const value = refusal(std::move(failure));
+    answer(to, status.value_or(status_of_answer(value)), json_type,
+           encode_answer(value, {next_id(), organisation}));
+}
 
-// False when the parameter is there and is no time; without it the query
-// looks in the present time window only.
-bool read_issued_at(Request const& request, requests::outcome_asked& query)
+void http_front::on_request(net::server_connection& from, request_head& head,
+                            std::string& body)
 {
-    if (!request.has_param("issued_at_ms"))
-        return true;
-    std::int64_t ms = 0;
-    if (!absl::SimpleAtoi(request.get_param_value("issued_at_ms"), &ms) ||
-        ms < 0)
+    constexpr int not_found = 404;
+    auto const target = find_target(head.method, head.path());
+    switch (target.endpoint)
     {
-        return false;
+    case front_endpoint::request:
+        serve_request(from, head, target.name, body);
+        break;
+    case front_endpoint::outcome:
+        serve_query(from, head, target.name);
+        break;
+    case front_endpoint::unknown:
+        refuse(from,
+               {error_kind::malformed_request,
+                "no such endpoint; see the caller interface"},
+               "", not_found);
+        break;
+    default:
+        serve_operator(from, head, target.endpoint);
+        break;
     }
-    query.issued_at = decision::wall_time(std::chrono::milliseconds(ms));
-    return true;
 }
 
-} // namespace
+bool http_front::is_operator(net::server_connection const& from,
+                             request_head const& head) const
+{
+    if (settings_.operator_key_sha256.empty())
+        return from.remote_address().is_loopback();
+    auto const key = bearer_key(header_of(head, "Authorization"));
+    return !key.empty() &&
+           same_digest(key_digest(key), settings_.operator_key_sha256);
+}
 
-void http_front::handle_outcome(Request const& request, Response& response)
+void http_front::serve_operator(net::server_connection& from,
+                                request_head const& head,
+                                front_endpoint endpoint)
+{
+    constexpr int accepted = 202;
+    constexpr int unavailable = 503;
+    bool const restricted =
+        endpoint == front_endpoint::status || endpoint == front_endpoint::drain;
+    if (restricted && !is_operator(from, head))
+    {
+        refuse(from,
+               {error_kind::forbidden, "status and draining are for operators"},
+               "");
+        return;
+    }
+    switch (endpoint)
+    {
+    case front_endpoint::health:
+        answer(from, buckthornvale::http::status_ok, text_type, "live\n");
+        break;
+    case front_endpoint::readiness:
+        if (callbacks_.ready())
+            answer(from, buckthornvale::http::status_ok, text_type, "ready\n");
+        else
+            answer(from, unavailable, text_type, "not ready\n");
+        break;
+    case front_endpoint::metrics:
+        answer(from, buckthornvale::http::status_ok, text_type,
+               callbacks_.metrics());
+        break;
+    case front_endpoint::status:
+        answer(from, buckthornvale::http::status_ok, json_type,
+               callbacks_.status());
+        break;
+    default:
+        callbacks_.drain();
+        answer(from, accepted, json_type, R"({"draining":true})");
+        break;
+    }
+}
+
+void http_front::serve_request(net::server_connection& from,
+                               request_head const& head,
+                               std::string_view pipeline, std::string_view body)
+{
+    auto parsed =
+        parse_caller_request(pipeline, header_of(head, "Authorization"), body);
+    if (auto* const failure = std::get_if<error>(&parsed))
+    {
+        refuse(from, std::move(*failure), "");
+        return;
+    }
+    auto& call = std::get<requests::caller_request>(parsed);
+    open_request session;
+    session.organisation = call.organisation;
+    session.stream = call.stream;
+    if (auto const id = open_session(from, std::move(session)))
+        sink_.submit({*id, std::move(call), callbacks_.wall_now()});
+}
+
+void http_front::serve_query(net::server_connection& from,
+                             request_head const& head, std::string_view key)
 {
     requests::outcome_asked query;
-    query.organisation = request.get_param_value("organisation");
-    query.idempotency_key = request.matches[1].str();
     query.received_at = callbacks_.wall_now();
-    auto const header = request.get_header_value("Authorization");
-    auto const key = bearer_key(header);
-    if (key.empty())
-        return refuse({error_kind::unauthenticated, ""}, "", response);
-    if (!is_plain_name(query.organisation))
-        return refuse({error_kind::malformed_request,
-                       "query parameter 'organisation' must be the name of "
-                       "the organisation"},
-                      "", response);
-    if (!is_plain_name(query.idempotency_key))
-        return refuse({error_kind::malformed_request,
-                       "the key in the path must have 1 to 128 letters, "
-                       "digits or ._:~-"},
-                      "", response);
-    if (!read_issued_at(request, query))
-        return refuse({error_kind::malformed_request,
-                       "query parameter 'issued_at_ms' must be the time of "
-                       "issue that was sent with the key"},
-                      "", response);
-    query.key_sha256 = key_digest(key);
-    auto const session = open_session(query.organisation, response);
-    if (!session)
+    auto failure = read_query(head, key, query);
+    if (failure.kind != error_kind::none)
+    {
+        refuse(from, std::move(failure), "");
         return;
-    query.request = session->id();
-    auto const organisation = query.organisation;
+    }
+    open_request session;
+    session.organisation = query.organisation;
+    session.is_query = true;
+    auto const id = open_session(from, std::move(session));
+    if (!id)
+        return;
+    query.request = *id;
     sink_.ask(std::move(query));
-    auto* const caller = connection_server::current();
-    auto const item = session->next(caller->socket());
-    auto const* value = item ? as_answer(*item) : nullptr;
-    if (value == nullptr)
-        return caller->abandon();
-    response.status = status_of_query(value->body);
-    response.set_content(
-        encode_answer(value->body, {session->id(), organisation}), json_type);
+}
+
+void http_front::send(requests::send_token const& message)
+{
+    auto const found = requests_.find(message.request);
+    if (found == requests_.end() || !found->second.stream)
+        return;
+    auto& it = found->second;
+    auto* const to = server_.find(it.connection);
+    if (to == nullptr)
+        return;
+    // The status is known with the first reply: an answer that comes without
+    // any token gives its own.
+    if (!std::exchange(it.started, true))
+        to->start_answer(head_of(buckthornvale::http::status_ok, event_type));
+    to->send_part(encode_event("token", encode_token(message)));
+    if (to->queued() <= settings_.max_pending_bytes)
+        return;
+    // The caller reads more slowly than the tokens come.
+    close_session(message.request);
+    to->abort();
+    sink_.gone({message.request});
+}
+
+void http_front::send(requests::send_answer const& message)
+{
+    auto const found = requests_.find(message.request);
+    if (found == requests_.end())
+        return;
+    auto const session = found->second;
+    close_session(message.request);
+    auto* const to = server_.find(session.connection);
+    if (to == nullptr)
+        return;
+    auto const text =
+        encode_answer(message.body, {message.request, session.organisation});
+    auto const status = session.is_query ? status_of_query(message.body)
+                                         : status_of_answer(message.body);
+    if (!session.stream)
+    {
+        answer(*to, status, json_type, text);
+        return;
+    }
+    if (!session.started)
+        to->start_answer(head_of(status, event_type));
+    to->send_part(encode_event("end", text));
+    to->end_answer();
 }
 
 } // namespace buckthornvale::serving::http
--- a/packages/serving/src/upstream/load_poller.cpp
+++ b/packages/serving/src/upstream/load_poller.cpp
@@ -1,6 +1,7 @@
-#include <buckthornvale/serving/upstream/bounded_fetch.hpp>
+#include <buckthornvale/net/endpoint.hpp>
 #include <buckthornvale/serving/upstream/load_poller.hpp>
 #include <buckthornvale/serving/upstream/runner_codec.hpp>
+#include <buckthornvale/serving/upstream/runner_request.hpp>
 
 #include <absl/strings/str_cat.h>
 
@@ -9,40 +10,46 @@
 
 namespace requests = decision::requests;
 
+using buckthornvale::http::status_ok;
+
 namespace
 {
 
-constexpr std::size_t max_queued_polls = 4096;
-constexpr int ok_status = 200;
+//! Bounds how late a round starts or a time-out is noticed.
+constexpr std::chrono::milliseconds tick_period{10};
 
 bool same_place(polled_runner const& a, polled_runner const& b)
 {
     return a.host == b.host && a.port == b.port && a.kind == b.kind;
 }
 
+bool is_complete(net::call_result const& answer)
+{
+    return !answer.failure && answer.head.status == status_ok;
+}
+
 } // namespace
 
 load_poller::load_poller(poll_settings const& settings, load_listener& listener)
     : settings_(settings), listener_(listener),
-      workers_(settings.max_concurrent, max_queued_polls),
-      scheduler_([this] { work(); })
+      client_(loop_.loop(), net::steady_now)
 {
+    loop_.start(tick_period,
+                [this](decision::time_point now) { check_times(now); });
 }
 
 load_poller::~load_poller()
 {
-    {
-        std::lock_guard lock(mutex_);
-        stopped_ = true;
-    }
-    changed_.notify_all();
-    scheduler_.join();
-    workers_.stop();
+    loop_.stop();
 }
 
 void load_poller::set_runners(std::vector<polled_runner> const& runners)
 {
-    std::lock_guard lock(mutex_);
+    loop_.post([this, runners] { assign(runners); });
+}
+
+void load_poller::assign(std::vector<polled_runner> const& runners)
+{
     absl::flat_hash_map<decision::runner_id, state_ptr> next;
     for (auto const& it : runners)
     {
@@ -59,55 +66,45 @@
     runners_ = std::move(next);
 }
 
-void load_poller::work()
+void load_poller::check_times(decision::time_point now)
 {
-    auto next = std::chrono::steady_clock::now();
-    std::unique_lock lock(mutex_);
-    while (!stopped_)
-    {
-        start_round();
-        next += settings_.period;
-        changed_.wait_until(lock, next, [&] { return stopped_; });
-    }
+    client_.check_times(now);
+    if (now < next_round_)
+        return;
+    next_round_ = now + settings_.period;
+    for (auto const& it : runners_)
+        if (!it.second->in_flight)
+            poll(it.second);
 }
 
-void load_poller::start_round()
+void load_poller::fetch(state const& target, std::string const& path,
+                        net::call_done done)
 {
-    for (auto const& it : runners_)
-    {
-        auto const target = it.second;
-        if (target->in_flight)
-            continue;
-        target->in_flight = workers_.submit([this, target] { poll(*target); });
-    }
+    auto const address =
+        net::endpoint_text(target.runner.host, target.runner.port);
+    net::make_call(client_, address, runner_request("GET", path, address, {}),
+                   own_connection(settings_.timeout), std::move(done));
 }
 
-void load_poller::poll(state& target)
+void load_poller::poll(state_ptr const& target)
 {
-    {
-        std::lock_guard lock(mutex_);
-        if (stopped_)
-            return;
-    }
-    poll_load(target);
-    if (target.runner.kind == decision::runner_kind::engine)
-        poll_cache(target);
-    std::lock_guard lock(mutex_);
-    target.in_flight = false;
+    target->in_flight = true;
+    fetch(*target, "/v1/load",
+          [this, target](net::call_result const& answer)
+          {
+              take_load(*target, answer);
+              if (target->runner.kind == decision::runner_kind::engine)
+                  poll_cache(target);
+              else
+                  target->in_flight = false;
+          });
 }
 
-void load_poller::poll_load(state& target)
+void load_poller::take_load(state& target, net::call_result const& answer)
 {
-    fetch_query query;
-    query.host = target.runner.host;
-    query.port = target.runner.port;
-    query.path = "/v1/load";
-    query.timeout = settings_.timeout;
-    auto const response = bounded_fetch(query);
     requests::runner_reported report;
     report.runner = target.runner.runner;
-    auto const read = response && response->status == ok_status &&
-                      parse_load(response->body, report);
+    bool const read = is_complete(answer) && parse_load(answer.body, report);
     // A lower sequence means that the engine restarted and numbers its cache
     // events anew; its cache is empty.
     if (read && report.sequence < target.last_sequence)
@@ -123,17 +120,21 @@
     listener_.reported(std::move(report));
 }
 
-void load_poller::poll_cache(state& target)
+void load_poller::poll_cache(state_ptr const& target)
 {
-    fetch_query query;
-    query.host = target.runner.host;
-    query.port = target.runner.port;
-    query.path = absl::StrCat("/v1/cache_events?from=", target.next_event);
-    query.timeout = settings_.timeout;
-    auto const response = bounded_fetch(query);
-    if (!response || response->status != ok_status)
-        return;
-    auto page = parse_cache_page(response->body, target.runner.runner);
+    fetch(*target, absl::StrCat("/v1/cache_events?from=", target->next_event),
+          [this, target](net::call_result const& answer)
+          {
+              take_cache(*target, answer);
+              target->in_flight = false;
+          });
+}
+
+void load_poller::take_cache(state& target, net::call_result const& answer)
+{
+    auto page = is_complete(answer)
+                    ? parse_cache_page(answer.body, target.runner.runner)
+                    : std::nullopt;
     if (!page)
         return;
     target.next_event = page->next;
--- a/packages/serving/src/upstream/upstream_pool.cpp
+++ b/packages/serving/src/upstream/upstream_pool.cpp
@@ -1,37 +1,37 @@
+#include <buckthornvale/http/text.hpp>
+#include <buckthornvale/net/endpoint.hpp>
 #include <buckthornvale/serving/http/json_text.hpp>
-#include <buckthornvale/serving/upstream/bounded_fetch.hpp>
 #include <buckthornvale/serving/upstream/runner_codec.hpp>
+#include <buckthornvale/serving/upstream/runner_request.hpp>
 #include <buckthornvale/serving/upstream/upstream_pool.hpp>
 
 #include <algorithm>
+#include <vector>
 
 namespace buckthornvale::serving::upstream
 {
 
 namespace requests = decision::requests;
 
+using buckthornvale::http::status_ok;
 using requests::service_outcome_told;
 
 namespace
 {
 
-service_outcome_told
-unavailable_outcome(requests::ask_service_outcome const& query)
-{
-    service_outcome_told told;
-    told.claim = query.claim;
-    return told;
-}
+//! Bounds how late the end of a budget is noticed.
+constexpr std::chrono::milliseconds tick_period{5};
 
-fetch_query post_to(std::string const& host, std::uint16_t port,
-                    std::string path)
+constexpr int conflict_status = 409;
+
+order_result result_of(net::call_result const& answer)
 {
-    fetch_query query;
-    query.host = host;
-    query.port = port;
-    query.method = "POST";
-    query.path = std::move(path);
-    return query;
+    if (answer.failure)
+        return order_result::failed;
+    if (answer.head.status == conflict_status)
+        return order_result::stale_fencing;
+    return answer.head.status == status_ok ? order_result::accepted
+                                           : order_result::failed;
 }
 
 } // namespace
@@ -39,123 +39,180 @@
 upstream_pool::upstream_pool(upstream_settings const& settings,
                              runner_listener& listener)
     : settings_(settings), listener_(listener),
-      calls_(settings.max_calls, settings.max_queued_calls),
-      controls_(settings.control_threads, settings.max_queued_controls)
+      client_(loop_.loop(), net::steady_now)
 {
+    loop_.start(tick_period,
+                [this](decision::time_point now) { client_.check_times(now); });
 }
 
 upstream_pool::~upstream_pool()
 {
-    watch_.cancel_all();
-    calls_.stop();
-    controls_.stop();
+    loop_.run(
+        [this]
+        {
+            std::vector<call_ptr> all;
+            for (auto const& it : calls_)
+                all.push_back(it.second);
+            queue_.clear();
+            for (auto const& it : all)
+                it->end(requests::attempt_outcome::cancelled, "shutdown");
+        });
+    loop_.stop();
 }
 
 void upstream_pool::start(requests::start_attempt attempt)
+{
+    loop_.post([this, now = net::steady_now(), attempt = std::move(attempt)]
+               { admit(attempt, now); });
+}
+
+void upstream_pool::admit(requests::start_attempt attempt,
+                          decision::time_point now)
 {
     auto const id = attempt.attempt;
-    auto const call =
-        std::make_shared<runner_call>(std::move(attempt), settings_.call,
-                                      [this](requests::attempt_token token)
-                                      { listener_.token(std::move(token)); });
-    watch_.add(call);
-    if (calls_.submit([this, call] { run(call); }))
-        return;
-    watch_.remove(id);
-    requests::attempt_ended ended;
-    ended.call = id;
-    ended.answered = id;
-    ended.result = requests::attempt_outcome::not_started;
-    ended.detail = "this VM has no thread left for upstream calls";
-    listener_.ended(std::move(ended));
+    auto const call = std::make_shared<runner_call>(
+        std::move(attempt), settings_.call, now,
+        [this](requests::attempt_token token)
+        { listener_.token(std::move(token)); },
+        [this](requests::attempt_ended message)
+        { call_ended(std::move(message)); });
+    calls_[id] = call;
+    if (calls_.size() - queue_.size() <= settings_.max_calls)
+        call->start(client_, net::steady_now());
+    else if (queue_.size() < settings_.max_queued_calls)
+        queue_.push_back(call);
+    else
+        call->end(requests::attempt_outcome::not_started,
+                  "this VM has no room left for upstream calls");
+}
+
+void upstream_pool::call_ended(requests::attempt_ended message)
+{
+    auto const found = calls_.find(message.call);
+    if (found != calls_.end())
+    {
+        // The call may be in one of its own functions.
+        loop_.post([keep = std::move(found->second)] {});
+        calls_.erase(found);
+    }
+    listener_.ended(std::move(message));
+    loop_.post([this] { start_queued(); });
 }
 
-void upstream_pool::run(std::shared_ptr<runner_call> const& call)
+void upstream_pool::start_queued()
 {
-    auto ended = call->run();
-    watch_.remove(call->attempt().attempt);
-    listener_.ended(std::move(ended));
+    while (!queue_.empty() &&
+           calls_.size() - queue_.size() < settings_.max_calls)
+    {
+        auto const call = std::move(queue_.front());
+        queue_.pop_front();
+        call->start(client_, net::steady_now());
+    }
 }
 
 void upstream_pool::cancel(requests::cancel_attempt attempt)
 {
-    auto const call = watch_.cancel(attempt.attempt);
-    if (!call)
+    loop_.post([this, id = attempt.attempt] { abandon(id); });
+}
+
+void upstream_pool::abandon(decision::attempt_id id)
+{
+    auto const found = calls_.find(id);
+    if (found == calls_.end())
         return;
+    auto const call = found->second;
+    queue_.erase(std::remove(queue_.begin(), queue_.end(), call), queue_.end());
+    call->end(requests::attempt_outcome::cancelled, "cancelled");
     // Best effort: a cancel that finds no room is left to the runner, which
     // sees the closed connection.
-    controls_.submit([this, call] { tell_cancelled(call->attempt()); });
+    if (call->sent())
+        tell_cancelled(call->attempt());
+}
+
+void upstream_pool::control(std::string const& address,
+                            net::short_request request,
+                            decision::duration timeout, net::call_done done)
+{
+    if (controls_ >= settings_.max_controls)
+    {
+        net::call_result full;
+        full.failure = net::call_failure::not_sent;
+        done(full);
+        return;
+    }
+    ++controls_;
+    net::make_call(client_, address, std::move(request),
+                   own_connection(timeout),
+                   [this, done = std::move(done)](net::call_result const& it)
+                   {
+                       --controls_;
+                       done(it);
+                   });
 }
 
-void upstream_pool::tell_cancelled(requests::start_attempt const& attempt) const
+void upstream_pool::tell_cancelled(requests::start_attempt const& attempt)
 {
-    auto query = post_to(attempt.host, attempt.port, "/v1/cancel");
-    query.body =
-        http::write_json({{"attempt_id", decision::to_text(attempt.attempt)}});
-    query.timeout = settings_.control_timeout;
-    bounded_fetch(query);
+    auto const address = net::endpoint_text(attempt.host, attempt.port);
+    control(address,
+            runner_request(
+                "POST", "/v1/cancel", address,
+                http::write_json(
+                    {{"attempt_id", decision::to_text(attempt.attempt)}})),
+            settings_.control_timeout, [](net::call_result const&) {});
 }
 
 void upstream_pool::ask(requests::ask_service_outcome query)
 {
-    auto const told = unavailable_outcome(query);
-    auto const accepted =
-        controls_.submit([this, query = std::move(query)]
-                         { listener_.outcome_told(fetch_outcome(query)); });
-    if (!accepted)
-        listener_.outcome_told(told);
+    loop_.post([this, query = std::move(query)] { fetch_outcome(query); });
 }
 
-service_outcome_told
-upstream_pool::fetch_outcome(requests::ask_service_outcome const& query) const
-{
-    auto told = unavailable_outcome(query);
-    auto const path = httplib::append_query_params(
-        "/v1/outcome", {{"key", query.idempotency_key}});
-    fetch_query get;
-    get.host = query.host;
-    get.port = query.port;
-    get.path = path;
-    get.timeout = settings_.control_timeout;
-    get.max_bytes = settings_.call.max_answer_bytes;
-    auto const response = bounded_fetch(get);
-    if (response && response->status == 200)
-        parse_service_outcome(response->body, told);
-    return told;
+void upstream_pool::fetch_outcome(requests::ask_service_outcome const& query)
+{
+    auto const address = net::endpoint_text(query.host, query.port);
+    auto request = runner_request(
+        "GET",
+        "/v1/outcome?key=" +
+            buckthornvale::http::percent_encoded(query.idempotency_key),
+        address, {});
+    request.max_answer_bytes = settings_.call.max_answer_bytes;
+    service_outcome_told told;
+    told.claim = query.claim;
+    control(address, std::move(request), settings_.control_timeout,
+            [this, told](net::call_result const& answer)
+            {
+                auto message = told;
+                if (!answer.failure && answer.head.status == status_ok)
+                    parse_service_outcome(answer.body, message);
+                listener_.outcome_told(std::move(message));
+            });
 }
 
 void upstream_pool::order(engine_order value)
 {
-    auto const rejected = order_answered{value, order_result::failed};
-    auto const deadline = std::chrono::steady_clock::now() + value.valid_for;
-    auto const accepted = controls_.submit(
-        [this, deadline, value = std::move(value)] {
-            listener_.ordered({value, send_order(value, deadline)});
-        });
-    if (!accepted)
-        listener_.ordered(rejected);
+    auto const deadline = net::steady_now() + value.valid_for;
+    loop_.post([this, deadline, value = std::move(value)]
+               { send_order(value, deadline); });
 }
 
-order_result
-upstream_pool::send_order(engine_order const& value,
-                          std::chrono::steady_clock::time_point deadline) const
+void upstream_pool::send_order(engine_order const& value,
+                               decision::time_point deadline)
 {
-    auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(
-        deadline - std::chrono::steady_clock::now());
-    if (left <= std::chrono::milliseconds::zero())
-        return order_result::failed;
-    auto query = post_to(value.host, value.port, "/v1/orders");
-    query.body = http::write_json({{"fencing", value.fencing},
-                                   {"kind", value.kind},
-                                   {"name", value.name}});
-    query.timeout = std::min(left, settings_.control_timeout);
-    auto const response = bounded_fetch(query);
-    if (!response)
-        return order_result::failed;
-    if (response->status == 409)
-        return order_result::stale_fencing;
-    return response->status == 200 ? order_result::accepted
-                                   : order_result::failed;
+    auto const left = deadline - net::steady_now();
+    if (left <= decision::duration::zero())
+    {
+        listener_.ordered({value, order_result::failed});
+        return;
+    }
+    auto const address = net::endpoint_text(value.host, value.port);
+    auto body = http::write_json({{"fencing", value.fencing},
+                                  {"kind", value.kind},
+                                  {"name", value.name}});
+    control(address,
+            runner_request("POST", "/v1/orders", address, std::move(body)),
+            std::min<decision::duration>(left, settings_.control_timeout),
+            [this, value](net::call_result const& answer) {
+                listener_.ordered({value, result_of(answer)});
+            });
 }
 
 } // namespace buckthornvale::serving::upstream
--- a/packages/serving/tests/http/http_front_test.cpp
+++ b/packages/serving/tests/http/http_front_test.cpp
@@ -244,13 +244,14 @@
 {
 };
 
-// Guards against callers that hold a thread, or memory, for as long as they
-// like.
+// Guards against callers that hold a connection, or memory, for as long as they
+// like, and against a body that is taken for the next request.
 TEST_P(limited_connection, is_answered_and_closed)
 {
     auto settings = default_settings();
-    settings.server.connection.receive = std::chrono::milliseconds(100);
-    settings.server.connection.idle = std::chrono::milliseconds(100);
+    settings.server.header_timeout = std::chrono::milliseconds(100);
+    settings.server.receive_timeout = std::chrono::milliseconds(100);
+    settings.server.idle_timeout = std::chrono::milliseconds(100);
     start_front(settings);
     raw_caller caller(front->port());
     caller.send(GetParam().sent);
@@ -259,6 +260,7 @@
         EXPECT_EQ(seen, "");
     else
         EXPECT_NE(seen.find(GetParam().answered), std::string::npos) << seen;
+    EXPECT_EQ(seen.find("HTTP/1.1", 1), std::string::npos) << seen;
     EXPECT_EQ(sink.submitted.size(), 0U);
 }
 
@@ -294,12 +296,16 @@
                            std::string(0x200000, ' '),
                        "413"},
         connection_row{"body_of_get",
+                       "GET /healthz HTTP/1.1\r\nContent-Length: 27\r\n\r\n"
+                       "GET /v1/status HTTP/1.1\r\n\r\n",
+                       "\r\n\r\nlive\n"},
+        connection_row{"short_body_of_get",
                        "GET /healthz HTTP/1.1\r\nContent-Length: 30\r\n\r\n"
                        "GET /v1/status HTTP/1.1\r\n\r\n",
-                       "\r\n\r\nlive\n"}),
+                       "time limit"}),
     [](auto const& it) { return it.param.name; });
 
-// Guards against one VM that takes more callers than it has threads for.
+// Guards against one VM that takes more callers than it has room for.
 TEST_F(front_test, refuses_callers_above_the_bound_and_stays_healthy)
 {
     start_front();
@@ -318,13 +324,12 @@
         EXPECT_EQ(it.get()->status, 200);
 }
 
-// Guards against connections that pile up without a thread (no answer until
-// the caller's own timeout).
-TEST_F(front_test, refuses_connections_that_find_no_thread)
+// Guards against connections that pile up without an answer until the caller's
+// own timeout.
+TEST_F(front_test, refuses_connections_above_the_bound)
 {
     auto settings = default_settings();
-    settings.server.threads = 1;
-    settings.server.max_queued_connections = 0;
+    settings.server.max_connections = 1;
     start_front(settings);
     auto first = post(good_body);
     auto const id = sink.submitted.at(0).request;
@@ -360,7 +365,7 @@
 TEST_F(front_test, closes_idle_connections_when_accepting_stops)
 {
     auto settings = default_settings();
-    settings.server.connection.idle = hang_limit;
+    settings.server.idle_timeout = hang_limit;
     start_front(settings);
     raw_caller idle(front->port());
     idle.send("GET /healthz HTTP/1.1\r\n\r\n");
--- a/packages/serving/tests/support/front_fixture.cpp
+++ b/packages/serving/tests/support/front_fixture.cpp
@@ -60,7 +60,6 @@
     http::front_settings settings;
     settings.incarnation = 7;
     settings.max_waiting = 6;
-    settings.server.threads = 12;
     return settings;
 }
 
--- a/packages/serving/tests/support/front_fixture.hpp
+++ b/packages/serving/tests/support/front_fixture.hpp
@@ -5,6 +5,7 @@
 #include <buckthornvale/serving/http/http_front.hpp>
 
 #include <gtest/gtest.h>
+#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <future>
--- a/packages/serving/tests/upstream/connection_proof_test.cpp
+++ b/packages/serving/tests/upstream/connection_proof_test.cpp
@@ -155,8 +155,8 @@
     EXPECT_FALSE(ended.runner_crashed);
 }
 
-// Guards against a flood of calls that takes more threads than allowed, and
-// against a call that is neither run nor ended.
+// Guards against a flood of calls above the bound, and against a call that is
+// neither run nor ended.
 TEST(full_pool, ends_further_calls_as_not_started)
 {
     raw_runner const runner(16);
@@ -172,7 +172,7 @@
             auto attempt = attempt_of(counter, decision::runner_kind::engine);
             attempt.port = runner.port();
             pool.start(attempt);
-            // The first call holds the one thread from here on.
+            // The first call holds the one place from here on.
             if (counter == 1)
                 peer = runner.accept_and_read(1);
         }
--- a/packages/serving/tests/upstream/load_poller_test.cpp
+++ b/packages/serving/tests/upstream/load_poller_test.cpp
@@ -82,7 +82,7 @@
 
     fake_load_listener listener;
     upstream::load_poller poller{
-        {std::chrono::milliseconds(10), std::chrono::milliseconds(500), 2},
+        {std::chrono::milliseconds(10), std::chrono::milliseconds(500)},
         listener};
 };
 
--- a/packages/settings/include/buckthornvale/settings/process/process_settings.hpp
+++ b/packages/settings/include/buckthornvale/settings/process/process_settings.hpp
@@ -16,7 +16,7 @@
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0; //!< 0 lets the system choose
-    std::uint32_t threads = 128;
+    std::uint32_t max_callers = 128;
     std::string operator_key_sha256; //!< 64 hex digits; empty: none
 };
 
--- a/packages/settings/src/process/process_settings.cpp
+++ b/packages/settings/src/process/process_settings.cpp
@@ -13,7 +13,7 @@
 
 // Upper ends of ranges; they refuse slips such as a wrong unit.
 constexpr double largest_port = 65'535.;
-constexpr double most_threads = 4096.;
+constexpr double most_calls = 4096.;
 constexpr double hour_ms = 3'600'000.;
 constexpr double most_body_bytes = 64. * 1024. * 1024.;
 
@@ -81,13 +81,13 @@
          {0., largest_port},
          text_form::any,
          "TCP port; 0 lets the system choose."},
-        {"threads",
-         &http_settings::threads,
+        {"max_callers",
+         &http_settings::max_callers,
          false,
          unit::none,
-         {1., most_threads},
+         {1., most_calls},
          text_form::any,
-         "Requests that are handled at once."},
+         "Callers whose requests are handled at once; more are refused."},
         {"operator_key_sha256",
          &http_settings::operator_key_sha256,
          false,
@@ -185,7 +185,7 @@
          &limit_settings::upstream_calls,
          false,
          unit::requests,
-         {1., most_threads},
+         {1., most_calls},
          text_form::any,
          "Calls to runners at once."},
         {"idle_ms",
--- a/packages/settings/tests/process/process_settings_test.cpp
+++ b/packages/settings/tests/process/process_settings_test.cpp
@@ -13,7 +13,7 @@
 TEST(parse_process, reads_the_documented_keys)
 {
     auto const result = parse_process(
-        "vm-1.toml", head + "[http]\nport=8080\nthreads=4\n[peer]\n"
+        "vm-1.toml", head + "[http]\nport=8080\nmax_callers=4\n[peer]\n"
                             "address='::1'\n[platform]\naddress="
                             "'127.0.0.1:9000'\n[log]\nlevel='warning'\n"
                             "[shutdown]\nnotice_ms=1500\n");
--- a/packages/serving/src/http/connection.cpp
+++ b/standins/common/connection.cpp
@@ -1,4 +1,4 @@
-#include <buckthornvale/serving/http/connection.hpp>
+#include "common/connection.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -8,7 +8,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 namespace
@@ -220,4 +220,4 @@
         read_address(address, ip, port);
 }
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
--- a/packages/serving/include/buckthornvale/serving/http/connection.hpp
+++ b/standins/common/connection.hpp
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNVALE_SERVING_HTTP_CONNECTION_HPP
-#define BUCKTHORNVALE_SERVING_HTTP_CONNECTION_HPP
+#ifndef BUCKTHORNVALE_STANDINS_COMMON_CONNECTION_HPP
+#define BUCKTHORNVALE_STANDINS_COMMON_CONNECTION_HPP
 
 #include <httplib.h>
 
@@ -8,7 +8,7 @@
 #include <cstddef>
 #include <string>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 //! Limits on what one caller may send and on how long it may take.
@@ -94,6 +94,6 @@
     mutable std::chrono::steady_clock::duration send_left_{};
 };
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
 
 #endif
--- a/packages/serving/src/http/connection_server.cpp
+++ b/standins/common/connection_server.cpp
@@ -1,4 +1,4 @@
-#include <buckthornvale/serving/http/connection_server.hpp>
+#include "common/connection_server.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -8,7 +8,7 @@
 #include <unistd.h>
 #include <vector>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 namespace
@@ -215,4 +215,4 @@
     return true;
 }
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
--- a/packages/serving/include/buckthornvale/serving/http/connection_server.hpp
+++ b/standins/common/connection_server.hpp
@@ -1,14 +1,14 @@
-#ifndef BUCKTHORNVALE_SERVING_HTTP_CONNECTION_SERVER_HPP
-#define BUCKTHORNVALE_SERVING_HTTP_CONNECTION_SERVER_HPP
+#ifndef BUCKTHORNVALE_STANDINS_COMMON_CONNECTION_SERVER_HPP
+#define BUCKTHORNVALE_STANDINS_COMMON_CONNECTION_SERVER_HPP
 
-#include <buckthornvale/serving/http/connection.hpp>
-#include <buckthornvale/serving/http/wake_event.hpp>
+#include "common/connection.hpp"
+#include "common/wake_event.hpp"
 
 #include <atomic>
 #include <cstddef>
 #include <string>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 //! Limits of the server as a whole.
@@ -57,6 +57,6 @@
     std::string busy_response_;
 };
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
 
 #endif
--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -1,6 +1,5 @@
 #include "common/standin_server.hpp"
 
-#include <buckthornvale/serving/http/connection.hpp>
 #include <buckthornvale/serving/http/json_text.hpp>
 
 #include <cstdlib>
@@ -11,7 +10,6 @@
 
 using httplib::Request;
 using httplib::Response;
-using serving::http::connection_server;
 
 namespace
 {
@@ -20,9 +18,9 @@
 constexpr std::size_t max_input_bytes = std::size_t{16} * 1024 * 1024;
 constexpr int exit_status = 3;
 
-serving::http::server_limits limits_of_standin()
+server_limits limits_of_standin()
 {
-    serving::http::server_limits limits;
+    server_limits limits;
     limits.connection.max_body_bytes = max_input_bytes;
     limits.threads = 256;
     limits.max_queued_connections = 1024;
--- a/standins/common/standin_server.hpp
+++ b/standins/common/standin_server.hpp
@@ -2,11 +2,11 @@
 #define BUCKTHORNVALE_STANDINS_COMMON_STANDIN_SERVER_HPP
 
 #include "common/call.hpp"
+#include "common/connection_server.hpp"
 #include "common/crossing.hpp"
 #include "common/executions.hpp"
 #include "common/faults.hpp"
 #include "common/slot_queue.hpp"
-#include <buckthornvale/serving/http/connection_server.hpp>
 
 #include <atomic>
 #include <condition_variable>
@@ -104,7 +104,7 @@
     void serve_faults(httplib::Request const&, httplib::Response&);
     std::shared_ptr<std::atomic<bool>> track(std::string const& attempt_id);
 
-    serving::http::connection_server server_;
+    connection_server server_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::weak_ptr<std::atomic<bool>>> in_flight_;
--- a/packages/serving/src/http/wake_event.cpp
+++ b/standins/common/wake_event.cpp
@@ -1,11 +1,11 @@
-#include <buckthornvale/serving/http/wake_event.hpp>
+#include "common/wake_event.hpp"
 
 #include <cerrno>
 #include <sys/eventfd.h>
 #include <system_error>
 #include <unistd.h>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 wake_event::wake_event() : descriptor_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
@@ -30,4 +30,4 @@
     eventfd_read(descriptor_, &count);
 }
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
--- a/packages/serving/include/buckthornvale/serving/http/wake_event.hpp
+++ b/standins/common/wake_event.hpp
@@ -1,7 +1,7 @@
-#ifndef BUCKTHORNVALE_SERVING_HTTP_WAKE_EVENT_HPP
-#define BUCKTHORNVALE_SERVING_HTTP_WAKE_EVENT_HPP
+#ifndef BUCKTHORNVALE_STANDINS_COMMON_WAKE_EVENT_HPP
+#define BUCKTHORNVALE_STANDINS_COMMON_WAKE_EVENT_HPP
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::standins
 {
 
 //! A file descriptor that becomes readable when signalled, so that one poll()
@@ -23,6 +23,6 @@
     int descriptor_;
 };
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::standins
 
 #endif
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -1,7 +1,7 @@
 #include "runner_standin.hpp"
 
-#include <buckthornvale/gateway/net/tcp_stream.hpp>
 #include <buckthornvale/http/message_parser.hpp>
+#include <buckthornvale/net/tcp_stream.hpp>
 
 namespace buckthornvale::standins::fleet_platform
 {
@@ -9,7 +9,7 @@
 namespace
 {
 
-using gateway::net::tcp_stream;
+using net::tcp_stream;
 using nlohmann::json;
 
 std::string sealed_head(received_request const& request)
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -29,7 +29,7 @@
 
 store_standin::store_standin(asio::io_context& loop)
     : server_(
-          loop, *this, [] { return gateway::net::caller_limits(); }, steady_now)
+          loop, *this, [] { return net::server_limits(); }, steady_now)
 {
     server_.listen("127.0.0.1", 0);
 }
@@ -112,7 +112,7 @@
         to->answer(std::move(head), body.dump());
 }
 
-void store_standin::on_request(gateway::net::server_connection& from,
+void store_standin::on_request(net::server_connection& from,
                                http::request_head& head, std::string& body)
 {
     if (silent_)
@@ -135,7 +135,7 @@
         list(from.id(), kind);
 }
 
-void store_standin::on_caller_left(gateway::net::server_connection& from)
+void store_standin::on_caller_left(net::server_connection& from)
 {
     watches_.erase(from.id());
 }
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_STANDINS_FLEET_PLATFORM_STORE_STANDIN_HPP
 #define BUCKTHORNVALE_STANDINS_FLEET_PLATFORM_STORE_STANDIN_HPP
 
-#include <buckthornvale/gateway/net/http_server.hpp>
+#include <buckthornvale/net/http_server.hpp>
 
 #include <asio/io_context.hpp>
 #include <nlohmann/json.hpp>
@@ -16,7 +16,7 @@
 
 //! Speaks the object protocol of the platform's store: lists, watches, and
 //! conditional writes. It runs on the loop of the test.
-class store_standin final : public gateway::net::request_handler
+class store_standin final : public net::request_handler
 {
 public:
     explicit store_standin(asio::io_context& loop);
@@ -47,10 +47,10 @@
     void compact();
 
     // request_handler
-    void on_request(gateway::net::server_connection& from,
-                    http::request_head& head, std::string& body) override;
-    void on_caller_left(gateway::net::server_connection& from) override;
-    void on_drained(gateway::net::server_connection&) override {}
+    void on_request(net::server_connection& from, http::request_head& head,
+                    std::string& body) override;
+    void on_caller_left(net::server_connection& from) override;
+    void on_drained(net::server_connection&) override {}
 
 private:
     struct change
@@ -77,7 +77,7 @@
                std::string const& body);
     void note(std::string const& kind, nlohmann::json object, bool deleted);
 
-    gateway::net::http_server server_;
+    net::http_server server_;
     std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
     std::vector<change> changes_;
     std::map<std::uint64_t, watch> watches_;
