fuzz: targets for the parsers of the gateway; bounded CBOR and pages

Cause: the gateway's parsers had table and damaged-input tests only. The new targets found two faults at once. A CBOR message of 60,000 nested arrays ended the process: the parser calls itself for each level. A request above the body limit counted as complete when head and body came in one read: http-parser takes the value 1 after a head for a message without a body; the server looked at the error first, so that no such request was passed on.

--- a/fuzz/targets/all.cpp
+++ b/fuzz/targets/all.cpp
@@ -15,6 +15,10 @@
         {"caller_request", caller_request},
         {"runner_answer", runner_answer},
         {"event_stream", event_stream},
+        {"http_request", http_request},
+        {"fleet_request", fleet_request},
+        {"store_page", store_page},
+        {"gateway_message", gateway_message},
     };
     return targets;
 }
--- a/fuzz/targets/caller_request.cpp
+++ b/fuzz/targets/caller_request.cpp
@@ -1,5 +1,5 @@
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/serving/http/caller_codec.hpp>
-#include <buckthornvale/serving/http/json_text.hpp>
 
 #include <targets/input.hpp>
 #include <targets/targets.hpp>
@@ -21,8 +21,8 @@
     require(http::is_plain_name(call->organisation), "plain organisation");
     require(call->deadline > decision::duration::zero(), "positive deadline");
     // The input is cut out of the text; a wrong cut would run another input.
-    auto const document = http::parse_json(body);
-    auto const input = http::parse_json(call->input);
+    auto const document = documents::parse_json(body);
+    auto const input = documents::parse_json(call->input);
     require(input.has_value(), "the input is JSON");
     require(*input == document->at("input"), "the input is that of the body");
     return true;
--- /dev/null
+++ b/fuzz/targets/http_request.cpp
@@ -0,0 +1,76 @@
+#include <buckthornvale/http/message_parser.hpp>
+
+#include <algorithm>
+#include <string>
+#include <targets/input.hpp>
+#include <targets/targets.hpp>
+
+namespace buckthornvale::fuzz
+{
+
+namespace
+{
+
+constexpr http::parser_limits limits = {2048, 4096};
+
+//! What a server learns of the first request of a connection.
+class request_reader final : public http::message_sink
+{
+public:
+    request_reader(std::string_view bytes, std::size_t piece)
+        : parser_(http::message_type::request, limits, *this)
+    {
+        while (!bytes.empty() && !parser_.complete() &&
+               parser_.error() == http::parse_error::none)
+        {
+            auto const n = parser_.feed(bytes.substr(0, piece));
+            require(n <= std::min(piece, bytes.size()),
+                    "no more is taken than was given");
+            taken_ += n;
+            bytes.remove_prefix(std::min(piece, bytes.size()));
+        }
+    }
+
+    void on_head() override {}
+    void on_body(std::string_view bytes) override { body_.append(bytes); }
+    void on_complete() override {}
+
+    bool complete() const { return parser_.complete(); }
+    bool failed() const { return parser_.error() != http::parse_error::none; }
+
+    //! All that later code relies on, as one text.
+    std::string text()
+    {
+        auto const& head = parser_.request();
+        std::string out = head.method + " " + head.target + "\n";
+        for (auto const& it : head.headers)
+            out += it.name + ":" + it.value + "\n";
+        return out + "\n" + body_;
+    }
+
+    std::string const& body() const { return body_; }
+
+private:
+    http::message_parser parser_;
+    std::size_t taken_ = 0;
+    std::string body_;
+};
+
+} // namespace
+
+bool http_request(std::string_view bytes)
+{
+    request_reader whole(bytes, std::max<std::size_t>(bytes.size(), 1));
+    request_reader pieces(bytes, 3);
+    require(whole.complete() == pieces.complete() &&
+                whole.failed() == pieces.failed(),
+            "the verdict does not depend on how the network splits the bytes");
+    if (!whole.complete())
+        return false;
+    require(whole.text() == pieces.text(),
+            "a request does not depend on how the network splits it");
+    require(whole.body().size() <= limits.max_body_bytes, "a body is bounded");
+    return true;
+}
+
+} // namespace buckthornvale::fuzz
--- a/fuzz/targets/runner_answer.cpp
+++ b/fuzz/targets/runner_answer.cpp
@@ -1,4 +1,4 @@
-#include <buckthornvale/serving/http/json_text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/serving/upstream/runner_codec.hpp>
 
 #include <cmath>
@@ -15,7 +15,7 @@
 
 void require_json(std::string_view text)
 {
-    require(serving::http::parse_json(text).has_value(),
+    require(documents::parse_json(text).has_value(),
             "an output that is copied into other documents is JSON");
 }
 
--- a/fuzz/targets/targets.hpp
+++ b/fuzz/targets/targets.hpp
@@ -43,6 +43,20 @@
 //! `end` events with valid data.
 bool event_stream(std::string_view bytes);
 
+//! First HTTP request of a connection.
+bool http_request(std::string_view bytes);
+
+//! HTTP request of a caller of the gateway, as it is passed on to a runner.
+bool fleet_request(std::string_view bytes);
+
+//! Answer of the users' store: `manifest`, `runners` or `members` in the first
+//! line, `list` or `changes` in the second, then the body; accepted when each
+//! object is of the kind.
+bool store_page(std::string_view bytes);
+
+//! CBOR message between two gateways.
+bool gateway_message(std::string_view bytes);
+
 //! A target and the name of its folder in corpus/.
 struct target
 {
--- a/packages/serving/include/buckthornvale/serving/http/json_text.hpp
+++ b/packages/documents/include/buckthornvale/documents/json_text.hpp
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNVALE_SERVING_HTTP_JSON_TEXT_HPP
-#define BUCKTHORNVALE_SERVING_HTTP_JSON_TEXT_HPP
+#ifndef BUCKTHORNVALE_DOCUMENTS_JSON_TEXT_HPP
+#define BUCKTHORNVALE_DOCUMENTS_JSON_TEXT_HPP
 
 #include <nlohmann/json.hpp>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::documents
 {
 
 //! Deepest nesting of a document that is parsed. nlohmann-json writes values
@@ -29,6 +29,6 @@
 void append_raw_member(std::string& object, std::string_view name,
                        std::string_view value);
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::documents
 
 #endif
--- a/packages/peer/src/codec/depth_check.hpp
+++ b/packages/documents/src/depth_check.hpp
@@ -1,12 +1,14 @@
-#ifndef BUCKTHORNVALE_PEER_SRC_CODEC_DEPTH_CHECK_HPP
-#define BUCKTHORNVALE_PEER_SRC_CODEC_DEPTH_CHECK_HPP
+#ifndef BUCKTHORNVALE_DOCUMENTS_SRC_DEPTH_CHECK_HPP
+#define BUCKTHORNVALE_DOCUMENTS_SRC_DEPTH_CHECK_HPP
+
+#include <buckthornvale/documents/cbor.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
 #include <string>
 
-namespace buckthornvale::peer::detail
+namespace buckthornvale::documents::detail
 {
 
 //! Visitor that stops at a depth or at a number of values. The CBOR parser
@@ -14,6 +16,8 @@
 class depth_check : public nlohmann::json_sax<nlohmann::json>
 {
 public:
+    explicit depth_check(cbor_bounds bounds) : bounds_(bounds) {}
+
     bool null() override { return value(); }
     bool boolean(bool) override { return value(); }
     bool number_integer(number_integer_t) override { return value(); }
@@ -43,11 +47,12 @@
     bool enter();
     bool leave();
 
+    cbor_bounds bounds_;
     std::size_t depth_ = 0;
     std::size_t values_ = 0;
     bool exceeded_ = false;
 };
 
-} // namespace buckthornvale::peer::detail
+} // namespace buckthornvale::documents::detail
 
 #endif
--- a/packages/serving/src/http/json_text.cpp
+++ b/packages/documents/src/json_text.cpp
@@ -1,8 +1,8 @@
-#include <buckthornvale/serving/http/json_text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 
 #include <algorithm>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::documents
 {
 
 namespace
@@ -131,4 +131,4 @@
     object.append(value).append("}");
 }
 
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::documents
--- a/packages/peer/src/codec/length_check.cpp
+++ b/packages/documents/src/length_check.cpp
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace buckthornvale::peer::detail
+namespace buckthornvale::documents::detail
 {
 
 namespace
@@ -54,4 +54,4 @@
     return true;
 }
 
-} // namespace buckthornvale::peer::detail
+} // namespace buckthornvale::documents::detail
--- a/packages/peer/src/codec/length_check.hpp
+++ b/packages/documents/src/length_check.hpp
@@ -1,9 +1,9 @@
-#ifndef BUCKTHORNVALE_PEER_SRC_CODEC_LENGTH_CHECK_HPP
-#define BUCKTHORNVALE_PEER_SRC_CODEC_LENGTH_CHECK_HPP
+#ifndef BUCKTHORNVALE_DOCUMENTS_SRC_LENGTH_CHECK_HPP
+#define BUCKTHORNVALE_DOCUMENTS_SRC_LENGTH_CHECK_HPP
 
 #include <string_view>
 
-namespace buckthornvale::peer::detail
+namespace buckthornvale::documents::detail
 {
 
 //! False for an item of indefinite length (RFC 8949, 3.2) or one that reaches
@@ -12,6 +12,6 @@
 //! bound them; its encoder writes definite lengths only.
 bool has_definite_lengths(std::string_view cbor);
 
-} // namespace buckthornvale::peer::detail
+} // namespace buckthornvale::documents::detail
 
 #endif
--- a/packages/serving/tests/http/json_text_test.cpp
+++ b/packages/documents/tests/json_text_test.cpp
@@ -1,8 +1,8 @@
-#include <buckthornvale/serving/http/json_text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 
 #include <gtest/gtest.h>
 
-namespace buckthornvale::serving::http
+namespace buckthornvale::documents
 {
 namespace
 {
@@ -70,4 +70,4 @@
 }
 
 } // namespace
-} // namespace buckthornvale::serving::http
+} // namespace buckthornvale::documents
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -1,3 +1,4 @@
+#include <buckthornvale/documents/cbor.hpp>
 #include <buckthornvale/gateway/peer/peer_codec.hpp>
 
 #include <nlohmann/json.hpp>
@@ -15,6 +16,10 @@
 //! and counts as unreachable.
 constexpr int protocol_version = 1;
 
+//! The deepest message is a list of pieces with a list of inputs each. A VM
+//! that holds thousands of pieces sends some twenty values of each.
+constexpr documents::cbor_bounds bounds = {7, 2'000'000};
+
 //! First element of a message.
 enum class tag
 {
@@ -165,8 +170,8 @@
 
 std::optional<envelope> decode_envelope(std::string_view bytes)
 {
-    auto const document =
-        json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    auto const parsed = documents::parse_cbor(bytes, bounds);
+    auto const& document = parsed.value;
     if (!document.is_array() || document.size() != 4 ||
         document[0] != protocol_version)
         return std::nullopt;
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -135,10 +135,12 @@
         return 0;
     }
 
+    //! A callback ends with this value. http-parser takes 1 after the head for
+    //! a message without a body and would complete it.
     int fail(parse_error kind)
     {
         error = kind;
-        return 1;
+        return -1;
     }
 
     int end_head()
--- a/packages/http/tests/message_parser_test.cpp
+++ b/packages/http/tests/message_parser_test.cpp
@@ -101,6 +101,19 @@
 
 // Guards against an answer without a length that is taken as complete when its
 // connection broke.
+// Guards against a request that counts as complete although it was refused,
+// when its head and body come at once.
+TEST(message_parser, completes_nothing_that_exceeds_the_limits)
+{
+    collecting_sink sink;
+    message_parser parser(message_type::request, {2048, 4}, sink);
+    parser.feed(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde");
+    EXPECT_EQ(parser.error(), parse_error::body_too_large);
+    EXPECT_FALSE(parser.complete());
+    EXPECT_EQ(sink.completed, 0);
+}
+
 TEST(message_parser, completes_an_answer_without_length_at_the_end)
 {
     parsed it("HTTP/1.1 200 OK\r\nX: y\r\n\r\nabc", message_type::response);
--- a/packages/peer/src/codec/codec.cpp
+++ b/packages/peer/src/codec/codec.cpp
@@ -1,7 +1,6 @@
-#include "depth_check.hpp"
-#include "length_check.hpp"
 #include "reader.hpp"
 #include <buckthornvale/decision/core/text.hpp>
+#include <buckthornvale/documents/cbor.hpp>
 #include <buckthornvale/peer/codec/codec.hpp>
 
 #include <absl/status/status.h>
@@ -552,26 +551,22 @@
     return nullptr;
 }
 
+// The deepest valid message has a list of entries with a list of numbers; a
+// push of 8,192 objects has nine keys and values each.
+constexpr documents::cbor_bounds bounds = {6, 100000};
+
 absl::StatusOr<json> parse(std::string_view bytes)
 {
     if (bytes.size() > max_message_bytes)
         return absl::ResourceExhaustedError(
             "peer message exceeds the size limit");
-    if (!detail::has_definite_lengths(bytes))
-        return absl::InvalidArgumentError("peer message is not valid CBOR");
-    detail::depth_check check;
-    if (!json::sax_parse(bytes.begin(), bytes.end(), &check,
-                         json::input_format_t::cbor))
-    {
-        if (check.exceeded())
-            return absl::ResourceExhaustedError(
-                "peer message has too many values or levels");
-        return absl::InvalidArgumentError("peer message is not valid CBOR");
-    }
-    auto value = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-    if (value.is_discarded())
+    auto parsed = documents::parse_cbor(bytes, bounds);
+    if (parsed.error == documents::cbor_error::too_large)
+        return absl::ResourceExhaustedError(
+            "peer message has too many values or levels");
+    if (parsed.error != documents::cbor_error::none)
         return absl::InvalidArgumentError("peer message is not valid CBOR");
-    return value;
+    return std::move(parsed.value);
 }
 
 } // namespace
--- a/packages/serving/src/http/caller_codec.cpp
+++ b/packages/serving/src/http/caller_codec.cpp
@@ -1,6 +1,6 @@
 #include <buckthornvale/decision/core/text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/serving/http/caller_codec.hpp>
-#include <buckthornvale/serving/http/json_text.hpp>
 #include <buckthornvale/serving/http/key_digest.hpp>
 
 #include <absl/strings/ascii.h>
@@ -191,7 +191,7 @@
 
 std::string encode_result(requests::stage_output const& value)
 {
-    return value.is_text ? write_json(value.bytes) : value.bytes;
+    return value.is_text ? documents::write_json(value.bytes) : value.bytes;
 }
 
 //! Kinds for which an outcome query fails, as against the errors that a
@@ -242,7 +242,7 @@
     if (!is_plain_name(pipeline))
         return malformed("the pipeline's name in the path must have 1 to 128 "
                          "letters, digits or ._:~-");
-    auto const document = parse_json(body);
+    auto const document = documents::parse_json(body);
     if (!document)
         return malformed("the body must be JSON in UTF-8, nested at most 64 "
                          "levels deep");
@@ -253,7 +253,7 @@
         return failure;
     call.pipeline = pipeline;
     call.key_sha256 = key_digest(key);
-    call.input = raw_member(body, "input");
+    call.input = documents::raw_member(body, "input");
     return call;
 }
 
@@ -291,9 +291,10 @@
                 .count();
     if (!value.outcome_key.empty())
         body["outcome_url"] = outcome_url(value, context);
-    auto text = write_json(body);
+    auto text = documents::write_json(body);
     if (value.result)
-        append_raw_member(text, "result", encode_result(*value.result));
+        documents::append_raw_member(text, "result",
+                                     encode_result(*value.result));
     return text;
 }
 
@@ -313,7 +314,8 @@
 
 std::string encode_token(requests::send_token const& value)
 {
-    return write_json({{"index", value.index}, {"text", value.text}});
+    return documents::write_json(
+        {{"index", value.index}, {"text", value.text}});
 }
 
 std::string encode_event(std::string_view name, std::string_view data)
--- a/packages/serving/src/upstream/upstream_pool.cpp
+++ b/packages/serving/src/upstream/upstream_pool.cpp
@@ -1,6 +1,6 @@
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/http/text.hpp>
 #include <buckthornvale/net/endpoint.hpp>
-#include <buckthornvale/serving/http/json_text.hpp>
 #include <buckthornvale/serving/upstream/runner_codec.hpp>
 #include <buckthornvale/serving/upstream/runner_request.hpp>
 #include <buckthornvale/serving/upstream/upstream_pool.hpp>
@@ -156,7 +156,7 @@
     control(address,
             runner_request(
                 "POST", "/v1/cancel", address,
-                http::write_json(
+                documents::write_json(
                     {{"attempt_id", decision::to_text(attempt.attempt)}})),
             settings_.control_timeout, [](net::call_result const&) {});
 }
@@ -204,9 +204,9 @@
         return;
     }
     auto const address = net::endpoint_text(value.host, value.port);
-    auto body = http::write_json({{"fencing", value.fencing},
-                                  {"kind", value.kind},
-                                  {"name", value.name}});
+    auto body = documents::write_json({{"fencing", value.fencing},
+                                       {"kind", value.kind},
+                                       {"name", value.name}});
     control(address,
             runner_request("POST", "/v1/orders", address, std::move(body)),
             std::min<decision::duration>(left, settings_.control_timeout),
--- a/packages/serving/tests/support/fake_runner_calls.cpp
+++ b/packages/serving/tests/support/fake_runner_calls.cpp
@@ -1,5 +1,5 @@
 #include "support/runner_fixture.hpp"
-#include <buckthornvale/serving/http/json_text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/serving/upstream/runner_codec.hpp>
 
 #include <map>
@@ -110,7 +110,7 @@
     static std::string input_of(start_attempt const& attempt)
     {
         return std::string(
-            http::raw_member(upstream::encode_attempt(attempt), "input"));
+            documents::raw_member(upstream::encode_attempt(attempt), "input"));
     }
 
     static std::string output_of(start_attempt const& attempt)
--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -1,6 +1,6 @@
 #include "common/standin_server.hpp"
 
-#include <buckthornvale/serving/http/json_text.hpp>
+#include <buckthornvale/documents/json_text.hpp>
 
 #include <cstdlib>
 #include <sys/socket.h>
@@ -103,8 +103,8 @@
     catch (nlohmann::json::exception const& error)
     {
         response.status = 400;
-        response.set_content(
-            serving::http::write_json({{"error", error.what()}}), json_type);
+        response.set_content(documents::write_json({{"error", error.what()}}),
+                             json_type);
     }
 }
 
@@ -243,8 +243,8 @@
     if (mine.active.cross)
         told = crossing_.swap(
             told, std::chrono::milliseconds(mine.active.cross_wait_ms));
-    auto body = serving::http::write_json({{"attempt_id", told.attempt_id}});
-    serving::http::append_raw_member(
+    auto body = documents::write_json({{"attempt_id", told.attempt_id}});
+    documents::append_raw_member(
         body, "output", make_output(told, runner, mine.active.pad_bytes));
     response.set_content(body, json_type);
 }
