stages: forecast waits by the time until a piece is due; late ones yield

Cause: a request was refused for the length of the whole queue, although what is due soon passes patient pieces. Change: a scheduler tells the wait for six times until due; a request is forecast with the wait of its own. One that can only be late yields to all that can be on time, and is refused when half of its time is not enough. A piece that became late yields too, but not for over 1.5 s once earlier stages worked for it: their results take room and do not last. The wait counts the turns of runners that are staggered, not half a call for all.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -100,7 +100,16 @@
     std::optional<duration> retry_after(active_request const& it,
                                         refusal reason, time_point now) const;
 
-    // Stages.
+    // Stages. Without `due_in`, times are those without any wait.
+
+    //! Time until a request would be answered.
+    struct forecast
+    {
+        duration in_turn{};  //!< when it goes by its target
+        duration yielding{}; //!< when it yields to what can be on time
+        duration waiting{};  //!< part of `yielding` that is spent in queues
+    };
+
     void start_stages(active_request& it, time_point now);
     std::string domain_of_stage(active_request const& it,
                                 std::uint32_t stage) const;
@@ -112,14 +121,17 @@
     void advance(active_request& it, time_point now);
     void resubmit_from(std::string const& member, time_point now);
     std::vector<duration> stage_times(active_request const& it,
+                                      std::optional<duration> due_in,
                                       time_point now) const;
-    bool is_overloaded(active_request const& it, time_point now) const;
+    forecast forecast_stages(active_request const& it, time_point now) const;
+    bool admit_stages(active_request& it, time_point now) const;
     duration waited_before(route const& of, request_traits const& traits);
     backlog const* fresh_backlog(std::string const& service,
                                  time_point now) const;
     bool room_is_short(active_request const& it, std::uint32_t stage,
                        time_point now) const;
     duration expected_stage_time(active_request const& it,
+                                 std::optional<duration> due_in,
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_MESSAGE_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/gateway/wait_profile.hpp>
 
 #include <cstdint>
 #include <string>
@@ -46,6 +47,7 @@
     double result_bytes = 0;
     int rank = 0;
     duration due_in{};    //!< from now; worth less after it
+    duration last_in{};   //!< from now; a turn after it is of no use
     duration time_left{}; //!< from now; worth nothing after it
 };
 
@@ -75,7 +77,7 @@
 struct backlog
 {
     std::string service;
-    duration wait{};       //!< until a piece gets its turn
+    wait_profile waits;    //!< until a piece gets its turn
     duration call{};       //!< time of a call
     double room_share = 0; //!< part of the room for results that is taken
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -26,7 +26,9 @@
     std::uint64_t key = 0; //!< identity over all VMs
     time_point queued{};
     time_point due{};
+    time_point last{}; //!< a turn after it is of no use
     time_point deadline{};
+    time_point turn{}; //!< pieces are taken in this order
     std::uint32_t attempts = 0;
 };
 
@@ -42,6 +44,9 @@
 //! carries, and a runner works on one call at a time": VMs that batch alone
 //! send many small calls and fill the few places.
 //!
+//! Pieces that are due first go first. One that is late already yields to all
+//! that can still be on time, and goes when it is about to be of no use.
+//!
 //! A free runner takes what waits for its failure domain at once, and pieces
 //! of other domains once they have waited a little: results are large, and a
 //! domain of its own keeps them off the links between domains. Batches grow
@@ -56,7 +61,7 @@
     {
     }
 
-    void configure(piece_limits const& limits) { limits_ = limits; }
+    void configure(piece_limits const& limits);
 
     //! Queues pieces; one that is known already is ignored, since its VM
     //! repeats a submission that it had no answer to.
@@ -92,7 +97,8 @@
     duration usual_call_time() const { return usual_call_; }
 
     //! Time until a piece queued now would get its turn.
-    duration expected_wait(runner_directory& runners, time_point now) const;
+    wait_profile expected_waits(runner_directory& runners,
+                                time_point now) const;
 
     //! Part of the runners' room for results that is taken.
     double room_share() const;
@@ -145,6 +151,8 @@
     void forget_waiting(Predicate const& dropped);
     void check_times(time_point now);
     void drop_late(time_point now);
+    void order_queue(time_point now);
+    double places(absl::Span<runner_state* const> usable, time_point now) const;
     void announce_inputs_read(time_point now);
     void repeat_slow_calls(time_point now);
     double slowness_of(std::string const& runner_id, time_point now) const;
@@ -171,6 +179,7 @@
     std::string service_;
     piece_limits limits_;
     duration usual_call_{};
+    double usual_batch_ = 0; //!< pieces of a call while others wait
     std::deque<owned_piece> queue_;
     absl::flat_hash_set<std::uint64_t> active_; //!< pieces known, by identity
     time_point checked_{};
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -43,7 +43,7 @@
     duration wait = least_retry_after;
     if (reason == refusal::cannot_finish_in_time ||
         reason == refusal::stage_failed)
-        wait = expected_stage_time(it, now);
+        wait = forecast_stages(it, now).in_turn;
     // Spread returns, so that refused callers do not come back as one burst.
     constexpr std::uint64_t steps = 1000;
     double const spread =
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -131,7 +131,7 @@
         give_up(it, refusal::crashes_runners, now);
         return;
     }
-    if (!it.pipeline.empty() && is_overloaded(it, now))
+    if (!it.pipeline.empty() && !admit_stages(it, now))
     {
         give_up(it, refusal::cannot_finish_in_time, now);
         return;
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -19,10 +19,21 @@
 //! on: a piece that fails afterwards finds them gone.
 constexpr double short_room_share = 0.5;
 
-//! While pieces wait longer than this, requests that would be late are refused:
-//! they would take the place of others that can be on time.
+//! A request that would be late by less than this share of its target counts
+//! as on time: the forecast is rough.
+constexpr double late_tolerance = 0.125;
+
+//! A request that will be late is taken when this share of its time is enough,
+//! and refused otherwise: it yields to all that can be on time.
+constexpr double late_share = 0.5;
+
+//! Waits up to this are no sign of a queue.
 constexpr duration tolerated_wait = 300ms;
 
+//! A piece with inputs is of no use after this time in a queue: the results
+//! that it needs take room, and their runners keep them for a few seconds.
+constexpr duration longest_hold = 1500ms;
+
 //! Allowance for the model runner after the stages.
 constexpr duration engine_time = 150ms;
 
@@ -69,6 +80,7 @@
 }
 
 std::vector<duration> reducer::stage_times(active_request const& it,
+                                           std::optional<duration> due_in,
                                            time_point now) const
 {
     std::vector<duration> out;
@@ -81,16 +93,21 @@
             time = of->pieces->call_time +
                    of->pieces->piece_time * it.pipeline.pieces(n);
         if (auto const* known = fresh_backlog(service, now))
-            time = std::max(time, known->call) + known->wait;
+        {
+            time = std::max(time, known->call);
+            if (due_in)
+                time += known->waits.at(*due_in);
+        }
         out.push_back(time);
     }
     return out;
 }
 
 duration reducer::expected_stage_time(active_request const& it,
+                                      std::optional<duration> due_in,
                                       time_point now) const
 {
-    auto const times = stage_times(it, now);
+    auto const times = stage_times(it, due_in, now);
     duration longest{};
     for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
         if (it.pipeline.stage(n).after.empty())
@@ -98,21 +115,35 @@
     return longest;
 }
 
-bool reducer::is_overloaded(active_request const& it, time_point now) const
+reducer::forecast reducer::forecast_stages(active_request const& it,
+                                           time_point now) const
 {
-    auto const expected = expected_stage_time(it, now);
-    if (now + expected + engine_time > it.expires)
-        return true;
-    // Without a queue a late answer costs nobody else.
-    duration longest_wait{};
-    for (std::uint32_t n = 0; n < it.pipeline.size(); ++n)
-        if (auto const* known =
-                fresh_backlog(it.pipeline.stage(n).service, now);
-            known != nullptr && it.pipeline.pieces(n) > 0)
-            longest_wait = std::max(longest_wait, known->wait);
-    // The expected time counts all that waits, also what yields to this one.
-    return longest_wait > tolerated_wait &&
-           now + expected + engine_time > it.due + it.plan->target_latency / 2;
+    auto const bare = expected_stage_time(it, std::nullopt, now);
+    auto const needed = bare + engine_time;
+    forecast out;
+    out.in_turn =
+        expected_stage_time(it, it.due - now - needed, now) + engine_time;
+    out.yielding =
+        expected_stage_time(it, it.expires - now - needed, now) + engine_time;
+    out.waiting = out.yielding - needed;
+    return out;
+}
+
+bool reducer::admit_stages(active_request& it, time_point now) const
+{
+    auto const expected = forecast_stages(it, now);
+    auto const tolerance =
+        from_seconds(late_tolerance * to_seconds(it.plan->target_latency));
+    if (now + expected.in_turn <= it.due + tolerance)
+        return now + expected.in_turn <= it.expires;
+    auto const left = it.expires - now;
+    auto const limit = expected.waiting <= tolerated_wait
+                           ? left
+                           : from_seconds(late_share * to_seconds(left));
+    if (expected.yielding > limit)
+        return false;
+    it.due = it.expires;
+    return true;
 }
 
 void reducer::advance(active_request& it, time_point now)
@@ -156,11 +187,10 @@
     auto const& stage = it.pipeline.stage(n);
     auto const& owner = members_.owner(stage.service, now);
     auto const inputs = it.pipeline.inputs_of(n);
-    // Waiting in this stage's queue is what `due_in` is compared with.
-    auto times = stage_times(it, now);
-    if (auto const* known = fresh_backlog(stage.service, now))
-        times[n] -= known->wait;
-    auto const after = it.pipeline.remaining_time(n, times);
+    auto const after =
+        it.pipeline.remaining_time(n, stage_times(it, std::nullopt, now)) +
+        engine_time;
+    auto const last = it.expires - after - now;
     auto const domain = domain_of_stage(it, n);
     submit_pieces message;
     for (auto const number : it.pipeline.missing(n))
@@ -179,7 +209,8 @@
         work.domain = domain;
         work.result_bytes = stage.result_bytes;
         work.rank = it.rank;
-        work.due_in = it.due - engine_time - after - now;
+        work.due_in = it.due - after - now;
+        work.last_in = inputs.empty() ? last : std::min(last, longest_hold);
         work.time_left = it.expires - now;
         message.pieces.push_back(std::move(work));
     }
@@ -306,7 +337,7 @@
         if (results.empty())
             continue;
         backlog const present = {
-            it.first, it.second.expected_wait(runners_, now),
+            it.first, it.second.expected_waits(runners_, now),
             it.second.usual_call_time(), it.second.room_share()};
         std::set<std::string> told;
         for (auto& result : results)
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -22,6 +22,10 @@
 //! nothing yet is given up.
 constexpr duration tolerated_wait = 300ms;
 
+//! So is one that was late from the start, when it has waited for this share
+//! of its time: its caller can use what is left elsewhere.
+constexpr double tolerated_share = 0.4;
+
 //! A runner this many times slower than the fastest one gets no call while the
 //! others can take all that waits.
 constexpr double left_out_slowness = 2.2;
@@ -32,13 +36,25 @@
 //! A piece waits this long for a runner of its failure domain.
 constexpr duration domain_wait = 150ms;
 
+//! A piece counts as late this long after it was due: the estimates of what
+//! follows its turn are rough.
+constexpr duration late_tolerance = 100ms;
+
+//! Weight of the newest call in the average of its pieces.
+constexpr double new_batch_weight = 0.2;
+
 bool before(owned_piece const& a, owned_piece const& b)
 {
-    if (a.due != b.due)
-        return a.due < b.due;
+    if (a.turn != b.turn)
+        return a.turn < b.turn;
     return a.work.request < b.work.request;
 }
 
+time_point turn_of(owned_piece const& it, time_point now)
+{
+    return it.due + late_tolerance < now ? std::max(it.due, it.last) : it.due;
+}
+
 //! Identity of a piece over all VMs.
 std::uint64_t key_of(std::string const& member, piece const& work)
 {
@@ -50,6 +66,12 @@
 
 } // namespace
 
+void stage_scheduler::configure(piece_limits const& limits)
+{
+    limits_ = limits;
+    usual_batch_ = limits.batch;
+}
+
 void stage_scheduler::submit(std::string const& member,
                              std::vector<piece> pieces, time_point now)
 {
@@ -62,6 +84,7 @@
         entry.member = member;
         entry.queued = now;
         entry.due = now + work.due_in;
+        entry.last = now + work.last_in;
         entry.deadline = now + work.time_left;
         entry.work = std::move(work);
         queue_.push_back(std::move(entry));
@@ -167,8 +190,12 @@
     auto const too_late = [&](owned_piece const& it)
     {
         bool const untouched = it.work.inputs.empty() && it.attempts == 0;
+        auto const waited = now - it.queued;
+        auto const tolerated =
+            from_seconds(tolerated_share * to_seconds(it.deadline - it.queued));
         return now + nominal_time(1) > it.deadline ||
-               (untouched && it.due < now && now - it.queued > tolerated_wait);
+               (untouched && it.due < now && waited > tolerated_wait) ||
+               (untouched && waited > tolerated);
     };
     for (auto& it : take_waiting(too_late))
         finish(it, piece_outcome::late, {});
@@ -306,15 +333,26 @@
     auto const free = free_runners(runners, now);
     if (free.empty())
         return;
-    std::sort(queue_.begin(), queue_.end(), before);
+    order_queue(now);
     for (auto* runner : free)
     {
         auto pieces = take_batch(*runner, now);
-        if (!pieces.empty())
-            start_call(*runner, std::move(pieces), next_call++, now, out);
+        if (pieces.empty())
+            continue;
+        if (!queue_.empty())
+            usual_batch_ +=
+                new_batch_weight * (double(pieces.size()) - usual_batch_);
+        start_call(*runner, std::move(pieces), next_call++, now, out);
     }
 }
 
+void stage_scheduler::order_queue(time_point now)
+{
+    for (auto& it : queue_)
+        it.turn = turn_of(it, now);
+    std::sort(queue_.begin(), queue_.end(), before);
+}
+
 void stage_scheduler::check_times(time_point now)
 {
     checked_ = now;
@@ -338,33 +376,48 @@
     return std::exchange(results_, {});
 }
 
-duration stage_scheduler::expected_wait(runner_directory& runners,
-                                        time_point now) const
+double stage_scheduler::places(absl::Span<runner_state* const> usable,
+                               time_point now) const
 {
+    constexpr double least_slowness = 0.1;
+    double out = 0;
+    for (auto const* it : usable)
+        out += limits_.slots /
+               std::max(slowness_of(it->entry.id, now), least_slowness);
+    return out;
+}
+
+wait_profile stage_scheduler::expected_waits(runner_directory& runners,
+                                             time_point now) const
+{
+    wait_profile out;
     std::vector<runner_state*> usable;
     runners.usable(service_, now, usable);
-    if (usable.empty())
-        return limits_.call_time;
-    double slots = 0;
-    double busy_s = 0;
-    for (auto const* it : usable)
-    {
-        double const slowness = std::max(slowness_of(it->entry.id, now), 0.1);
-        slots += limits_.slots / slowness;
-    }
-    for (auto const& it : calls_)
-        busy_s += std::max(
-            0.0, to_seconds(it.second.started +
-                            nominal_time(it.second.pieces.size()) - now));
-    std::size_t const batches =
-        (queue_.size() + limits_.batch - 1) / limits_.batch;
-    double const queued_s =
-        to_seconds(limits_.call_time) * double(batches) +
-        to_seconds(limits_.piece_time) * double(queue_.size());
     bool const free_place = calls_.size() < usable.size() * limits_.slots;
     if (free_place && queue_.empty())
-        return {};
-    return from_seconds((queued_s + busy_s) / std::max(slots, 0.1));
+        return out;
+    std::array<std::size_t, wait_profile::size> ahead{};
+    for (auto const& it : queue_)
+    {
+        auto const due_in = turn_of(it, now) - now;
+        for (std::size_t n = 0; n < ahead.size(); ++n)
+            if (n + 1 == ahead.size() || due_in <= wait_profile::due_times[n])
+                ++ahead[n];
+    }
+    constexpr double least_places = 0.1;
+    double const rate = std::max(places(usable, now), least_places);
+    double const batch = std::max(usual_batch_, 1.0);
+    auto const full_call = nominal_time(std::size_t(batch));
+    for (std::size_t n = 0; n < ahead.size(); ++n)
+    {
+        double const turns =
+            double(ahead[n]) / batch + (free_place ? 0.0 : 1.0);
+        bool const full = double(ahead[n]) >= batch;
+        auto const call = full ? std::max(usual_call_, full_call)
+                               : std::max(usual_call_, limits_.call_time);
+        out.waits[n] = from_seconds(turns * to_seconds(call) / rate);
+    }
+    return out;
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -138,14 +138,24 @@
     EXPECT_FALSE(all<send_to_peer>(advance(400ms)).empty());
 }
 
+backlog backlog_of(std::array<duration, wait_profile::size> waits)
+{
+    backlog out;
+    out.service = "stage";
+    out.waits.waits = waits;
+    out.call = 300ms;
+    out.room_share = 0.9;
+    return out;
+}
+
 // Guards against requests that wait to their deadline although the stages
-// cannot serve them: while pieces wait long, what would be much too late is
-// refused at once, with a time to return.
+// cannot serve them: what could not be served in half of its time is refused
+// at once, with a time to return.
 TEST_F(gateway_stages, refuse_at_once_what_would_be_late_under_load)
 {
     use_other_owner();
     return_results results;
-    results.backlogs.push_back({"stage", 2s, 300ms, 0.9});
+    results.backlogs = {backlog_of({4s, 4s, 4s, 4s, 4s, 4s})};
     feed(peer_sent{"vm-1", {results}});
     auto const out = arrive("/staged/x", 6s);
     auto const refused = only<refuse_request>(out);
@@ -158,6 +168,34 @@
     EXPECT_EQ(submitted(arrive("/staged/y", 6s)).size(), 1U);
 }
 
+// Guards against urgent requests that are refused for the length of a queue of
+// patient ones, which yield to them.
+TEST_F(gateway_stages, take_what_is_due_soon_while_patient_pieces_wait)
+{
+    use_other_owner();
+    return_results results;
+    results.backlogs = {backlog_of({0s, 20ms, 50ms, 100ms, 3s, 4s})};
+    feed(peer_sent{"vm-1", {results}});
+    auto const pieces = submitted(arrive("/staged/x", 6s));
+    ASSERT_EQ(pieces.size(), 1U);
+    EXPECT_LE(pieces[0].due_in, 1s);
+}
+
+// Guards against requests that can only be late and take the turn of others
+// that could be on time.
+TEST_F(gateway_stages, let_what_will_be_late_yield)
+{
+    use_other_owner();
+    return_results results;
+    results.backlogs = {
+        backlog_of({1500ms, 1500ms, 1500ms, 1500ms, 1500ms, 1500ms})};
+    feed(peer_sent{"vm-1", {results}});
+    auto const pieces = submitted(arrive("/staged/x", 6s));
+    ASSERT_EQ(pieces.size(), 1U);
+    EXPECT_GE(pieces[0].due_in, 5s);
+    EXPECT_EQ(pieces[0].due_in, pieces[0].last_in);
+}
+
 TEST_F(gateway_stages, serve_pieces_of_other_vms)
 {
     use_other_owner();
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -14,7 +14,7 @@
 
 //! First element of an envelope. A VM with another version is not understood
 //! and counts as unreachable.
-constexpr int protocol_version = 1;
+constexpr int protocol_version = 2;
 
 //! The deepest message is a list of pieces with a list of inputs each. A VM
 //! that holds thousands of pieces sends some twenty values of each.
@@ -37,7 +37,7 @@
         list.push_back({piece.request, piece.round, piece.request_id,
                         piece.service, piece.stage, piece.number, piece.key,
                         piece.inputs, piece.domain, piece.result_bytes,
-                        piece.rank, piece.due_in.count(),
+                        piece.rank, piece.due_in.count(), piece.last_in.count(),
                         piece.time_left.count()});
     return {tag::submit_pieces, std::move(list)};
 }
@@ -51,8 +51,13 @@
                            result.handle});
     auto backlogs = json::array();
     for (auto const& backlog : it.backlogs)
-        backlogs.push_back({backlog.service, backlog.wait.count(),
+    {
+        auto waits = json::array();
+        for (auto const wait : backlog.waits.waits)
+            waits.push_back(wait.count());
+        backlogs.push_back({backlog.service, std::move(waits),
                             backlog.call.count(), backlog.room_share});
+    }
     return {tag::return_results, std::move(results), std::move(backlogs)};
 }
 
@@ -102,7 +107,8 @@
         piece.result_bytes = it.at(9).get<double>();
         piece.rank = it.at(10).get<int>();
         piece.due_in = to_duration(it.at(11));
-        piece.time_left = to_duration(it.at(12));
+        piece.last_in = to_duration(it.at(12));
+        piece.time_left = to_duration(it.at(13));
         out.pieces.push_back(std::move(piece));
     }
     return out;
@@ -124,9 +130,15 @@
         out.results.push_back(std::move(result));
     }
     for (auto const& it : value.at(2))
-        out.backlogs.push_back({it.at(0).get<std::string>(),
-                                to_duration(it.at(1)), to_duration(it.at(2)),
-                                it.at(3).get<double>()});
+    {
+        model::backlog present;
+        present.service = it.at(0).get<std::string>();
+        for (std::size_t n = 0; n < model::wait_profile::size; ++n)
+            present.waits.waits[n] = to_duration(it.at(1).at(n));
+        present.call = to_duration(it.at(2));
+        present.room_share = it.at(3).get<double>();
+        out.backlogs.push_back(std::move(present));
+    }
     return out;
 }
 
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -10,6 +10,16 @@
 namespace model = decision::gateway;
 using namespace std::chrono_literals;
 
+model::backlog waits_of_one_service()
+{
+    model::backlog out;
+    out.service = "s";
+    out.waits.waits = {0s, 1s, 2s, 3s, 4s, 5s};
+    out.call = 300ms;
+    out.room_share = 0.5;
+    return out;
+}
+
 envelope full_envelope()
 {
     model::piece piece;
@@ -20,6 +30,7 @@
     piece.domain = "north";
     piece.rank = 2;
     piece.due_in = -5ms;
+    piece.last_in = 2s;
     piece.time_left = 3s;
     model::piece_result result;
     result.service = "s";
@@ -31,7 +42,7 @@
     out.incarnation = 18446744073709551615U;
     out.messages = {
         model::submit_pieces{{piece}},
-        model::return_results{{result}, {{"s", 2s, 300ms, 0.5}}},
+        model::return_results{{result}, {waits_of_one_service()}},
         model::release_results{"s", {"a/1"}},
         model::withdraw_pieces{{1, 2}},
         model::report_crash{99, true},
@@ -53,7 +64,9 @@
     EXPECT_EQ(piece.domain, "north");
     auto const& results = std::get<model::return_results>(out->messages[1]);
     EXPECT_EQ(results.results.at(0).outcome, model::piece_outcome::inputs_read);
-    EXPECT_EQ(results.backlogs.at(0).wait, 2s);
+    EXPECT_EQ(results.backlogs.at(0).waits.at(300ms), 2s);
+    EXPECT_EQ(results.backlogs.at(0).call, 300ms);
+    EXPECT_EQ(piece.last_in, 2s);
     EXPECT_TRUE(std::get<model::report_crash>(out->messages[4]).cleared);
 }
 
