--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -21,19 +21,12 @@
 
 //! A request that would be late by less than this share of its target counts
 //! as on time: the forecast is rough.
-constexpr double late_tolerance = 0.125;
+constexpr double late_tolerance = 0.25;
 
-//! A request that will be late is taken when this share of its time is enough,
-//! and refused otherwise: it yields to all that can be on time.
-constexpr double late_share = 0.5;
-
-//! Waits up to this are no sign of a queue.
+//! While pieces wait longer than this, requests that would be late are refused:
+//! they would take the place of others that can be on time.
 constexpr duration tolerated_wait = 300ms;
 
-//! A piece with inputs is of no use after this time in a queue: the results
-//! that it needs take room, and their runners keep them for a few seconds.
-constexpr duration longest_hold = 1500ms;
-
 //! Allowance for the model runner after the stages.
 constexpr duration engine_time = 150ms;
 
@@ -136,11 +129,8 @@
         from_seconds(late_tolerance * to_seconds(it.plan->target_latency));
     if (now + expected.in_turn <= it.due + tolerance)
         return now + expected.in_turn <= it.expires;
-    auto const left = it.expires - now;
-    auto const limit = expected.waiting <= tolerated_wait
-                           ? left
-                           : from_seconds(late_share * to_seconds(left));
-    if (expected.yielding > limit)
+    if (expected.waiting > tolerated_wait ||
+        now + expected.yielding > it.expires)
         return false;
     it.due = it.expires;
     return true;
@@ -210,7 +200,7 @@
         work.result_bytes = stage.result_bytes;
         work.rank = it.rank;
         work.due_in = it.due - after - now;
-        work.last_in = inputs.empty() ? last : std::min(last, longest_hold);
+        work.last_in = last;
         work.time_left = it.expires - now;
         message.pieces.push_back(std::move(work));
     }
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -50,9 +50,12 @@
     return a.work.request < b.work.request;
 }
 
+//! Only what has cost nothing yet yields: the results that earlier stages have
+//! made take room and do not last.
 time_point turn_of(owned_piece const& it, time_point now)
 {
-    return it.due + late_tolerance < now ? std::max(it.due, it.last) : it.due;
+    bool const yields = it.work.inputs.empty() && it.due + late_tolerance < now;
+    return yields ? std::max(it.due, it.last) : it.due;
 }
 
 //! Identity of a piece over all VMs.
