revert: learn the size of batches only while many pieces wait

More was admitted than can be on time: short forecasts, not the learned size of batches, hold the goodput.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -179,7 +179,7 @@
     std::string service_;
     piece_limits limits_;
     duration usual_call_{};
-    double usual_batch_ = 0; //!< pieces of a call while many wait
+    double usual_batch_ = 0; //!< pieces of a call while others wait
     std::deque<owned_piece> queue_;
     absl::flat_hash_set<std::uint64_t> active_; //!< pieces known, by identity
     time_point checked_{};
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -342,8 +342,7 @@
         auto pieces = take_batch(*runner, now);
         if (pieces.empty())
             continue;
-        // Fewer pieces may wait for a runner of their own domain.
-        if (queue_.size() >= 2 * std::size_t(limits_.batch))
+        if (!queue_.empty())
             usual_batch_ +=
                 new_batch_weight * (double(pieces.size()) - usual_batch_);
         start_call(*runner, std::move(pieces), next_call++, now, out);
