trial: learn how long model runners take to the first event; no tolerance

Cause: 150 ms were allowed for the first event whatever the load, so that requests forecast on time came late. The average of each service is used.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -123,6 +123,8 @@
     std::vector<duration> stage_times(active_request const& it,
                                       std::optional<duration> due_in,
                                       time_point now) const;
+    duration usual_answer_time(std::string const& service) const;
+    void note_answer_time(std::string const& service, duration took);
     forecast forecast_stages(active_request const& it, time_point now) const;
     bool admit_stages(active_request& it, time_point now) const;
     duration waited_before(route const& of, request_traits const& traits);
@@ -171,6 +173,8 @@
     crash_registry crashes_;
     std::map<std::string, stage_scheduler> schedulers_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
+    //! Time from a send to the first event, by service; a moving average.
+    std::map<std::string, duration, std::less<>> answer_times_;
     //! Longest time left that callers of a route have stated.
     std::map<std::string, duration, std::less<>> longest_wait_;
     std::map<std::string, time_point, std::less<>> probed_;
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -98,6 +98,8 @@
     auto* it = find_attempt(in.request, in.attempt);
     if (it == nullptr)
         return;
+    if (!it->streaming)
+        note_answer_time(it->service, now - it->sent_at);
     it->streaming = true;
     it->progressed_at = now;
     if (!in.last_event_id.empty())
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -19,16 +19,16 @@
 //! on: a piece that fails afterwards finds them gone.
 constexpr double short_room_share = 0.5;
 
-//! A request that would be late by less than this share of its target counts
-//! as on time: the forecast is rough.
-constexpr double late_tolerance = 0.25;
-
 //! While pieces wait longer than this, requests that would be late are refused:
 //! they would take the place of others that can be on time.
 constexpr duration tolerated_wait = 300ms;
 
-//! Allowance for the model runner after the stages.
-constexpr duration engine_time = 150ms;
+//! Allowance for the model runner after the stages while no answer of its
+//! service was seen.
+constexpr duration first_answer_time = 150ms;
+
+//! Weight of the newest answer in the average.
+constexpr double new_answer_weight = 0.05;
 
 //! Rounds of the stages of one request; results can be lost again and again.
 constexpr std::uint32_t max_rounds = 2;
@@ -108,16 +108,30 @@
     return longest;
 }
 
+duration reducer::usual_answer_time(std::string const& service) const
+{
+    auto const known = answer_times_.find(service);
+    return known == answer_times_.end() ? first_answer_time : known->second;
+}
+
+void reducer::note_answer_time(std::string const& service, duration took)
+{
+    auto& usual =
+        answer_times_.try_emplace(service, first_answer_time).first->second;
+    usual += from_seconds(new_answer_weight * to_seconds(took - usual));
+}
+
 reducer::forecast reducer::forecast_stages(active_request const& it,
                                            time_point now) const
 {
     auto const bare = expected_stage_time(it, std::nullopt, now);
-    auto const needed = bare + engine_time;
+    auto const answer_time = usual_answer_time(it.service);
+    auto const needed = bare + answer_time;
     forecast out;
     out.in_turn =
-        expected_stage_time(it, it.due - now - needed, now) + engine_time;
+        expected_stage_time(it, it.due - now - needed, now) + answer_time;
     out.yielding =
-        expected_stage_time(it, it.expires - now - needed, now) + engine_time;
+        expected_stage_time(it, it.expires - now - needed, now) + answer_time;
     out.waiting = out.yielding - needed;
     return out;
 }
@@ -125,9 +139,7 @@
 bool reducer::admit_stages(active_request& it, time_point now) const
 {
     auto const expected = forecast_stages(it, now);
-    auto const tolerance =
-        from_seconds(late_tolerance * to_seconds(it.plan->target_latency));
-    if (now + expected.in_turn <= it.due + tolerance)
+    if (now + expected.in_turn <= it.due)
         return now + expected.in_turn <= it.expires;
     if (expected.waiting > tolerated_wait ||
         now + expected.yielding > it.expires)
@@ -179,7 +191,7 @@
     auto const inputs = it.pipeline.inputs_of(n);
     auto const after =
         it.pipeline.remaining_time(n, stage_times(it, std::nullopt, now)) +
-        engine_time;
+        usual_answer_time(it.service);
     auto const last = it.expires - after - now;
     auto const domain = domain_of_stage(it, n);
     submit_pieces message;
