--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -18,8 +18,9 @@
     int rank = 0;
     std::uint64_t fingerprint = 0; //!< of path, caller and body
     time_point arrived{};
-    time_point due{};     //!< worth less after it
-    time_point expires{}; //!< worth nothing after it
+    bool returned = false; //!< its caller was refused before
+    time_point due{};      //!< worth less after it
+    time_point expires{};  //!< worth nothing after it
 
     //! Failure domain of the runner that the request will go to, as expected
     //! when it came.
--- a/packages/serving/src/upstream/runner_codec.cpp
+++ b/packages/serving/src/upstream/runner_codec.cpp
@@ -61,11 +61,10 @@
     std::string object = "{}";
     for (auto const& it : results)
     {
-        auto const name = documents::write_json(it.stage);
+        auto const name = write_json(it.stage);
         auto const& bytes = it.output->bytes;
-        documents::append_raw_member(
-            object, name.substr(1, name.size() - 2),
-            it.output->is_text ? documents::write_json(bytes) : bytes);
+        append_raw_member(object, name.substr(1, name.size() - 2),
+                          it.output->is_text ? write_json(bytes) : bytes);
     }
     return object;
 }
@@ -132,29 +131,27 @@
     else if (!value.idempotency_key.empty())
         body["idempotency_key"] = value.idempotency_key;
     std::string input = "{}";
-    documents::append_raw_member(input, "request",
-                                 value.input ? *value.input : "null");
-    documents::append_raw_member(input, "results",
-                                 encode_results(value.results));
-    auto text = documents::write_json(body);
-    documents::append_raw_member(text, "input", input);
+    append_raw_member(input, "request", value.input ? *value.input : "null");
+    append_raw_member(input, "results", encode_results(value.results));
+    auto text = write_json(body);
+    append_raw_member(text, "input", input);
     return text;
 }
 
 std::optional<runner_answer> parse_answer(std::string_view body)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     runner_answer value;
     if (!document || !document->is_object() || !document->contains("output") ||
         !read_attempt(*document, value.attempt))
         return std::nullopt;
-    value.output = documents::raw_member(body, "output");
+    value.output = raw_member(body, "output");
     return value;
 }
 
 std::optional<requests::attempt_token> parse_token(std::string_view data)
 {
-    auto const document = documents::parse_json(data);
+    auto const document = parse_json(data);
     requests::attempt_token value;
     if (!document || !document->is_object() ||
         !read_attempt(*document, value.answered) ||
@@ -169,7 +166,7 @@
 
 std::optional<stream_end> parse_stream_end(std::string_view data)
 {
-    auto const document = documents::parse_json(data);
+    auto const document = parse_json(data);
     stream_end value;
     if (!document || !document->is_object() ||
         !read_attempt(*document, value.attempt) ||
@@ -180,7 +177,7 @@
 
 bool says_not_started(std::string_view body)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     if (!document || !document->is_object())
         return false;
     auto const it = document->find("started");
@@ -190,7 +187,7 @@
 void parse_service_outcome(std::string_view body,
                            requests::service_outcome_told& told)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     if (!document || !document->is_object())
         return;
     auto const state = document->find("state");
@@ -201,12 +198,12 @@
     if (*state != "completed" || !document->contains("output"))
         return;
     told.result = requests::service_outcome::completed;
-    told.output = documents::raw_member(body, "output");
+    told.output = raw_member(body, "output");
 }
 
 bool parse_load(std::string_view body, requests::runner_reported& report)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     if (!document || !document->is_object() ||
         !read_count(*document, "sequence", report.sequence))
         return false;
@@ -229,7 +226,7 @@
 std::optional<cache_page> parse_cache_page(std::string_view body,
                                            decision::runner_id runner)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     cache_page page;
     if (!document || !document->is_object() ||
         !read_count(*document, "next", page.next))
--- a/standins/common/call.cpp
+++ b/standins/common/call.cpp
@@ -34,7 +34,7 @@
 
 std::optional<call> parse_call(std::string const& body)
 {
-    auto const document = documents::parse_json(body);
+    auto const document = parse_json(body);
     if (!document || !document->is_object() || !document->contains("input"))
         return std::nullopt;
     try
@@ -49,7 +49,7 @@
         value.priority = parse_priority(document->value("priority", ""));
         value.stream = document->value("stream", false);
         value.resume_from = document->value("resume_from", std::uint64_t{0});
-        value.input = documents::raw_member(body, "input");
+        value.input = raw_member(body, "input");
         return value;
     }
     catch (json::exception const&)
@@ -77,7 +77,7 @@
 
 std::uint64_t token_count(std::string_view input)
 {
-    auto const request = documents::parse_json(raw_member(input, "request"));
+    auto const request = parse_json(raw_member(input, "request"));
     if (!request || !request->is_object() || !request->contains("tokens"))
         return default_tokens;
     auto const& tokens = (*request)["tokens"];
@@ -97,7 +97,7 @@
 
 std::vector<std::uint64_t> prefix_blocks(std::string_view input)
 {
-    auto const prompt = documents::raw_member(input, "request");
+    auto const prompt = raw_member(input, "request");
     auto const n = std::min(prompt.size() / block_bytes, max_blocks);
     std::vector<std::uint64_t> blocks;
     for (std::size_t i = 1; i <= n; ++i)
--- a/standins/common/engine.cpp
+++ b/standins/common/engine.cpp
@@ -20,8 +20,7 @@
 
 std::string encode_event(char const* name, json const& data)
 {
-    return absl::StrCat("event: ", name,
-                        "\ndata: ", documents::write_json(data), "\n\n");
+    return absl::StrCat("event: ", name, "\ndata: ", write_json(data), "\n\n");
 }
 
 } // namespace
@@ -161,9 +160,8 @@
         response.status = 409;
     if (verdict == model_store::verdict::malformed)
         response.status = 400;
-    response.set_content(
-        documents::write_json({{"fencing", store_.highest_fencing()}}),
-        json_type);
+    response.set_content(write_json({{"fencing", store_.highest_fencing()}}),
+                         json_type);
 }
 
 void engine::take_snapshot(std::chrono::steady_clock::time_point now)
@@ -192,15 +190,15 @@
         take_snapshot(now);
     auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - snapshot_.taken_at);
-    return documents::write_json({{"sequence", snapshot_.sequence},
-                                  {"age_ms", age.count()},
-                                  {"running", snapshot_.running},
-                                  {"queued", snapshot_.queued},
-                                  {"slots", slots_.slots()},
-                                  {"tokens_per_s", snapshot_.tokens_per_s},
-                                  {"models", store_.models()},
-                                  {"adapters", store_.adapters()},
-                                  {"leaving", active.leaving}});
+    return write_json({{"sequence", snapshot_.sequence},
+                       {"age_ms", age.count()},
+                       {"running", snapshot_.running},
+                       {"queued", snapshot_.queued},
+                       {"slots", slots_.slots()},
+                       {"tokens_per_s", snapshot_.tokens_per_s},
+                       {"models", store_.models()},
+                       {"adapters", store_.adapters()},
+                       {"leaving", active.leaving}});
 }
 
 } // namespace buckthornvale::standins
--- a/standins/common/service.cpp
+++ b/standins/common/service.cpp
@@ -79,23 +79,23 @@
     auto const state = it == outcomes_.end()
                            ? "not_seen"
                            : (it->second.empty() ? "running" : "completed");
-    auto body = documents::write_json({{"state", state}});
+    auto body = write_json({{"state", state}});
     if (it != outcomes_.end() && !it->second.empty())
-        documents::append_raw_member(body, "output", it->second);
+        append_raw_member(body, "output", it->second);
     response.set_content(body, json_type);
 }
 
 std::string service::load_json()
 {
-    return documents::write_json({{"sequence", ++load_sequence_},
-                                  {"age_ms", 0},
-                                  {"running", running()},
-                                  {"queued", queued()},
-                                  {"slots", slots_.slots()},
-                                  {"tokens_per_s", 0},
-                                  {"models", json::array()},
-                                  {"adapters", json::array()},
-                                  {"leaving", faults_.get().leaving}});
+    return write_json({{"sequence", ++load_sequence_},
+                       {"age_ms", 0},
+                       {"running", running()},
+                       {"queued", queued()},
+                       {"slots", slots_.slots()},
+                       {"tokens_per_s", 0},
+                       {"models", json::array()},
+                       {"adapters", json::array()},
+                       {"leaving", faults_.get().leaving}});
 }
 
 } // namespace buckthornvale::standins
