--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -18,9 +18,8 @@
     int rank = 0;
     std::uint64_t fingerprint = 0; //!< of path, caller and body
     time_point arrived{};
-    bool returned = false; //!< its caller was refused before
-    time_point due{};      //!< worth less after it
-    time_point expires{};  //!< worth nothing after it
+    time_point due{};     //!< worth less after it
+    time_point expires{}; //!< worth nothing after it
 
     //! Failure domain of the runner that the request will go to, as expected
     //! when it came.
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -23,9 +23,6 @@
 //! Time that must be left for another send to make sense.
 constexpr duration least_time_for_retry = 30ms;
 
-//! A caller that has this much less time than others was refused before.
-constexpr duration least_wait_of_returned = 100ms;
-
 //! Time after which a caller may return to a VM without a manifest.
 constexpr duration unready_retry_after = 100ms;
 
@@ -122,9 +119,7 @@
     if (found->timeout > duration::zero())
         wait = std::min(wait, found->timeout);
     it.expires = now + wait;
-    auto const waited = waited_before(*found, in.traits);
-    it.returned = waited >= least_wait_of_returned;
-    it.due = now + found->target_latency - waited;
+    it.due = now + found->target_latency - waited_before(*found, in.traits);
     it.pipeline = stage_pipeline(found->stages, in.traits.pieces);
     if (!it.pipeline.empty())
         if (auto const* home = choose_runner(it, now))
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -19,16 +19,10 @@
 //! on: a piece that fails afterwards finds them gone.
 constexpr double short_room_share = 0.5;
 
-//! Waits up to this are no sign of a queue, and a late answer costs nobody
-//! else.
+//! While pieces wait longer than this, requests that would be late are refused:
+//! they would take the place of others that can be on time.
 constexpr duration tolerated_wait = 300ms;
 
-//! While pieces wait longer, a request that will be late is taken only when it
-//! needs no more than this share of the time that its caller has left. One that
-//! was refused before gets more: its caller will not come again.
-constexpr double late_share = 0.25;
-constexpr double late_share_of_returned = 0.5;
-
 //! Allowance for the model runner after the stages while no answer of its
 //! service was seen.
 constexpr duration first_answer_time = 150ms;
@@ -147,12 +141,8 @@
     auto const expected = forecast_stages(it, now);
     if (now + expected.in_turn <= it.due)
         return now + expected.in_turn <= it.expires;
-    auto const left = it.expires - now;
-    double const share = it.returned ? late_share_of_returned : late_share;
-    auto const limit = expected.waiting <= tolerated_wait
-                           ? left
-                           : from_seconds(share * to_seconds(left));
-    if (expected.yielding > limit)
+    if (expected.waiting > tolerated_wait ||
+        now + expected.yielding > it.expires)
         return false;
     it.due = it.expires;
     return true;
