--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -27,6 +27,7 @@
     std::string vm_name;
     std::string failure_domain;
     duration drain_timeout{}; //!< of a leaving runner
+    duration news_delay{};    //!< longest until a change of a runner is known
     retry_limits retries;
 };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -57,7 +57,9 @@
 
     //! `drain_timeout` is the time after the removal of its entry from which a
     //! runner must get nothing.
-    explicit runner_directory(duration drain_timeout);
+    //! `news_delay` is the longest time until a removal is known while the
+    //! store is in reach.
+    explicit runner_directory(duration drain_timeout, duration news_delay = {});
 
     //! Replaces the list.
     void assign(absl::Span<runner const> runners, bool after_outage,
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -7,7 +7,8 @@
 {
 
 reducer::reducer(gateway_settings settings)
-    : settings_(std::move(settings)), runners_(settings_.drain_timeout),
+    : settings_(std::move(settings)),
+      runners_(settings_.drain_timeout, settings_.news_delay),
       members_(settings_.vm_name), ledger_(settings_.retries)
 {
 }
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -42,10 +42,12 @@
 
 } // namespace
 
-runner_directory::runner_directory(duration drain_timeout)
+runner_directory::runner_directory(duration drain_timeout, duration news_delay)
     : return_time_(std::clamp<duration>(drain_timeout - drain_margin,
                                         duration::zero(), longest_return_time)),
-      last_resort_time_(return_time_ * 3 / 4)
+      last_resort_time_(
+          std::clamp<duration>(drain_timeout - drain_margin - news_delay,
+                               duration::zero(), return_time_ * 3 / 4))
 {
 }
 
--- a/packages/decision/tests/gateway/directory_test.cpp
+++ b/packages/decision/tests/gateway/directory_test.cpp
@@ -82,6 +82,18 @@
     EXPECT_TRUE(usable(it.runners, start + drain_timeout).empty());
 }
 
+// Guards against a request to a runner that left, when its removal became known
+// late: the time of the news counts too.
+TEST(runner_directory, counts_the_delay_of_news_against_a_last_resort)
+{
+    runner_directory runners(drain_timeout, 800ms);
+    runners.upsert(make_runner("a", "10.0.0.1:80"));
+    runners.remove("a", false, start);
+    EXPECT_EQ(usable(runners, start + 500ms), ids{"a"});
+    runners.expire(start + drain_timeout - 800ms - 300ms);
+    EXPECT_TRUE(usable(runners, start + drain_timeout).empty());
+}
+
 TEST(runner_directory, takes_a_returned_entry_back)
 {
     two_runners it;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -30,6 +30,9 @@
 using decision::time_point;
 using decision::gateway::request_ref;
 
+//! Pause between changes of the runner list and the next watch.
+decision::duration runners_pause(platform::node_settings const& settings);
+
 //! One gateway process: the event loop between callers, runners, the store and
 //! the other VMs. It turns what happens into events of the reducer and carries
 //! out the effects.
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -24,6 +24,7 @@
 {
     duration wait{};  //!< longest of one watch; silence is noticed after it
     duration pause{}; //!< between changes and the next watch
+    duration pause_after_outage{}; //!< the same soon after an outage
 };
 
 //! Keeps the objects of one kind in step with the store: a list, then watches
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -12,9 +12,10 @@
 using decision::duration;
 
 //! Changes come in series, and each call to the store has its price.
-constexpr store::watch_times manifest_times = {3s, 150ms};
-constexpr store::watch_times runners_times = {8s, 350ms};
-constexpr store::watch_times members_times = {29s, 1500ms};
+constexpr store::watch_times manifest_times = {3s, 150ms, 150ms};
+constexpr store::watch_times members_times = {29s, 1500ms, 1500ms};
+constexpr duration runners_wait = 8s;
+constexpr duration runners_pause_after_outage = 350ms;
 
 constexpr duration write_timeout = 1500ms;
 constexpr duration write_pause = 700ms;
@@ -27,6 +28,14 @@
 
 } // namespace
 
+duration runners_pause(platform::node_settings const& settings)
+{
+    // A leaving runner serves on for the drain timeout, so that its VMs may
+    // learn of it within a part of that.
+    constexpr int part = 4;
+    return settings.drain_timeout / part;
+}
+
 void gateway_process::watch_store()
 {
     using objects = std::vector<platform::stored_object>;
@@ -55,7 +64,9 @@
     manifest_watcher_ =
         add(platform::object_kind::manifest, manifest_times, "manifest",
             [this](objects const& all, bool, bool) { take_manifest(all); });
-    add(platform::object_kind::runners, runners_times, "runners",
+    add(platform::object_kind::runners,
+        {runners_wait, runners_pause(settings_), runners_pause_after_outage},
+        "runners",
         [this](objects const& all, bool listed, bool after_outage)
         { take_runners(all, listed, after_outage); });
     add(platform::object_kind::members, members_times, "members",
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -182,8 +182,9 @@
         call_watch();
         return;
     }
-    callbacks_.changed(page->objects, after_outage(clock_()));
-    go_on_after(times_.pause);
+    bool const echo = after_outage(clock_());
+    callbacks_.changed(page->objects, echo);
+    go_on_after(echo ? times_.pause_after_outage : times_.pause);
 }
 
 } // namespace buckthornvale::gateway::store
