stand-ins: remove what the move to one data path left unused

The answer of the blocking server to a connection without a thread was set by the former front end alone, and no handler asks whether its caller hung up any more. No behaviour changes: the answer was empty in the stand-ins.

--- a/standins/common/connection.cpp
+++ b/standins/common/connection.cpp
@@ -109,13 +109,6 @@
     in_head_ = false;
 }
 
-bool connection::hung_up() const
-{
-    pollfd entry{socket_, POLLRDHUP, 0};
-    auto const n = ::poll(&entry, 1, 0);
-    return n > 0 && (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
-}
-
 void connection::abandon()
 {
     abandoned_ = true;
--- a/standins/common/connection.hpp
+++ b/standins/common/connection.hpp
@@ -54,9 +54,6 @@
 
     receive_fault fault() const { return fault_; }
 
-    //! True when the caller closed or reset its side.
-    bool hung_up() const;
-
     //! Makes reads and writes fail from now on and ends the connection
     //! without an answer.
     void abandon();
--- a/standins/common/connection_server.cpp
+++ b/standins/common/connection_server.cpp
@@ -154,15 +154,8 @@
     ::shutdown(svr_sock_, SHUT_RDWR);
 }
 
-void connection_server::set_busy_response(std::string text)
-{
-    busy_response_ = std::move(text);
-}
-
 void connection_server::refuse(socket_t sock) const
 {
-    ::send(sock, busy_response_.data(), busy_response_.size(),
-           MSG_NOSIGNAL | MSG_DONTWAIT);
     ::shutdown(sock, SHUT_WR);
     char buf[4096];
     while (::recv(sock, buf, sizeof(buf), MSG_DONTWAIT) > 0)
--- a/standins/common/connection_server.hpp
+++ b/standins/common/connection_server.hpp
@@ -43,9 +43,6 @@
     void stop_accepting();
     bool stopping() const { return stopping_; }
 
-    //! Full HTTP response for a connection that finds no thread.
-    void set_busy_response(std::string text);
-
 private:
     bool process_and_close_socket(socket_t sock) override;
     void serve(connection& caller);
@@ -54,7 +51,6 @@
     server_limits limits_;
     wake_event stop_event_;
     std::atomic<bool> stopping_{false};
-    std::string busy_response_;
 };
 
 } // namespace buckthornvale::standins
