gateway: log route, rank and time left of refusals, and late ticks

A refusal on arrival named neither the route nor the rank nor the time that the caller stated, a scheduler did not say whose pieces wait, and nothing showed that a VM is short of processor time. Change: stages_overloaded has route, rank and left_ms; request_refused and request_answered have route and rank; stage_call_ended has the queued pieces by rank; a tick that is more than 100 ms late is logged, at most once a second, and all delays are counted in a histogram. Test: refuse_requests_that_would_be_late_under_load checks the names of all fields instead of their number.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -105,6 +105,10 @@
     double result_memory_share() const;
 
     std::size_t waiting() const { return queue_.size(); }
+
+    //! Number of queued pieces by rank.
+    std::map<int, std::size_t> waiting_by_rank() const;
+
     std::size_t calls() const { return calls_.size(); }
 
 private:
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -62,6 +62,8 @@
             : traits.status;
     log(request.streaming ? "stream_aborted" : "request_refused", &request,
         {{"reason", traits.name},
+         {"route", request.matched_route->name},
+         {"rank", std::to_string(request.rank)},
          {"status", std::to_string(status)},
          {"runner", request.runner_id},
          {"sends", std::to_string(request.sends)},
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -364,6 +364,8 @@
     }
     log("request_answered", &request,
         {{"runner", request.runner_id},
+         {"route", request.matched_route->name},
+         {"rank", std::to_string(request.rank)},
          {"status", std::to_string(in.status)},
          {"attempt", std::to_string(request.attempt)},
          {"took_ms", milliseconds_text(now - request.arrived_at)}});
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -38,6 +38,15 @@
 //! ignores known pieces.
 constexpr duration resubmit_interval = 1500ms;
 
+std::string waiting_by_rank_text(stage_scheduler const& scheduler)
+{
+    std::string out;
+    for (auto const& it : scheduler.waiting_by_rank())
+        out += (out.empty() ? "" : ",") + std::to_string(it.first) + ":" +
+               std::to_string(it.second);
+    return out;
+}
+
 } // namespace
 
 stage_scheduler& reducer::scheduler(std::string const& service)
@@ -156,7 +165,10 @@
         return true;
     }
     log("stages_overloaded", &request,
-        {{"due_in_ms", milliseconds_text(request.due - now)},
+        {{"route", request.matched_route->name},
+         {"rank", std::to_string(request.rank)},
+         {"left_ms", milliseconds_text(request.deadline - now)},
+         {"due_in_ms", milliseconds_text(request.due - now)},
          {"expected_ms", milliseconds_text(expected.on_schedule)},
          {"queue_wait_ms", milliseconds_text(expected.queue_wait)},
          {"answer_ms",
@@ -388,6 +400,7 @@
                  {"outcome", std::to_string(static_cast<int>(in.outcome))},
                  {"pieces", std::to_string(in.pieces.size())},
                  {"waiting", std::to_string(it.second.waiting())},
+                 {"waiting_by_rank", waiting_by_rank_text(it.second)},
                  {"no_room", std::to_string(std::count_if(
                                  in.pieces.begin(), in.pieces.end(),
                                  [](piece_call_result const& piece)
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -380,6 +380,14 @@
     return room > 0 ? held / room : 0;
 }
 
+std::map<int, std::size_t> stage_scheduler::waiting_by_rank() const
+{
+    std::map<int, std::size_t> out;
+    for (auto const& it : queue_)
+        ++out[it.work.rank];
+    return out;
+}
+
 std::vector<addressed_result> stage_scheduler::take_results()
 {
     return std::exchange(results_, {});
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -41,6 +41,18 @@
         feed(in);
     }
 
+    // Names of the fields of the first line with this text.
+    static std::vector<std::string> field_names(effects const& from,
+                                                std::string_view what)
+    {
+        std::vector<std::string> out;
+        for (auto const& line : all<log_decision>(from))
+            if (line.what == what && out.empty())
+                for (auto const& it : line.fields)
+                    out.emplace_back(it.name);
+        return out;
+    }
+
     static std::vector<piece> submitted(effects const& from)
     {
         std::vector<piece> out;
@@ -166,14 +178,13 @@
     EXPECT_GE(*refused.retry_after, 500ms);
     EXPECT_TRUE(submitted(out).empty());
     // The log contains the input of the decision.
-    auto const lines = all<log_decision>(out);
-    EXPECT_TRUE(std::any_of(lines.begin(), lines.end(),
-                            [](log_decision const& it)
-                            {
-                                return std::string_view(it.what) ==
-                                           "stages_overloaded" &&
-                                       it.fields.size() == 4;
-                            }));
+    EXPECT_EQ(field_names(out, "stages_overloaded"),
+              (std::vector<std::string>{"route", "rank", "left_ms", "due_in_ms",
+                                        "expected_ms", "queue_wait_ms",
+                                        "answer_ms"}));
+    EXPECT_EQ(field_names(out, "request_refused"),
+              (std::vector<std::string>{"reason", "route", "rank", "status",
+                                        "runner", "sends", "after_ms"}));
     // The backlog report expires: without a new one, requests are admitted
     // again.
     now += 2s;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -128,6 +128,7 @@
 
     void tick();
     void schedule_tick();
+    void record_tick_delay(time_point at);
     void stop_when_drained(time_point now);
     time_point now() const;
 
@@ -155,6 +156,8 @@
     bool reducing_ = false;
     request_ref next_ref_;
     asio::steady_timer tick_timer_;
+    time_point tick_due_at_{};
+    time_point delay_logged_at_{};
     time_point limits_checked_at_{};
     bool draining_ = false;
     bool listening_ = true;
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -27,6 +27,10 @@
     void count_request(char const* outcome, decision::duration elapsed);
     void count_send();
     void count_stage_call(std::size_t pieces);
+
+    //! Records how much later than planned the periodic tick of the event loop
+    //! ran.
+    void observe_tick_delay(decision::duration delay);
     void set_active(std::size_t requests, std::size_t connections);
 
     //! Serialises all metrics in the Prometheus text format.
@@ -38,6 +42,7 @@
     prometheus::Histogram& request_seconds_;
     prometheus::Counter& sends_;
     prometheus::Histogram& stage_call_pieces_;
+    prometheus::Histogram& tick_delay_seconds_;
     prometheus::Gauge& active_requests_;
     prometheus::Gauge& connections_;
 };
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -22,6 +22,11 @@
 constexpr duration idle_tick_interval = 100ms;
 constexpr duration limit_check_interval = 250ms;
 
+//! A tick that is later than this is logged, at most once per interval: the
+//! process is short of processor time, and its timeouts are late too.
+constexpr duration max_tick_delay = 100ms;
+constexpr duration delay_log_interval = 1s;
+
 constexpr duration runner_connect_timeout = 300ms;
 
 //! Added to the time that a request has left. The reducer enforces the
@@ -197,9 +202,11 @@
 
 void gateway_process::schedule_tick()
 {
-    tick_timer_.expires_after(reducer_.busy() || !requests_.empty()
-                                  ? busy_tick_interval
-                                  : idle_tick_interval);
+    auto const interval = reducer_.busy() || !requests_.empty()
+                              ? busy_tick_interval
+                              : idle_tick_interval;
+    tick_due_at_ = now() + interval;
+    tick_timer_.expires_after(interval);
     tick_timer_.async_wait(
         [this](asio::error_code ec)
         {
@@ -208,9 +215,23 @@
         });
 }
 
+void gateway_process::record_tick_delay(time_point at)
+{
+    auto const delay = std::max<duration>(at - tick_due_at_, duration::zero());
+    metrics_.observe_tick_delay(delay);
+    if (delay <= max_tick_delay || at - delay_logged_at_ < delay_log_interval)
+        return;
+    delay_logged_at_ = at;
+    auto const delay_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(delay).count();
+    log("tick_delayed", {{"delay_ms", std::to_string(delay_ms)},
+                         {"requests", std::to_string(requests_.size())}});
+}
+
 void gateway_process::tick()
 {
     auto const at = now();
+    record_tick_delay(at);
     http_client_.check_times(at);
     reduce(model::timer_fired{});
     if (at - limits_checked_at_ >= limit_check_interval)
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -58,6 +58,10 @@
       stage_call_pieces_(add_histogram(
           registry_, "buckthornvale_gateway_stage_call_pieces",
           "Pieces per call to a stage runner", {1, 2, 4, 8, 16, 32, 64, 128})),
+      tick_delay_seconds_(
+          add_histogram(registry_, "buckthornvale_gateway_tick_delay_seconds",
+                        "Delay of the periodic tick of the event loop",
+                        {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2})),
       active_requests_(add_gauge(registry_,
                                  "buckthornvale_gateway_active_requests",
                                  "Requests without a final response")),
@@ -83,6 +87,11 @@
     stage_call_pieces_.Observe(double(pieces));
 }
 
+void gateway_metrics::observe_tick_delay(decision::duration delay)
+{
+    tick_delay_seconds_.Observe(decision::to_seconds(delay));
+}
+
 void gateway_metrics::set_active(std::size_t requests, std::size_t connections)
 {
     active_requests_.Set(double(requests));
