gateway: no queued handler runs after its object is destroyed

Cause: asio runs a handler that is already queued, and without an error, even if the timer or acceptor is destroyed before the handler's turn. The handler of the tick timer, those of the store watchers and of the registration, and the accept handler of a server then read freed memory. Change: net::timer, whose handler does not run once the timer is destroyed or started again, replaces asio::steady_timer in these places; accept handlers and posted handlers of http_server check that the server still exists. The same pattern is left in loop_thread, whose timer ends with its thread.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -10,10 +10,10 @@
 #include <buckthornvale/gateway/store/store_watcher.hpp>
 #include <buckthornvale/net/http_client.hpp>
 #include <buckthornvale/net/http_server.hpp>
+#include <buckthornvale/net/timer.hpp>
 #include <buckthornvale/platform/node_settings.hpp>
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -155,14 +155,14 @@
     std::vector<decision::gateway::event> pending_events_;
     bool reducing_ = false;
     request_ref next_ref_;
-    asio::steady_timer tick_timer_;
+    net::timer tick_timer_;
+    net::timer registration_timer_;
     time_point tick_due_at_{};
     time_point delay_logged_at_{};
     time_point limits_checked_at_{};
     bool draining_ = false;
     bool listening_ = true;
     bool registering_ = false;
-    std::unique_ptr<asio::steady_timer> registration_timer_;
     time_point drain_started_at_{};
 };
 
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -2,10 +2,10 @@
 #define BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 
 #include <buckthornvale/gateway/gateway_request.hpp>
+#include <buckthornvale/net/timer.hpp>
 #include <buckthornvale/platform/store_codec.hpp>
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -75,7 +75,7 @@
     watch_timing const timing_;
     clock_function clock_;
     callback_set callbacks_;
-    asio::steady_timer timer_;
+    net::timer timer_;
     bool watching_ = false; //!< the call in progress is a watch
     bool reachable_ = true;
     bool list_completed_ = false;
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -97,7 +97,8 @@
                                           : model::caller_limits());
           },
           [this] { return now(); }),
-      next_ref_(model::first_request_ref(incarnation)), tick_timer_(loop)
+      next_ref_(model::first_request_ref(incarnation)), tick_timer_(loop),
+      registration_timer_(loop)
 {
     self_.name = settings_.vm_name;
     self_.address =
@@ -206,13 +207,7 @@
                               ? busy_tick_interval
                               : idle_tick_interval;
     tick_due_at_ = now() + interval;
-    tick_timer_.expires_after(interval);
-    tick_timer_.async_wait(
-        [this](asio::error_code ec)
-        {
-            if (!ec)
-                tick();
-        });
+    tick_timer_.start(interval, [this] { tick(); });
 }
 
 void gateway_process::record_tick_delay(time_point at)
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -235,14 +235,8 @@
                 return;
             }
             log("member_not_registered", {{"status", std::to_string(status)}});
-            registration_timer_ = std::make_unique<asio::steady_timer>(loop_);
-            registration_timer_->expires_after(registration_retry_delay);
-            registration_timer_->async_wait(
-                [this](asio::error_code ec)
-                {
-                    if (!ec)
-                        write_member(false);
-                });
+            registration_timer_.start(registration_retry_delay,
+                                      [this] { write_member(false); });
         });
 }
 
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -116,17 +116,14 @@
 
 void store_watcher::continue_after(duration pause)
 {
-    timer_.expires_after(pause);
-    timer_.async_wait(
-        [this](asio::error_code ec)
-        {
-            if (ec)
-                return;
-            if (list_completed_ && list_cursor_.empty())
-                request_watch();
-            else
-                request_list();
-        });
+    timer_.start(pause,
+                 [this]
+                 {
+                     if (list_completed_ && list_cursor_.empty())
+                         request_watch();
+                     else
+                         request_list();
+                 });
 }
 
 void store_watcher::mark_reachable()
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet_fixture.hpp"
 
+#include <thread>
+
 namespace buckthornvale::gateway
 {
 namespace
@@ -65,6 +67,26 @@
     EXPECT_NE(engine->received[0].inputs, "");
 }
 
+// Handlers of a destroyed gateway that are queued already must not run: they
+// read freed memory. The tick of one gateway destroys the others, while their
+// ticks, accepted connections and answers of the store wait in the same queue.
+TEST_F(gateway_process_fleet, can_be_destroyed_while_its_handlers_are_queued)
+{
+    std::vector<std::unique_ptr<gateway_process>> gateways;
+    std::vector<std::unique_ptr<recording_caller>> callers;
+    for (auto const* name : {"vm-0", "vm-1", "vm-2"})
+    {
+        gateways.push_back(start_gateway(name));
+        callers.push_back(
+            std::make_unique<recording_caller>(loop, callers_port));
+    }
+    net::timer destroyer(loop);
+    destroyer.start(std::chrono::milliseconds(1), [&] { gateways.clear(); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    run_for(std::chrono::milliseconds(200));
+    EXPECT_TRUE(gateways.empty());
+}
+
 // Guards against requests that fail because the store is down.
 TEST_F(gateway_process_fleet, serves_during_a_store_outage)
 {
--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -4,10 +4,10 @@
 #include <buckthornvale/http/message_parser.hpp>
 #include <buckthornvale/net/clock.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
+#include <buckthornvale/net/timer.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -221,12 +221,14 @@
 
     asio::io_context& loop_;
     asio::ip::tcp::acceptor acceptor_;
-    asio::steady_timer accept_retry_timer_; //!< after a failed accept
+    timer accept_retry_timer_; //!< after a failed accept
     request_handler& handler_;
     limits_function limits_;
     clock_function clock_;
     bool draining_ = false;
     std::uint64_t next_id_ = 1;
+    //! Expires with the server, for handlers that are still queued then.
+    std::shared_ptr<void> lifetime_ = std::make_shared<char>();
     std::unordered_map<std::uint64_t, std::shared_ptr<server_connection>>
         connections_;
 };
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -211,8 +211,11 @@
         return;
     // Posted, because parsing here would recurse once per pipelined request.
     asio::post(server_.loop_,
-               [&server = server_, id = id_]
+               [&server = server_, id = id_,
+                lifetime = std::weak_ptr<void>(server_.lifetime_)]
                {
+                   if (lifetime.expired())
+                       return;
                    auto* it = server.find(id);
                    if (it != nullptr && it->state_ == state::reading)
                        it->parse(std::exchange(it->pipelined_bytes_, {}));
@@ -364,10 +367,12 @@
 void http_server::accept()
 {
     acceptor_.async_accept(
-        [this](asio::error_code ec, asio::ip::tcp::socket socket)
+        [this, server = std::weak_ptr<void>(lifetime_)](
+            asio::error_code ec, asio::ip::tcp::socket socket)
         {
-            // The server may already have been destroyed.
-            if (ec == asio::error::operation_aborted)
+            // A handler that was queued before the server was destroyed still
+            // runs, and without an error.
+            if (server.expired() || ec == asio::error::operation_aborted)
                 return;
             if (!ec)
             {
@@ -390,13 +395,7 @@
             }
             // Usually the process has run out of file descriptors, so retry
             // later.
-            accept_retry_timer_.expires_after(accept_retry_delay);
-            accept_retry_timer_.async_wait(
-                [this](asio::error_code timer_error)
-                {
-                    if (!timer_error)
-                        accept();
-                });
+            accept_retry_timer_.start(accept_retry_delay, [this] { accept(); });
         });
 }
 
