gateway tests: keep the ports of a fixture bound

Cause: a fixture asked the kernel for a free port and released it before its gateway listened on it. Change: the fixture holds each port with a bound socket that does not listen; the kernel then gives the port to no other process, while the gateway, which sets SO_REUSEADDR too, can listen on it.

--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -5,20 +5,8 @@
 namespace buckthornvale::gateway
 {
 
-namespace
-{
-
 using namespace std::chrono_literals;
 
-std::uint16_t free_port(asio::io_context& loop)
-{
-    asio::ip::tcp::acceptor const probe(
-        loop, {asio::ip::make_address("127.0.0.1"), 0});
-    return probe.local_endpoint().port();
-}
-
-} // namespace
-
 recording_caller::recording_caller(asio::io_context& loop, std::uint16_t port)
 {
     asio::ip::tcp::socket socket(loop);
@@ -76,9 +64,9 @@
     settings.vm_name = name;
     settings.address = "127.0.0.1";
     settings.failure_domain = "north";
-    settings.caller_endpoint = {"127.0.0.1", free_port(loop)};
-    settings.readiness_endpoint = {"127.0.0.1", free_port(loop)};
-    settings.first_peer_port = free_port(loop);
+    settings.caller_endpoint = {"127.0.0.1", reserve_port()};
+    settings.readiness_endpoint = {"127.0.0.1", reserve_port()};
+    settings.first_peer_port = reserve_port();
     settings.store_endpoint = {"127.0.0.1", used_store.port()};
     settings.cpu_share = 1;
     settings.drain_timeout = 2s;
@@ -99,6 +87,16 @@
     return out;
 }
 
+std::uint16_t fleet_fixture::reserve_port()
+{
+    asio::ip::tcp::socket socket(loop, asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::reuse_address(true));
+    socket.bind({asio::ip::make_address("127.0.0.1"), 0});
+    auto const port = socket.local_endpoint().port();
+    reserved_ports_.push_back(std::move(socket));
+    return port;
+}
+
 bool fleet_fixture::run_until(std::function<bool()> const& condition)
 {
     auto const deadline = std::chrono::steady_clock::now() + 10s;
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -77,6 +77,13 @@
     std::uint16_t peer_port = 0;
     std::string last_request_id;
     int request_count = 0;
+
+private:
+    //! Returns a port on which only gateways of this test can listen. It stays
+    //! bound, or another process could get it before the gateway listens.
+    std::uint16_t reserve_port();
+
+    std::vector<asio::ip::tcp::socket> reserved_ports_;
 };
 
 } // namespace buckthornvale::gateway
