gateway: log whether a refused request came on a reused connection

Callers retry on a new connection, so a request on a reused one is a first attempt. Change: a connection counts its requests, the reducer learns whether a request came on a reused connection, and stages_overloaded names it. No decision changes.

--- a/packages/decision/include/buckthornvale/decision/gateway/request.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/request.hpp
@@ -29,6 +29,9 @@
     std::string key; //!< API key; empty without one
     //! Remaining time that the caller will wait.
     std::optional<duration> time_left;
+    //! The connection has carried an earlier request. Callers retry on a new
+    //! connection, so this is the caller's first attempt.
+    bool on_reused_connection = false;
     double prompt_tokens = 0;
     double output_tokens = 0; //!< maximum number of output tokens
     std::vector<prompt_part> prompt;
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -167,6 +167,8 @@
     log("stages_overloaded", &request,
         {{"route", request.matched_route->name},
          {"rank", std::to_string(request.rank)},
+         {"reused_connection",
+          request.traits.on_reused_connection ? "true" : "false"},
          {"left_ms", milliseconds_text(request.deadline - now)},
          {"due_in_ms", milliseconds_text(request.due - now)},
          {"expected_ms", milliseconds_text(expected.on_schedule)},
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -179,9 +179,9 @@
     EXPECT_TRUE(submitted(out).empty());
     // The log contains the input of the decision.
     EXPECT_EQ(field_names(out, "stages_overloaded"),
-              (std::vector<std::string>{"route", "rank", "left_ms", "due_in_ms",
-                                        "expected_ms", "queue_wait_ms",
-                                        "answer_ms"}));
+              (std::vector<std::string>{"route", "rank", "reused_connection",
+                                        "left_ms", "due_in_ms", "expected_ms",
+                                        "queue_wait_ms", "answer_ms"}));
     EXPECT_EQ(field_names(out, "request_refused"),
               (std::vector<std::string>{"reason", "route", "rank", "status",
                                         "runner", "sends", "after_ms"}));
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -303,6 +303,7 @@
         return;
     }
     decoded.traits.body_hash = decision::stable_hash(body);
+    decoded.traits.on_reused_connection = from.requests_received() > 1;
     auto const ref = next_ref_++;
     auto& it = requests_[ref];
     it.connection_id = from.id();
--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -108,6 +108,9 @@
 
     std::uint64_t id() const { return id_; }
 
+    //! Requests received so far on this connection, the current one included.
+    std::uint64_t requests_received() const { return requests_received_; }
+
     //! Address of the client; unspecified after the connection has ended.
     asio::ip::address remote_address() const;
 
@@ -163,6 +166,7 @@
 
     http_server& server_;
     std::uint64_t const id_;
+    std::uint64_t requests_received_ = 0;
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     std::string body_;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -113,6 +113,7 @@
     state_ = state::serving;
     phase_start_ = server_.clock_();
     keep_alive_ = parser_.request().keep_alive;
+    ++requests_received_;
     server_.handler_.on_request(*this, parser_.request(), body_);
 }
 
