gateway: do not take impatience for time spent on earlier attempts

Cause: the reducer took the difference between the longest time left that it had seen on a route and the time left of a request as time spent on earlier attempts. Callers differ in patience by 15%, which is up to 2.25 s of a deadline of 15 s: more than the whole target of 1.5 s. Most first attempts counted as late when they arrived. They were deferred behind all others, and refused while pieces waited more than 300 ms. The class of fault: a value inferred from the spread of other callers is used as if it were known of this one. Change: first_attempt_times keeps the range of the times left of requests on reused connections, which are certainly first attempts, by route. Only a request with less time left than that range counts as a retry. Why it works: a request that may be a first attempt has its whole target.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -4,6 +4,7 @@
 #include <buckthornvale/decision/gateway/crash_registry.hpp>
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/event.hpp>
+#include <buckthornvale/decision/gateway/first_attempt_times.hpp>
 #include <buckthornvale/decision/gateway/member_table.hpp>
 #include <buckthornvale/decision/gateway/retry_budget.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
@@ -185,8 +186,8 @@
     std::map<std::string, known_backlog, std::less<>> backlogs_;
     //! Moving average of the time from a send to the first event, by service.
     std::map<std::string, duration, std::less<>> answer_times_;
-    //! Longest time left that any caller of the route has stated, by route.
-    std::map<std::string, duration, std::less<>> max_time_left_;
+    std::map<std::string, first_attempt_times, std::less<>>
+        first_attempt_times_; //!< by route
     std::map<std::string, time_point, std::less<>> probed_at_;
     request_map requests_;
     call_ref next_call_ = 1;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -148,13 +148,13 @@
 duration reducer::time_spent_before(route const& matched_route,
                                     request_traits const& traits)
 {
-    // The difference to the longest time left that callers of the route have
-    // stated is the time that the caller has already spent on earlier attempts.
     if (!traits.time_left)
         return {};
-    auto& longest = max_time_left_[matched_route.name];
-    longest = std::max(longest, *traits.time_left);
-    return longest - *traits.time_left;
+    auto& known = first_attempt_times_[matched_route.name];
+    if (!traits.on_reused_connection)
+        return known.time_since_first(*traits.time_left);
+    known.record(*traits.time_left);
+    return {};
 }
 
 void reducer::on(caller_left const& in, time_point now)
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -37,7 +37,8 @@
     return out;
 }
 
-effects reducer_fixture::arrive(std::string const& path, duration time_left)
+effects reducer_fixture::arrive(std::string const& path, duration time_left,
+                                bool on_reused_connection)
 {
     request_arrived in;
     in.request = ++last_request;
@@ -47,6 +48,7 @@
     in.traits.path = path;
     in.traits.key = "key";
     in.traits.time_left = time_left;
+    in.traits.on_reused_connection = on_reused_connection;
     next_attempt = 1;
     return feed(in);
 }
--- a/packages/decision/tests/gateway/reducer_fixture.hpp
+++ b/packages/decision/tests/gateway/reducer_fixture.hpp
@@ -22,7 +22,8 @@
 
     //! Sends a request to the path. Its identifier is `last_request`.
     effects arrive(std::string const& path,
-                   duration time_left = std::chrono::milliseconds(1500));
+                   duration time_left = std::chrono::milliseconds(1500),
+                   bool on_reused_connection = false);
 
     effects end_attempt(attempt_outcome outcome, int status = 0,
                         bool sealed = false);
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -209,13 +209,31 @@
 TEST_F(gateway_stages, defer_requests_that_will_be_late)
 {
     use_other_owner();
-    ASSERT_EQ(submitted(arrive("/staged/x", 6s)).size(), 1U);
+    for (auto const first_attempt : {6000ms, 5800ms})
+        arrive("/staged/x", first_attempt, true);
     auto const pieces = submitted(arrive("/staged/y", 4s));
     ASSERT_EQ(pieces.size(), 1U);
     EXPECT_GE(pieces[0].due_in, 3s);
     EXPECT_EQ(pieces[0].due_in, pieces[0].latest_start_in);
 }
 
+// Callers differ in patience. An impatient one has the whole target, or
+// requests with a short target and a long deadline are refused as soon as
+// pieces wait.
+TEST_F(gateway_stages, give_impatient_callers_the_whole_target)
+{
+    use_other_owner();
+    for (auto const first_attempt : {6000ms, 5200ms})
+        arrive("/staged/x", first_attempt, true);
+    return_results results;
+    results.backlogs = {backlog_of({350ms, 350ms, 350ms, 350ms, 350ms, 350ms})};
+    feed(peer_sent{"vm-1", {results}});
+    auto const pieces = submitted(arrive("/staged/y", 5300ms));
+    ASSERT_EQ(pieces.size(), 1U);
+    EXPECT_GT(pieces[0].due_in, 500ms);
+    EXPECT_LT(pieces[0].due_in, 1s);
+}
+
 // The forecast has to include the load of the model runners. Otherwise requests
 // that were counted as on time arrive late and take the place of others.
 TEST_F(gateway_stages, include_the_answer_time_of_model_runners_in_the_forecast)
