gateway: send no request to a runner after its deadline

Cause: deadlines are checked on the tick of 20 ms. A VM that is short of processor time handles results of stages before the late tick, and sent the request although its deadline had passed. Change: start_attempt ends a request whose deadline has passed, as the tick does. Test: do_not_send_a_request_after_its_deadline; the code before sends it.

--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -201,6 +201,13 @@
 
 void reducer::start_attempt(active_request& request, time_point now)
 {
+    // On a VM that is short of processor time, results can be handled before
+    // the tick that would have ended the request.
+    if (request.deadline <= now)
+    {
+        check_timeouts(request, now);
+        return;
+    }
     auto* state = choose_runner(request, now);
     if (state == nullptr)
     {
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -204,6 +204,17 @@
     EXPECT_LE(pieces[0].due_in, 1s);
 }
 
+// A VM that is short of processor time handles results late. Its callers have
+// left then, and a runner must not work for them.
+TEST_F(gateway_stages, do_not_send_a_request_after_its_deadline)
+{
+    auto const call = only<call_stage>(arrive("/staged/x", 6s));
+    now += 6100ms;
+    auto const out = end_call(call, piece_outcome::done);
+    EXPECT_TRUE(all<send_attempt>(out).empty());
+    EXPECT_EQ(only<refuse_request>(out).status, 503);
+}
+
 // A caller that retries has already missed its target. Its request must not
 // take the slot of one that can still be on time.
 TEST_F(gateway_stages, defer_requests_that_will_be_late)
