gateway: start pieces by priority class

Cause: schedulers started pieces by due time alone. In an overload that lasts longer than the difference of two targets, the oldest pieces of the patient class are due before those of an urgent request that arrives now, and the forecast of the urgent request counts them. The class of fault: earliest deadline first without an order of importance, under overload. Change: dispatch_priority orders pieces by lateness, rank of the route and rank of the organisation, then by due time; queue_forecast tells waits by class. A request that cannot be on time is marked as deferred instead of by its due time alone.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -105,18 +105,25 @@
     std::optional<duration> retry_after(active_request const& request,
                                         refusal reason, time_point now) const;
 
-    // Stages. Without `due_in`, the times do not include queueing.
+    // Stages. Without a position, the times do not include queueing.
 
     //! Estimated time until a request is answered.
     struct forecast
-    //! If scheduled by its target latency.
     {
+        //! If scheduled by its target latency.
         duration on_schedule{};
         //! If deferred behind requests that can be on time.
         duration deferred{};
         duration queue_wait{}; //!< part of `deferred` that is spent in queues
     };
 
+    //! Place in the queues of the stage services.
+    struct queue_position
+    {
+        dispatch_priority priority;
+        duration due_in{};
+    };
+
     void start_stages(active_request& request, time_point now);
     std::string preferred_domain(active_request const& request,
                                  std::uint32_t stage) const;
@@ -129,7 +136,7 @@
     void advance(active_request& request, time_point now);
     void resubmit_from(std::string const& member, time_point now);
     std::vector<duration> stage_times(active_request const& request,
-                                      std::optional<duration> due_in,
+                                      std::optional<queue_position> position,
                                       time_point now) const;
     duration average_answer_time(std::string const& service) const;
     void record_answer_time(std::string const& service, duration elapsed);
@@ -143,7 +150,7 @@
     bool is_result_memory_scarce(active_request const& request,
                                  std::uint32_t stage, time_point now) const;
     duration expected_stage_time(active_request const& request,
-                                 std::optional<duration> due_in,
+                                 std::optional<queue_position> position,
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -2,7 +2,8 @@
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_MESSAGE_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
-#include <buckthornvale/decision/gateway/wait_profile.hpp>
+#include <buckthornvale/decision/gateway/dispatch_priority.hpp>
+#include <buckthornvale/decision/gateway/queue_forecast.hpp>
 
 #include <cstdint>
 #include <string>
@@ -47,7 +48,7 @@
     std::vector<std::string> inputs; //!< handles of results of earlier stages
     std::string domain;              //!< preferred failure domain
     double result_bytes = 0;
-    int rank = 0;
+    dispatch_priority priority;
     duration due_in{};          //!< time until the target latency is missed
     duration latest_start_in{}; //!< time until a start is too late to be useful
     duration time_left{};       //!< time until the deadline
@@ -79,7 +80,7 @@
 struct backlog
 {
     std::string service;
-    wait_profile waits;           //!< time until a piece starts
+    queue_forecast waits;         //!< time until a piece starts
     duration average_call_time{}; //!< average time of a call
     //! Share of the runners' result memory in use.
     double result_memory_share = 0;
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -28,7 +29,8 @@
     time_point due{};
     time_point latest_start{}; //!< a start after it is too late to be useful
     time_point deadline{};
-    time_point sort_time{}; //!< key of the dispatch order
+    dispatch_priority sort_priority; //!< first key of the dispatch order
+    time_point sort_time{};          //!< second key of the dispatch order
     std::uint32_t attempts = 0;
 };
 
@@ -44,9 +46,9 @@
 //! so that VMs that batched separately would fill the few slots with small
 //! calls.
 //!
-//! Pieces are dispatched in the order of their due times. A piece that is
-//! already late is deferred behind all that can still be on time, until it is
-//! about to become useless.
+//! Pieces are dispatched by priority class, and within a class in the order of
+//! their due times. A piece that is already late is deferred behind all that
+//! can still be on time.
 //!
 //! A free runner immediately takes the pieces for its own failure domain, and
 //! pieces of other domains after a short wait: results are large, and keeping
@@ -98,8 +100,8 @@
     duration average_call_time() const { return average_call_time_; }
 
     //! Estimated time until a piece that is queued now starts.
-    wait_profile expected_waits(runner_directory& runners,
-                                time_point now) const;
+    queue_forecast expected_waits(runner_directory& runners,
+                                  time_point now) const;
 
     //! Share of the runners' memory for results that is in use.
     double result_memory_share() const;
@@ -152,7 +154,12 @@
         std::vector<std::string> handles;
     };
 
+    //! Queued pieces that are due within each of `wait_profile::due_times`.
+    using due_counts = std::array<std::size_t, wait_profile::size>;
+
     duration nominal_time(std::size_t pieces) const;
+    std::map<dispatch_priority, due_counts>
+    queued_by_due_time(time_point now) const;
     template <class Predicate>
     std::vector<queued_piece> extract_queued(Predicate const& wanted);
     template <class Predicate>
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -42,6 +42,13 @@
     time_point last_progress{};
     std::string last_event_id;
     bool caller_gone = false;
+    //! It cannot be on time and yields to requests that can.
+    bool deferred = false;
+
+    dispatch_priority priority() const
+    {
+        return {deferred, matched_route->rank, rank};
+    }
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -83,9 +83,10 @@
     return false;
 }
 
-std::vector<duration> reducer::stage_times(active_request const& request,
-                                           std::optional<duration> due_in,
-                                           time_point now) const
+std::vector<duration>
+reducer::stage_times(active_request const& request,
+                     std::optional<queue_position> position,
+                     time_point now) const
 {
     std::vector<duration> out;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
@@ -101,8 +102,8 @@
         if (auto const* known = fresh_backlog(service, now))
         {
             time = std::max(time, known->average_call_time);
-            if (due_in)
-                time += known->waits.at(*due_in);
+            if (position)
+                time += known->waits.at(position->priority, position->due_in);
         }
         out.push_back(time);
     }
@@ -110,10 +111,10 @@
 }
 
 duration reducer::expected_stage_time(active_request const& request,
-                                      std::optional<duration> due_in,
+                                      std::optional<queue_position> position,
                                       time_point now) const
 {
-    auto const times = stage_times(request, due_in, now);
+    auto const times = stage_times(request, position, now);
     duration longest{};
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
         if (request.pipeline.stage(n).after.empty())
@@ -143,11 +144,17 @@
     auto const answer_time = average_answer_time(request.service);
     auto const needed = without_wait + answer_time;
     forecast out;
+    auto priority = request.priority();
     out.on_schedule =
-        expected_stage_time(request, request.due - now - needed, now) +
+        expected_stage_time(
+            request, queue_position{priority, request.due - now - needed},
+            now) +
         answer_time;
+    priority.deferred = true;
     out.deferred =
-        expected_stage_time(request, request.deadline - now - needed, now) +
+        expected_stage_time(
+            request, queue_position{priority, request.deadline - now - needed},
+            now) +
         answer_time;
     out.queue_wait = out.deferred - needed;
     return out;
@@ -162,6 +169,7 @@
         now + expected.deferred <= request.deadline)
     {
         request.due = request.deadline;
+        request.deferred = true;
         return true;
     }
     log("stages_overloaded", &request,
@@ -241,7 +249,7 @@
             work.inputs = inputs;
         work.domain = domain;
         work.result_bytes = stage.result_bytes;
-        work.rank = request.rank;
+        work.priority = request.priority();
         work.due_in = request.due - after - now;
         work.latest_start_in = latest_start_in;
         work.time_left = request.deadline - now;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -46,17 +46,26 @@
 
 bool dispatched_before(queued_piece const& a, queued_piece const& b)
 {
+    if (!(a.sort_priority == b.sort_priority))
+        return a.sort_priority < b.sort_priority;
     if (a.sort_time != b.sort_time)
         return a.sort_time < b.sort_time;
     return a.work.request < b.work.request;
 }
 
-//! A late piece is deferred only if it has no inputs: results of earlier stages
+//! A piece with inputs is not deferred, because results of earlier stages
 //! occupy memory and expire.
-time_point sort_time_of(queued_piece const& it, time_point now)
+dispatch_priority priority_of(queued_piece const& it, time_point now)
 {
-    bool const yields = it.work.inputs.empty() && it.due + late_tolerance < now;
-    return yields ? std::max(it.due, it.latest_start) : it.due;
+    auto out = it.work.priority;
+    out.deferred = it.work.inputs.empty() &&
+                   (out.deferred || it.due + late_tolerance < now);
+    return out;
+}
+
+time_point sort_time_of(queued_piece const& it, bool deferred)
+{
+    return deferred ? std::max(it.due, it.latest_start) : it.due;
 }
 
 //! Key that identifies a piece across all VMs.
@@ -358,7 +367,10 @@
 void stage_scheduler::sort_queue(time_point now)
 {
     for (auto& it : queue_)
-        it.sort_time = sort_time_of(it, now);
+    {
+        it.sort_priority = priority_of(it, now);
+        it.sort_time = sort_time_of(it, it.sort_priority.deferred);
+    }
     std::sort(queue_.begin(), queue_.end(), dispatched_before);
 }
 
@@ -384,7 +396,7 @@
 {
     std::map<int, std::size_t> out;
     for (auto const& it : queue_)
-        ++out[it.work.rank];
+        ++out[it.work.priority.route_rank];
     return out;
 }
 
@@ -404,38 +416,56 @@
     return out;
 }
 
-wait_profile stage_scheduler::expected_waits(runner_directory& runners,
-                                             time_point now) const
+queue_forecast stage_scheduler::expected_waits(runner_directory& runners,
+                                               time_point now) const
 {
-    wait_profile out;
     std::vector<runner_state*> usable;
     runners.usable(service_, now, usable);
     bool const has_free_slot = calls_.size() < usable.size() * limits_.slots;
-    if (has_free_slot && queue_.empty())
-        return out;
-    std::array<std::size_t, wait_profile::size> pieces_ahead{};
-    for (auto const& it : queue_)
-    {
-        auto const due_in = sort_time_of(it, now) - now;
-        for (std::size_t n = 0; n < pieces_ahead.size(); ++n)
-            if (n + 1 == pieces_ahead.size() ||
-                due_in <= wait_profile::due_times[n])
-                ++pieces_ahead[n];
-    }
     constexpr double min_effective_slots = 0.1;
     double const rate =
         std::max(effective_slots(usable, now), min_effective_slots);
     double const batch = std::max(average_batch_size_, 1.0);
-    auto const full_call = nominal_time(std::size_t(batch));
-    for (std::size_t n = 0; n < pieces_ahead.size(); ++n)
+    auto const short_call = std::max(average_call_time_, limits_.call_time);
+    auto const full_call =
+        std::max(average_call_time_, nominal_time(std::size_t(batch)));
+    auto const wait_behind = [&](std::size_t pieces)
+    {
+        double const calls =
+            double(pieces) / batch + (has_free_slot ? 0.0 : 1.0);
+        auto const call = double(pieces) >= batch ? full_call : short_call;
+        return from_seconds(calls * to_seconds(call) / rate);
+    };
+    queue_forecast out;
+    out.without_queue = wait_behind(0);
+    std::size_t ahead = 0;
+    for (auto const& it : queued_by_due_time(now))
+    {
+        queue_forecast::class_waits entry{it.first, {}};
+        for (std::size_t n = 0; n < wait_profile::size; ++n)
+            entry.waits.waits[n] = wait_behind(ahead + it.second[n]);
+        ahead += it.second.back();
+        out.classes.push_back(entry);
+    }
+    return out;
+}
+
+std::map<dispatch_priority, stage_scheduler::due_counts>
+stage_scheduler::queued_by_due_time(time_point now) const
+{
+    std::map<dispatch_priority, due_counts> out;
+    auto const add =
+        [&](dispatch_priority priority, duration due_in, std::size_t pieces)
+    {
+        auto& counts = out.try_emplace(priority, due_counts{}).first->second;
+        for (std::size_t n = 0; n < counts.size(); ++n)
+            if (n + 1 == counts.size() || due_in <= wait_profile::due_times[n])
+                counts[n] += pieces;
+    };
+    for (auto const& it : queue_)
     {
-        double const calls_ahead =
-            double(pieces_ahead[n]) / batch + (has_free_slot ? 0.0 : 1.0);
-        bool const full = double(pieces_ahead[n]) >= batch;
-        auto const call = full
-                              ? std::max(average_call_time_, full_call)
-                              : std::max(average_call_time_, limits_.call_time);
-        out.waits[n] = from_seconds(calls_ahead * to_seconds(call) / rate);
+        auto const priority = priority_of(it, now);
+        add(priority, sort_time_of(it, priority.deferred) - now, 1);
     }
     return out;
 }
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -14,13 +14,16 @@
 
 //! First element of an envelope. VMs with different versions treat each other
 //! as unreachable.
-constexpr int protocol_version = 2;
+constexpr int protocol_version = 3;
 
 //! The most deeply nested message is a list of pieces that each have a list of
 //! inputs. A piece takes about 20 values, and a VM may hold thousands of
 //! pieces.
 constexpr documents::cbor_bounds cbor_limits = {7, 2'000'000};
 
+//! Number of values of an encoded priority, before the waits of its class.
+constexpr std::size_t priority_values = 3;
+
 //! First element of a message.
 enum class message_tag
 {
@@ -31,6 +34,24 @@
     report_crash
 };
 
+json encode(model::dispatch_priority const& it)
+{
+    return {it.deferred, it.route_rank, it.organisation_rank};
+}
+
+json encode(model::queue_forecast const& it)
+{
+    auto out = json::array({it.without_queue.count()});
+    for (auto const& entry : it.classes)
+    {
+        auto values = encode(entry.priority);
+        for (auto const wait : entry.waits.waits)
+            values.push_back(wait.count());
+        out.push_back(std::move(values));
+    }
+    return out;
+}
+
 json encode(model::submit_pieces const& it)
 {
     auto list = json::array();
@@ -38,7 +59,7 @@
         list.push_back(
             {piece.request, piece.round, piece.request_id, piece.service,
              piece.stage, piece.number, piece.key, piece.inputs, piece.domain,
-             piece.result_bytes, piece.rank, piece.due_in.count(),
+             piece.result_bytes, encode(piece.priority), piece.due_in.count(),
              piece.latest_start_in.count(), piece.time_left.count()});
     return {message_tag::submit_pieces, std::move(list)};
 }
@@ -52,14 +73,9 @@
                            result.handle});
     auto backlogs = json::array();
     for (auto const& backlog : it.backlogs)
-    {
-        auto waits = json::array();
-        for (auto const wait : backlog.waits.waits)
-            waits.push_back(wait.count());
-        backlogs.push_back({backlog.service, std::move(waits),
+        backlogs.push_back({backlog.service, encode(backlog.waits),
                             backlog.average_call_time.count(),
                             backlog.result_memory_share});
-    }
     return {message_tag::return_results, std::move(results),
             std::move(backlogs)};
 }
@@ -92,6 +108,31 @@
     return static_cast<model::piece_outcome>(n);
 }
 
+model::dispatch_priority decode_priority(json const& value)
+{
+    model::dispatch_priority out;
+    out.deferred = value.at(0).get<bool>();
+    out.route_rank = value.at(1).get<int>();
+    out.organisation_rank = value.at(2).get<int>();
+    return out;
+}
+
+model::queue_forecast decode_forecast(json const& value)
+{
+    model::queue_forecast out;
+    out.without_queue = decode_duration(value.at(0));
+    for (std::size_t i = 1; i < value.size(); ++i)
+    {
+        model::queue_forecast::class_waits entry;
+        entry.priority = decode_priority(value[i]);
+        for (std::size_t n = 0; n < model::wait_profile::size; ++n)
+            entry.waits.waits[n] =
+                decode_duration(value[i].at(priority_values + n));
+        out.classes.push_back(entry);
+    }
+    return out;
+}
+
 model::submit_pieces decode_submit_pieces(json const& value)
 {
     model::submit_pieces out;
@@ -108,7 +149,7 @@
         piece.inputs = it.at(7).get<std::vector<std::string>>();
         piece.domain = it.at(8).get<std::string>();
         piece.result_bytes = it.at(9).get<double>();
-        piece.rank = it.at(10).get<int>();
+        piece.priority = decode_priority(it.at(10));
         piece.due_in = decode_duration(it.at(11));
         piece.latest_start_in = decode_duration(it.at(12));
         piece.time_left = decode_duration(it.at(13));
@@ -136,8 +177,7 @@
     {
         model::backlog backlog;
         backlog.service = it.at(0).get<std::string>();
-        for (std::size_t n = 0; n < model::wait_profile::size; ++n)
-            backlog.waits.waits[n] = decode_duration(it.at(1).at(n));
+        backlog.waits = decode_forecast(it.at(1));
         backlog.average_call_time = decode_duration(it.at(2));
         backlog.result_memory_share = it.at(3).get<double>();
         out.backlogs.push_back(std::move(backlog));
