gateway: forecasts count the later stages of admitted requests

Cause: a forecast counted only the pieces that wait at a service now. Those of requests that are still in earlier stages arrive up to a second later. It also added the waits of all stages, although queues shorten while earlier stages run. Change: on admission, a VM announces the pieces of later stages to their schedulers, which count them until they are submitted, cancelled or due; forecasts follow the critical path. Tests: counts_announced_pieces_until_they_are_submitted, later_stages_wait_while_earlier_ones_run.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -105,7 +105,7 @@
     std::optional<duration> retry_after(active_request const& request,
                                         refusal reason, time_point now) const;
 
-    // Stages. Without a position, the times do not include queueing.
+    // Stages.
 
     //! Estimated time until a request is answered.
     struct forecast
@@ -124,6 +124,7 @@
         duration due_in{};
     };
 
+    void announce_later_stages(active_request& request, time_point now);
     void start_stages(active_request& request, time_point now);
     std::string preferred_domain(active_request const& request,
                                  std::uint32_t stage) const;
@@ -135,8 +136,8 @@
         time_point now);
     void advance(active_request& request, time_point now);
     void resubmit_from(std::string const& member, time_point now);
+    //! Duration of each stage without queueing.
     std::vector<duration> stage_times(active_request const& request,
-                                      std::optional<queue_position> position,
                                       time_point now) const;
     duration average_answer_time(std::string const& service) const;
     void record_answer_time(std::string const& service, duration elapsed);
@@ -150,7 +151,7 @@
     bool is_result_memory_scarce(active_request const& request,
                                  std::uint32_t stage, time_point now) const;
     duration expected_stage_time(active_request const& request,
-                                 std::optional<queue_position> position,
+                                 queue_position const& position,
                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
@@ -161,6 +162,8 @@
                       time_point now);
     void handle_message(std::string const& from, submit_pieces const& in,
                         time_point now);
+    void handle_message(std::string const& from, announce_stages const& in,
+                        time_point now);
     void handle_message(std::string const& from, return_results const& in,
                         time_point now);
     void handle_message(std::string const& from, release_results const& in,
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -91,6 +91,24 @@
     std::vector<piece> pieces;
 };
 
+//! Pieces of a later stage of an admitted request. The forecasts of the service
+//! count them before they are submitted; otherwise more is admitted than the
+//! later stages can process.
+struct announced_stage
+{
+    std::string service;
+    request_ref request = 0;
+    std::uint32_t stage = 0;
+    std::uint32_t pieces = 0;
+    dispatch_priority priority;
+    duration due_in{}; //!< time until the target latency is missed
+};
+
+struct announce_stages
+{
+    std::vector<announced_stage> stages;
+};
+
 struct return_results
 {
     std::vector<piece_result> results;
@@ -104,7 +122,7 @@
     std::vector<std::string> handles;
 };
 
-//! Cancels the queued pieces of requests whose callers have disconnected.
+//! Cancels the queued and announced pieces of requests that have ended.
 struct cancel_pieces
 {
     std::vector<request_ref> requests;
@@ -118,8 +136,9 @@
     bool cleared = false;
 };
 
-using peer_message = std::variant<submit_pieces, return_results,
-                                  release_results, cancel_pieces, report_crash>;
+using peer_message =
+    std::variant<submit_pieces, return_results, release_results, cancel_pieces,
+                 report_crash, announce_stages>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
@@ -82,6 +82,12 @@
     duration remaining_time(std::uint32_t stage,
                             absl::Span<duration const> times) const;
 
+    //! Time until the end of the last stage if all stages start from now on.
+    //! `times` holds the time of each stage, `waits` the time until the runners
+    //! have processed what is before it. Both run while earlier stages run.
+    duration finish_time(absl::Span<duration const> times,
+                         absl::Span<duration const> waits) const;
+
 private:
     struct stage_state
     {
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -5,6 +5,7 @@
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <array>
@@ -66,12 +67,16 @@
 
     void configure(piece_limits const& limits);
 
+    //! Counts the pieces in forecasts until they are submitted or due.
+    void announce(std::string const& member, announced_stage const& stage,
+                  time_point now);
+
     //! Queues pieces. Known pieces are ignored, since a VM repeats submissions
     //! that were not answered.
     void submit(std::string const& member, std::vector<piece> pieces,
                 time_point now);
 
-    //! Drops the queued pieces of requests whose callers have disconnected.
+    //! Drops the queued and announced pieces of requests that have ended.
     void withdraw(std::string const& member,
                   std::vector<request_ref> const& requests);
 
@@ -154,12 +159,24 @@
         std::vector<std::string> handles;
     };
 
-    //! Queued pieces that are due within each of `wait_profile::due_times`.
+    //! Pieces of one request that were announced and not submitted.
+    struct announced_pieces
+    {
+        std::string member;
+        request_ref request = 0;
+        std::uint32_t pieces = 0;
+        dispatch_priority priority;
+        time_point due{};
+    };
+
+    //! Pieces that are due within each of `wait_profile::due_times`.
     using due_counts = std::array<std::size_t, wait_profile::size>;
 
     duration nominal_time(std::size_t pieces) const;
     std::map<dispatch_priority, due_counts>
-    queued_by_due_time(time_point now) const;
+    pieces_by_due_time(time_point now) const;
+    template <class Predicate>
+    void discard_announced(Predicate const& dropped);
     template <class Predicate>
     std::vector<queued_piece> extract_queued(Predicate const& wanted);
     template <class Predicate>
@@ -202,6 +219,8 @@
     //! Moving average of the pieces in a call while others wait.
     double average_batch_size_ = 0;
     std::deque<queued_piece> queue_;
+    //! By key of the first piece of the stage.
+    absl::flat_hash_map<std::uint64_t, announced_pieces> announced_;
     //! Keys of all pieces that are queued or in progress.
     absl::flat_hash_set<std::uint64_t> known_keys_;
     time_point last_check_{};
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -29,6 +29,8 @@
     //! VM that schedules the pieces, by started stage.
     std::map<std::uint32_t, std::string> owners;
     std::map<std::uint32_t, time_point> submitted_at;
+    //! VMs that count its later stages in their forecasts.
+    std::set<std::string> announced_to;
 
     std::uint32_t attempt = 0; //!< number of the current attempt
     //! Attempts that a runner may have executed.
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -88,6 +88,8 @@
         release_runner(request);
     release_stage_results(request.pipeline.take_all_results(), now);
     std::set<std::string> owners;
+    if (!request.pipeline.complete())
+        owners = request.announced_to;
     for (auto const& owner : request.owners)
         if (request.pipeline.awaits_results(owner.first))
             owners.insert(owner.second);
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -31,6 +31,13 @@
     dispatch_needed_ = dispatch_needed_ || !in.pieces.empty();
 }
 
+void reducer::handle_message(std::string const& from, announce_stages const& in,
+                             time_point now)
+{
+    for (auto const& it : in.stages)
+        scheduler(it.service).announce(from, it, now);
+}
+
 void reducer::handle_message(std::string const&, return_results const& in,
                              time_point now)
 {
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -142,6 +142,7 @@
         fail_request(request, refusal::cannot_finish_in_time, now);
         return;
     }
+    announce_later_stages(request, now);
     advance(request, now);
 }
 
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -83,10 +83,8 @@
     return false;
 }
 
-std::vector<duration>
-reducer::stage_times(active_request const& request,
-                     std::optional<queue_position> position,
-                     time_point now) const
+std::vector<duration> reducer::stage_times(active_request const& request,
+                                           time_point now) const
 {
     std::vector<duration> out;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
@@ -100,27 +98,26 @@
                    service_settings->pieces->piece_time *
                        request.pipeline.piece_count(n);
         if (auto const* known = fresh_backlog(service, now))
-        {
             time = std::max(time, known->average_call_time);
-            if (position)
-                time += known->waits.at(position->priority, position->due_in);
-        }
         out.push_back(time);
     }
     return out;
 }
 
 duration reducer::expected_stage_time(active_request const& request,
-                                      std::optional<queue_position> position,
+                                      queue_position const& position,
                                       time_point now) const
 {
-    auto const times = stage_times(request, position, now);
-    duration longest{};
+    std::vector<duration> waits;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
-        if (request.pipeline.stage(n).after.empty())
-            longest =
-                std::max(longest, request.pipeline.remaining_time(n, times));
-    return longest;
+    {
+        auto const* known =
+            fresh_backlog(request.pipeline.stage(n).service, now);
+        waits.push_back(known != nullptr ? known->waits.at(position.priority,
+                                                           position.due_in)
+                                         : duration());
+    }
+    return request.pipeline.finish_time(stage_times(request, now), waits);
 }
 
 duration reducer::average_answer_time(std::string const& service) const
@@ -140,21 +137,21 @@
 reducer::forecast reducer::forecast_stages(active_request const& request,
                                            time_point now) const
 {
-    auto const without_wait = expected_stage_time(request, std::nullopt, now);
+    auto const times = stage_times(request, now);
+    auto const without_wait = request.pipeline.finish_time(
+        times, std::vector<duration>(times.size()));
     auto const answer_time = average_answer_time(request.service);
     auto const needed = without_wait + answer_time;
     forecast out;
     auto priority = request.priority();
     out.on_schedule =
-        expected_stage_time(
-            request, queue_position{priority, request.due - now - needed},
-            now) +
+        expected_stage_time(request, {priority, request.due - now - needed},
+                            now) +
         answer_time;
     priority.deferred = true;
     out.deferred =
-        expected_stage_time(
-            request, queue_position{priority, request.deadline - now - needed},
-            now) +
+        expected_stage_time(request,
+                            {priority, request.deadline - now - needed}, now) +
         answer_time;
     out.queue_wait = out.deferred - needed;
     return out;
@@ -195,6 +192,35 @@
         start_stages(request, now);
 }
 
+void reducer::announce_later_stages(active_request& request, time_point now)
+{
+    auto const times = stage_times(request, now);
+    auto const answer_time = average_answer_time(request.service);
+    std::map<std::string, announce_stages> by_scheduler;
+    for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
+    {
+        auto const& stage = request.pipeline.stage(n);
+        auto const pieces = request.pipeline.piece_count(n);
+        if (stage.after.empty() || pieces == 0)
+            continue;
+        announced_stage out;
+        out.service = stage.service;
+        out.request = request.ref;
+        out.stage = n;
+        out.pieces = std::uint32_t(pieces);
+        out.priority = request.priority();
+        out.due_in = request.due - now - answer_time -
+                     request.pipeline.remaining_time(n, times);
+        by_scheduler[members_.owner(stage.service, now)].stages.push_back(
+            std::move(out));
+    }
+    for (auto& it : by_scheduler)
+    {
+        request.announced_to.insert(it.first);
+        send_message(it.first, std::move(it.second), now);
+    }
+}
+
 void reducer::start_stages(active_request& request, time_point now)
 {
     for (auto const n : request.pipeline.start_ready_stages())
@@ -228,9 +254,9 @@
     auto const& stage = request.pipeline.stage(n);
     auto const& owner = members_.owner(stage.service, now);
     auto const inputs = request.pipeline.inputs_of(n);
-    auto const after = request.pipeline.remaining_time(
-                           n, stage_times(request, std::nullopt, now)) +
-                       average_answer_time(request.service);
+    auto const after =
+        request.pipeline.remaining_time(n, stage_times(request, now)) +
+        average_answer_time(request.service);
     auto const latest_start_in = request.deadline - after - now;
     auto const domain = preferred_domain(request, n);
     submit_pieces message;
--- a/packages/decision/src/gateway/stage_pipeline.cpp
+++ b/packages/decision/src/gateway/stage_pipeline.cpp
@@ -189,4 +189,22 @@
     return after + (stages_[stage].results.empty() ? duration() : times[stage]);
 }
 
+duration stage_pipeline::finish_time(absl::Span<duration const> times,
+                                     absl::Span<duration const> waits) const
+{
+    duration out{};
+    std::vector<duration> finished;
+    for (std::size_t n = 0; n < stages_.size(); ++n)
+    {
+        duration at{};
+        for (auto const after : stages_[n].definition.after)
+            at = std::max(at, finished[after]);
+        if (!stages_[n].results.empty())
+            at = std::max(at, waits[n]) + times[n];
+        finished.push_back(at);
+        out = std::max(out, at);
+    }
+    return out;
+}
+
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -69,10 +69,12 @@
 }
 
 //! Key that identifies a piece across all VMs.
-std::uint64_t key_of(std::string const& member, piece const& work)
+std::uint64_t key_of(std::string const& member, request_ref request,
+                     std::uint32_t round, std::uint32_t stage,
+                     std::uint32_t number)
 {
-    std::array<std::uint64_t, 5> const parts = {
-        stable_hash(member), work.request, work.round, work.stage, work.number};
+    std::array<std::uint64_t, 5> const parts = {stable_hash(member), request,
+                                                round, stage, number};
     return stable_hash({reinterpret_cast<char const*>(parts.data()),
                         parts.size() * sizeof(parts[0])});
 }
@@ -91,7 +93,10 @@
     for (auto& work : pieces)
     {
         queued_piece entry;
-        entry.key = key_of(member, work);
+        entry.key =
+            key_of(member, work.request, work.round, work.stage, work.number);
+        if (work.number == 0)
+            announced_.erase(entry.key);
         if (!known_keys_.insert(entry.key).second)
             continue;
         entry.member = member;
@@ -104,6 +109,27 @@
     }
 }
 
+void stage_scheduler::announce(std::string const& member,
+                               announced_stage const& stage, time_point now)
+{
+    constexpr std::uint32_t first_round = 0;
+    constexpr std::uint32_t first_piece = 0;
+    auto const key =
+        key_of(member, stage.request, first_round, stage.stage, first_piece);
+    announced_[key] = {member, stage.request, stage.pieces, stage.priority,
+                       now + stage.due_in};
+}
+
+template <class Predicate>
+void stage_scheduler::discard_announced(Predicate const& dropped)
+{
+    for (auto it = announced_.begin(); it != announced_.end();)
+        if (dropped(it->second))
+            announced_.erase(it++);
+        else
+            ++it;
+}
+
 template <class Predicate>
 std::vector<queued_piece>
 stage_scheduler::extract_queued(Predicate const& wanted)
@@ -132,11 +158,16 @@
     discard_queued(
         [&](queued_piece const& it)
         { return it.member == member && withdrawn.contains(it.work.request); });
+    discard_announced(
+        [&](announced_pieces const& it)
+        { return it.member == member && withdrawn.contains(it.request); });
 }
 
 void stage_scheduler::withdraw_all(std::string const& member)
 {
     discard_queued([&](queued_piece const& it) { return it.member == member; });
+    discard_announced([&](announced_pieces const& it)
+                      { return it.member == member; });
 }
 
 void stage_scheduler::release(std::vector<std::string> const& handles)
@@ -381,6 +412,8 @@
     report_inputs_read(now);
     hedge_slow_calls(now);
     drop_late_pieces(now);
+    discard_announced([&](announced_pieces const& it)
+                      { return it.due <= now; });
 }
 
 double stage_scheduler::result_memory_share() const
@@ -439,7 +472,7 @@
     queue_forecast out;
     out.without_queue = wait_behind(0);
     std::size_t ahead = 0;
-    for (auto const& it : queued_by_due_time(now))
+    for (auto const& it : pieces_by_due_time(now))
     {
         queue_forecast::class_waits entry{it.first, {}};
         for (std::size_t n = 0; n < wait_profile::size; ++n)
@@ -451,7 +484,7 @@
 }
 
 std::map<dispatch_priority, stage_scheduler::due_counts>
-stage_scheduler::queued_by_due_time(time_point now) const
+stage_scheduler::pieces_by_due_time(time_point now) const
 {
     std::map<dispatch_priority, due_counts> out;
     auto const add =
@@ -467,6 +500,8 @@
         auto const priority = priority_of(it, now);
         add(priority, sort_time_of(it, priority.deferred) - now, 1);
     }
+    for (auto const& it : announced_)
+        add(it.second.priority, it.second.due - now, it.second.pieces);
     return out;
 }
 
--- a/packages/decision/tests/gateway/stage_overload_test.cpp
+++ b/packages/decision/tests/gateway/stage_overload_test.cpp
@@ -123,6 +123,32 @@
               all);
 }
 
+// More would be admitted than a later stage can process if its forecast did not
+// count the pieces that are on their way.
+TEST(stage_scheduler, counts_announced_pieces_until_they_are_submitted)
+{
+    fake_pool pool(1);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    announced_stage announced;
+    announced.service = "s";
+    announced.request = 1;
+    announced.pieces = 220;
+    announced.due_in = 1s;
+    auto const wait = [&]
+    { return scheduler.expected_waits(pool.runners, start).longest(); };
+    scheduler.announce("vm", announced, start);
+    EXPECT_GT(wait(), 3s);
+    EXPECT_EQ(scheduler.waiting(), 0U);
+    scheduler.submit("vm", {make_piece(1)}, start);
+    EXPECT_LT(wait(), 1s);
+    announced.request = 2;
+    scheduler.announce("vm", announced, start);
+    EXPECT_GT(wait(), 3s);
+    scheduler.withdraw("vm", {2});
+    EXPECT_LT(wait(), 1s);
+}
+
 TEST(wait_profile, gives_the_wait_of_what_is_due_sooner)
 {
     wait_profile it;
--- a/packages/decision/tests/gateway/stage_pipeline_test.cpp
+++ b/packages/decision/tests/gateway/stage_pipeline_test.cpp
@@ -98,5 +98,17 @@
     EXPECT_EQ(it.take_all_results().size(), 1U);
 }
 
+// The queue of a later stage shortens while earlier stages run. Adding its
+// whole wait would refuse requests that can be on time.
+TEST(stage_pipeline, later_stages_wait_while_earlier_ones_run)
+{
+    stage_pipeline it(three_stages(), numbers{1, 1, 1});
+    std::vector<duration> const times = {300ms, 300ms, 300ms};
+    std::vector<duration> const no_waits(3);
+    EXPECT_EQ(it.finish_time(times, no_waits), 900ms);
+    std::vector<duration> const waits = {0ms, 200ms, 1000ms};
+    EXPECT_EQ(it.finish_time(times, waits), 1300ms);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -31,7 +31,8 @@
     return_results,
     release_results,
     cancel_pieces,
-    report_crash
+    report_crash,
+    announce_stages
 };
 
 json encode(model::dispatch_priority const& it)
@@ -95,6 +96,15 @@
     return {message_tag::report_crash, it.fingerprint, it.cleared};
 }
 
+json encode(model::announce_stages const& it)
+{
+    auto list = json::array();
+    for (auto const& stage : it.stages)
+        list.push_back({stage.service, stage.request, stage.stage, stage.pieces,
+                        encode(stage.priority), stage.due_in.count()});
+    return {message_tag::announce_stages, std::move(list)};
+}
+
 decision::duration decode_duration(json const& value)
 {
     return decision::duration(value.get<std::int64_t>());
@@ -158,6 +168,23 @@
     return out;
 }
 
+model::announce_stages decode_announce_stages(json const& value)
+{
+    model::announce_stages out;
+    for (auto const& it : value.at(1))
+    {
+        model::announced_stage stage;
+        stage.service = it.at(0).get<std::string>();
+        stage.request = it.at(1).get<model::request_ref>();
+        stage.stage = it.at(2).get<std::uint32_t>();
+        stage.pieces = it.at(3).get<std::uint32_t>();
+        stage.priority = decode_priority(it.at(4));
+        stage.due_in = decode_duration(it.at(5));
+        out.stages.push_back(std::move(stage));
+    }
+    return out;
+}
+
 model::return_results decode_return_results(json const& value)
 {
     model::return_results out;
@@ -203,6 +230,8 @@
     case message_tag::report_crash:
         return model::report_crash{value.at(1).get<std::uint64_t>(),
                                    value.at(2).get<bool>()};
+    case message_tag::announce_stages:
+        return decode_announce_stages(value);
     }
     // An unknown message type decodes to an empty message that has no effect.
     return model::submit_pieces{};
