gateway: the wait for the own failure domain depends on the slack

Cause: at each stage, a piece waited up to 150 ms for a runner of its own failure domain, also if its request had little time; the waits added up to 0.45 s. Change: the wait is a tenth of the time until the piece is due, and 150 ms at most. Patient requests still wait, which keeps results in one domain. Test: uses_another_domain_after_a_short_wait still holds.

--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -34,8 +34,13 @@
 //! Minimum interval between checks of all pieces and calls.
 constexpr duration check_interval = 10ms;
 
-//! Time that a piece waits for a runner in its own failure domain.
-constexpr duration domain_wait = 150ms;
+//! Longest time that a piece waits for a runner in its own failure domain.
+constexpr duration max_domain_wait = 150ms;
+
+//! Share of the time until a piece is due that it spends on this wait. Requests
+//! wait at each of their stages, so a larger share makes those with a short
+//! target late.
+constexpr double domain_wait_share = 0.1;
 
 //! Tolerance after the due time before a piece counts as late, since the
 //! estimates of the time after its start are rough.
@@ -63,6 +68,13 @@
     return out;
 }
 
+duration domain_wait(queued_piece const& it)
+{
+    return std::min(
+        max_domain_wait,
+        from_seconds(domain_wait_share * to_seconds(it.due - it.queued_at)));
+}
+
 time_point sort_time_of(queued_piece const& it, bool deferred)
 {
     return deferred ? std::max(it.due, it.latest_start) : it.due;
@@ -264,7 +276,7 @@
                usable_domains_.count(it.work.domain) == 0;
     };
     auto const waited = [&](queued_piece const& it)
-    { return now - it.queued_at >= domain_wait || it.due - now < domain_wait; };
+    { return now - it.queued_at >= domain_wait(it); };
     std::vector<queued_piece> out;
     // A piece that does not fit must not block smaller ones behind it.
     auto const take = [&](auto const& wanted)
