gateway: forecasts take the due time of each stage

Cause: within a class, pieces are served by due time. A piece of a later stage is due later than one of the first stage, so pieces of more requests go before it. The forecast of all stages used the due time of the first one, and left out the pieces of later stages of requests that were admitted just before. Change: expected_answer_time asks for the wait of each stage at the due time that its pieces will have.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -117,11 +117,11 @@
         duration queue_wait{}; //!< part of `deferred` that is spent in queues
     };
 
-    //! Place in the queues of the stage services.
+    //! What places the pieces of a request in the queues of stage services.
     struct queue_position
     {
         dispatch_priority priority;
-        duration due_in{};
+        duration due_in{}; //!< time until the request has to be answered
     };
 
     void announce_later_stages(active_request& request, time_point now);
@@ -150,9 +150,9 @@
                                  time_point now) const;
     bool is_result_memory_scarce(active_request const& request,
                                  std::uint32_t stage, time_point now) const;
-    duration expected_stage_time(active_request const& request,
-                                 queue_position const& position,
-                                 time_point now) const;
+    duration expected_answer_time(active_request const& request,
+                                  queue_position const& position,
+                                  time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
     void run_schedulers(time_point now);
     void log_calls(std::string const& service, std::size_t from);
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -104,20 +104,25 @@
     return out;
 }
 
-duration reducer::expected_stage_time(active_request const& request,
-                                      queue_position const& position,
-                                      time_point now) const
+duration reducer::expected_answer_time(active_request const& request,
+                                       queue_position const& position,
+                                       time_point now) const
 {
+    auto const times = stage_times(request, now);
+    auto const answer_time = average_answer_time(request.service);
     std::vector<duration> waits;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
     {
+        // Later stages are due later, so more pieces are served before theirs.
+        auto const start_due_in = position.due_in - answer_time -
+                                  request.pipeline.remaining_time(n, times);
         auto const* known =
             fresh_backlog(request.pipeline.stage(n).service, now);
-        waits.push_back(known != nullptr ? known->waits.at(position.priority,
-                                                           position.due_in)
-                                         : duration());
+        waits.push_back(known != nullptr
+                            ? known->waits.at(position.priority, start_due_in)
+                            : duration());
     }
-    return request.pipeline.finish_time(stage_times(request, now), waits);
+    return request.pipeline.finish_time(times, waits) + answer_time;
 }
 
 duration reducer::average_answer_time(std::string const& service) const
@@ -138,21 +143,16 @@
                                            time_point now) const
 {
     auto const times = stage_times(request, now);
-    auto const without_wait = request.pipeline.finish_time(
-        times, std::vector<duration>(times.size()));
-    auto const answer_time = average_answer_time(request.service);
-    auto const needed = without_wait + answer_time;
+    auto const needed = request.pipeline.finish_time(
+                            times, std::vector<duration>(times.size())) +
+                        average_answer_time(request.service);
     forecast out;
     auto priority = request.priority();
     out.on_schedule =
-        expected_stage_time(request, {priority, request.due - now - needed},
-                            now) +
-        answer_time;
+        expected_answer_time(request, {priority, request.due - now}, now);
     priority.deferred = true;
     out.deferred =
-        expected_stage_time(request,
-                            {priority, request.deadline - now - needed}, now) +
-        answer_time;
+        expected_answer_time(request, {priority, request.deadline - now}, now);
     out.queue_wait = out.deferred - needed;
     return out;
 }
