gateway: measure the load of more urgent classes on arrival

Cause: the rate of a class was that of the pieces that start. Those of a third stage start about a second after their requests were admitted. Change: pieces of first stages count when they are submitted, those of later stages when they are announced.

--- a/packages/decision/include/buckthornvale/decision/gateway/rate_meter.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/rate_meter.hpp
@@ -3,6 +3,8 @@
 
 #include <buckthornvale/decision/core/time.hpp>
 
+#include <cstddef>
+
 namespace buckthornvale::decision::gateway
 {
 
@@ -10,8 +12,7 @@
 class rate_meter
 {
 public:
-    //! Counts one event.
-    void count(time_point now);
+    void count(std::size_t events, time_point now);
 
     //! Events per second.
     double rate(time_point now) const;
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -222,7 +222,8 @@
     std::deque<queued_piece> queue_;
     //! By key of the first piece of the stage.
     absl::flat_hash_map<std::uint64_t, announced_pieces> announced_;
-    std::map<dispatch_priority, rate_meter> starts_; //!< of pieces
+    //! Arrivals of pieces, those of later stages when they are announced.
+    std::map<dispatch_priority, rate_meter> arrivals_;
     //! Keys of all pieces that are queued or in progress.
     absl::flat_hash_set<std::uint64_t> known_keys_;
     time_point last_check_{};
--- a/packages/decision/src/gateway/rate_meter.cpp
+++ b/packages/decision/src/gateway/rate_meter.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-void rate_meter::count(time_point now)
+void rate_meter::count(std::size_t events, time_point now)
 {
-    rate_ = rate(now) + 1 / time_constant_s;
+    rate_ = rate(now) + double(events) / time_constant_s;
     updated_at_ = std::max(updated_at_, now);
 }
 
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -65,7 +65,6 @@
     for (auto const& it : pieces)
     {
         usage.held_bytes += it.work.result_bytes;
-        starts_[it.work.priority].count(now);
         started.pieces.push_back(it.work);
         started.pieces.back().time_left = it.deadline - now;
     }
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -120,6 +120,9 @@
         entry.due = now + work.due_in;
         entry.latest_start = now + work.latest_start_in;
         entry.deadline = now + work.time_left;
+        // Pieces with inputs were counted when their stage was announced.
+        if (work.inputs.empty())
+            arrivals_[work.priority].count(1, now);
         entry.work = std::move(work);
         queue_.push_back(std::move(entry));
     }
@@ -134,6 +137,7 @@
         key_of(member, stage.request, first_round, stage.stage, first_piece);
     announced_[key] = {member, stage.request, stage.pieces, stage.priority,
                        now + stage.due_in};
+    arrivals_[stage.priority].count(stage.pieces, now);
 }
 
 template <class Predicate>
@@ -501,9 +505,9 @@
         for (std::size_t n = 0; n < wait_profile::size; ++n)
             entry.waits.waits[n] = wait_behind(ahead + it.second[n]);
         ahead += it.second.back();
-        auto const started = starts_.find(it.first);
-        if (started != starts_.end())
-            more_urgent_per_s += started->second.rate(now);
+        auto const arrived = arrivals_.find(it.first);
+        if (arrived != arrivals_.end())
+            more_urgent_per_s += arrived->second.rate(now);
         entry.behind = wait_behind(ahead);
         out.classes.push_back(entry);
     }
@@ -527,7 +531,7 @@
         auto const priority = priority_of(it, now);
         add(priority, sort_time_of(it, priority.deferred) - now, 1);
     }
-    for (auto const& it : starts_)
+    for (auto const& it : arrivals_)
         add(it.first, duration::zero(), 0);
     for (auto const& it : announced_)
         add(it.second.priority, it.second.due - now, it.second.pieces);
--- a/packages/decision/tests/gateway/rate_meter_test.cpp
+++ b/packages/decision/tests/gateway/rate_meter_test.cpp
@@ -17,7 +17,7 @@
 {
     rate_meter it;
     for (int n = 0; n < 1000; ++n)
-        it.count(start + 10ms * n);
+        it.count(1, start + 10ms * n);
     EXPECT_NEAR(it.rate(start + 10s), 100, 2);
 }
 
@@ -25,8 +25,7 @@
 TEST(rate_meter, forgets_a_flood_within_seconds)
 {
     rate_meter it;
-    for (int n = 0; n < 1000; ++n)
-        it.count(start);
+    it.count(1000, start);
     EXPECT_LT(it.rate(start + 5s), 10);
 }
 
