decision: queue, announced stages and capacity leave stage_scheduler

For each free runner, all queued pieces were moved to another queue, and once more for other failure domains.

--- /dev/null
+++ b/packages/decision/include/buckthornvale/decision/gateway/announced_stages.hpp
@@ -0,0 +1,58 @@
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGES_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGES_HPP
+
+#include <buckthornvale/decision/gateway/stage_message.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <cstdint>
+#include <string>
+
+namespace buckthornvale::decision::gateway
+{
+
+//! Pieces of one stage of a request that were announced and not submitted.
+struct announced_pieces
+{
+    std::string member;
+    request_ref request = 0;
+    std::uint32_t pieces = 0;
+    dispatch_priority priority;
+    time_point due{};
+};
+
+//! Later stages of admitted requests, by the key of the first piece of the
+//! stage.
+class announced_stages
+{
+public:
+    using table = absl::flat_hash_map<std::uint64_t, announced_pieces>;
+
+    table::const_iterator begin() const { return entries_.begin(); }
+    table::const_iterator end() const { return entries_.end(); }
+
+    //! Adds an entry, or replaces the previous one.
+    void add(std::uint64_t key, announced_pieces entry);
+
+    //! Drops the entry of a stage whose pieces were submitted.
+    void erase(std::uint64_t key) { entries_.erase(key); }
+
+    //! Drops the stages of these requests of a VM.
+    void withdraw(std::string const& member,
+                  absl::flat_hash_set<request_ref> const& requests);
+
+    //! Drops all stages of a VM that has lost its state.
+    void withdraw_all(std::string const& member);
+
+    //! Drops stages that are due but were not submitted: their requests have
+    //! ended, or will be late.
+    void expire(time_point now);
+
+private:
+    table entries_;
+};
+
+} // namespace buckthornvale::decision::gateway
+
+#endif
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -1,17 +1,18 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
 
+#include <buckthornvale/decision/gateway/announced_stages.hpp>
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/manifest.hpp>
+#include <buckthornvale/decision/gateway/piece_queue.hpp>
 #include <buckthornvale/decision/gateway/rate_meter.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
+#include <buckthornvale/decision/gateway/stage_capacity.hpp>
 
-#include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -21,21 +22,6 @@
 namespace buckthornvale::decision::gateway
 {
 
-//! A queued piece with the VM that submitted it.
-struct queued_piece
-{
-    std::string member;
-    piece work;            //!< its relative times are not valid here
-    std::uint64_t key = 0; //!< hash that identifies the piece across all VMs
-    time_point queued_at{};
-    time_point due{};
-    time_point latest_start{}; //!< a start after it is too late to be useful
-    time_point deadline{};
-    dispatch_priority sort_priority; //!< first key of the dispatch order
-    time_point sort_time{};          //!< second key of the dispatch order
-    std::uint32_t attempts = 0;
-};
-
 //! A result for the VM that submitted the piece.
 struct addressed_result
 {
@@ -160,16 +146,6 @@
         std::vector<std::string> handles;
     };
 
-    //! Pieces of one request that were announced and not submitted.
-    struct announced_pieces
-    {
-        std::string member;
-        request_ref request = 0;
-        std::uint32_t pieces = 0;
-        dispatch_priority priority;
-        time_point due{};
-    };
-
     //! Pieces that are due within each of `wait_profile::due_times`.
     using due_counts = std::array<std::size_t, wait_profile::size>;
 
@@ -177,14 +153,10 @@
     std::map<dispatch_priority, due_counts>
     pieces_by_due_time(time_point now) const;
     template <class Predicate>
-    void discard_announced(Predicate const& dropped);
-    template <class Predicate>
-    std::vector<queued_piece> extract_queued(Predicate const& wanted);
-    template <class Predicate>
     void discard_queued(Predicate const& dropped);
     void check_timeouts(time_point now);
     void drop_late_pieces(time_point now);
-    void sort_queue(time_point now);
+    stage_capacity capacity(runner_directory& runners, time_point now) const;
     double effective_slots(absl::Span<runner_state* const> usable,
                            time_point now) const;
     void report_inputs_read(time_point now);
@@ -219,9 +191,8 @@
     duration average_call_time_{};
     //! Moving average of the pieces in a call while others wait.
     double average_batch_size_ = 0;
-    std::deque<queued_piece> queue_;
-    //! By key of the first piece of the stage.
-    absl::flat_hash_map<std::uint64_t, announced_pieces> announced_;
+    piece_queue queue_;
+    announced_stages announced_;
     //! Arrivals of pieces, those of later stages when they are announced.
     std::map<dispatch_priority, rate_meter> arrivals_;
     //! Keys of all pieces that are queued or in progress.
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -190,8 +190,9 @@
         call.hedged = true;
         for (auto const& it : call.pieces)
         {
-            queue_.push_back(it);
-            ++queue_.back().attempts;
+            auto copy = it;
+            ++copy.attempts;
+            queue_.push(std::move(copy));
         }
     }
 }
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -42,36 +42,9 @@
 //! target late.
 constexpr double domain_wait_share = 0.1;
 
-//! Tolerance after the due time before a piece counts as late, since the
-//! estimates of the time after its start are rough.
-constexpr duration late_tolerance = 100ms;
-
-//! Lower bound of the share of the capacity that a class is assumed to get
-//! beside more urgent ones.
-constexpr double min_capacity_left = 0.5;
-
 //! Weight of the newest call in the moving average of the batch size.
 constexpr double batch_size_ewma_weight = 0.2;
 
-bool dispatched_before(queued_piece const& a, queued_piece const& b)
-{
-    if (!(a.sort_priority == b.sort_priority))
-        return a.sort_priority < b.sort_priority;
-    if (a.sort_time != b.sort_time)
-        return a.sort_time < b.sort_time;
-    return a.work.request < b.work.request;
-}
-
-//! A piece with inputs is not deferred, because results of earlier stages
-//! occupy memory and expire.
-dispatch_priority priority_of(queued_piece const& it, time_point now)
-{
-    auto out = it.work.priority;
-    out.deferred = it.work.inputs.empty() &&
-                   (out.deferred || it.due + late_tolerance < now);
-    return out;
-}
-
 duration domain_wait(queued_piece const& it)
 {
     return std::min(
@@ -79,11 +52,6 @@
         from_seconds(domain_wait_share * to_seconds(it.due - it.queued_at)));
 }
 
-time_point sort_time_of(queued_piece const& it, bool deferred)
-{
-    return deferred ? std::max(it.due, it.latest_start) : it.due;
-}
-
 //! Key that identifies a piece across all VMs.
 std::uint64_t key_of(std::string const& member, request_ref request,
                      std::uint32_t round, std::uint32_t stage,
@@ -124,7 +92,7 @@
         if (work.inputs.empty())
             arrivals_[work.priority].count(1, now);
         entry.work = std::move(work);
-        queue_.push_back(std::move(entry));
+        queue_.push(std::move(entry));
     }
 }
 
@@ -135,38 +103,15 @@
     constexpr std::uint32_t first_piece = 0;
     auto const key =
         key_of(member, stage.request, first_round, stage.stage, first_piece);
-    announced_[key] = {member, stage.request, stage.pieces, stage.priority,
-                       now + stage.due_in};
+    announced_.add(key, {member, stage.request, stage.pieces, stage.priority,
+                         now + stage.due_in});
     arrivals_[stage.priority].count(stage.pieces, now);
 }
 
-template <class Predicate>
-void stage_scheduler::discard_announced(Predicate const& dropped)
-{
-    for (auto it = announced_.begin(); it != announced_.end();)
-        if (dropped(it->second))
-            announced_.erase(it++);
-        else
-            ++it;
-}
-
-template <class Predicate>
-std::vector<queued_piece>
-stage_scheduler::extract_queued(Predicate const& wanted)
-{
-    auto const kept = std::stable_partition(queue_.begin(), queue_.end(),
-                                            [&](queued_piece const& it)
-                                            { return !wanted(it); });
-    std::vector<queued_piece> out(std::make_move_iterator(kept),
-                                  std::make_move_iterator(queue_.end()));
-    queue_.erase(kept, queue_.end());
-    return out;
-}
-
 template <class Predicate>
 void stage_scheduler::discard_queued(Predicate const& dropped)
 {
-    for (auto const& it : extract_queued(dropped))
+    for (auto const& it : queue_.extract(dropped))
         known_keys_.erase(it.key);
 }
 
@@ -178,16 +123,13 @@
     discard_queued(
         [&](queued_piece const& it)
         { return it.member == member && withdrawn.contains(it.work.request); });
-    discard_announced(
-        [&](announced_pieces const& it)
-        { return it.member == member && withdrawn.contains(it.request); });
+    announced_.withdraw(member, withdrawn);
 }
 
 void stage_scheduler::withdraw_all(std::string const& member)
 {
     discard_queued([&](queued_piece const& it) { return it.member == member; });
-    discard_announced([&](announced_pieces const& it)
-                      { return it.member == member; });
+    announced_.withdraw_all(member);
 }
 
 void stage_scheduler::release(std::vector<std::string> const& handles)
@@ -240,7 +182,7 @@
     else if (it.deadline <= now)
         finish_piece(it, piece_outcome::late, {});
     else
-        queue_.push_back(std::move(it));
+        queue_.push(std::move(it));
 }
 
 void stage_scheduler::drop_hedge_copies(std::vector<queued_piece> const& pieces)
@@ -248,7 +190,7 @@
     absl::flat_hash_set<std::uint64_t> finished;
     for (auto const& it : pieces)
         finished.insert(it.key);
-    extract_queued([&](queued_piece const& it)
+    queue_.extract([&](queued_piece const& it)
                    { return finished.contains(it.key); });
 }
 
@@ -264,7 +206,7 @@
                (not_started && it.due < now && waited > max_queue_wait) ||
                (not_started && waited > max_wait);
     };
-    for (auto& it : extract_queued(too_late))
+    for (auto& it : queue_.extract(too_late))
         finish_piece(it, piece_outcome::late, {});
 }
 
@@ -287,27 +229,24 @@
     { return now - it.queued_at >= domain_wait(it); };
     std::vector<queued_piece> out;
     // A piece that does not fit must not block smaller ones behind it.
-    auto const take = [&](auto const& wanted)
+    auto const reserve_room = [&](queued_piece const& it)
     {
-        std::deque<queued_piece> remaining;
-        for (auto& it : queue_)
-        {
-            bool const fits = limits_.result_memory_bytes <= 0 ||
-                              (empty && out.empty()) ||
-                              it.work.result_bytes <= room;
-            if (out.size() == limits_.batch || !fits || !wanted(it))
-            {
-                remaining.push_back(std::move(it));
-                continue;
-            }
+        bool const fits = limits_.result_memory_bytes <= 0 ||
+                          (empty && out.empty()) ||
+                          it.work.result_bytes <= room;
+        if (fits)
             room -= it.work.result_bytes;
-            out.push_back(std::move(it));
-        }
-        queue_ = std::move(remaining);
+        return fits;
     };
-    take(in_domain);
-    if (out.size() < limits_.batch)
-        take(waited);
+    queue_.take(
+        limits_.batch,
+        [&](queued_piece const& it)
+        { return in_domain(it) && reserve_room(it); },
+        out);
+    queue_.take(
+        limits_.batch - out.size(),
+        [&](queued_piece const& it) { return waited(it) && reserve_room(it); },
+        out);
     return out;
 }
 
@@ -401,7 +340,7 @@
     auto const free = free_runners(runners, now);
     if (free.empty())
         return;
-    sort_queue(now);
+    queue_.sort(now);
     for (auto* runner : free)
     {
         auto pieces = take_batch(*runner, now);
@@ -415,16 +354,6 @@
     }
 }
 
-void stage_scheduler::sort_queue(time_point now)
-{
-    for (auto& it : queue_)
-    {
-        it.sort_priority = priority_of(it, now);
-        it.sort_time = sort_time_of(it, it.sort_priority.deferred);
-    }
-    std::sort(queue_.begin(), queue_.end(), dispatched_before);
-}
-
 void stage_scheduler::check_timeouts(time_point now)
 {
     last_check_ = now;
@@ -432,8 +361,7 @@
     report_inputs_read(now);
     hedge_slow_calls(now);
     drop_late_pieces(now);
-    discard_announced([&](announced_pieces const& it)
-                      { return it.due <= now; });
+    announced_.expire(now);
 }
 
 double stage_scheduler::result_memory_share() const
@@ -469,46 +397,46 @@
     return out;
 }
 
-queue_forecast stage_scheduler::expected_waits(runner_directory& runners,
-                                               time_point now) const
+stage_capacity stage_scheduler::capacity(runner_directory& runners,
+                                         time_point now) const
 {
+    constexpr double min_effective_slots = 0.1;
     std::vector<runner_state*> usable;
     runners.usable(service_, now, usable);
-    bool const has_free_slot = calls_.size() < usable.size() * limits_.slots;
-    constexpr double min_effective_slots = 0.1;
-    double const rate =
-        std::max(effective_slots(usable, now), min_effective_slots);
-    double const batch = std::max(average_batch_size_, 1.0);
-    auto const short_call = std::max(average_call_time_, limits_.call_time);
-    auto const full_call =
-        std::max(average_call_time_, nominal_time(std::size_t(batch)));
-    double const pieces_per_s =
-        limits_.batch * rate / to_seconds(nominal_time(limits_.batch));
+    stage_capacity out;
+    out.slots = std::max(effective_slots(usable, now), min_effective_slots);
+    out.has_free_slot = calls_.size() < usable.size() * limits_.slots;
+    out.batch = std::max(average_batch_size_, 1.0);
+    out.short_call = std::max(average_call_time_, limits_.call_time);
+    out.batch_call =
+        std::max(average_call_time_, nominal_time(std::size_t(out.batch)));
+    out.max_pieces_per_s =
+        limits_.batch * out.slots / to_seconds(nominal_time(limits_.batch));
+    return out;
+}
+
+queue_forecast stage_scheduler::expected_waits(runner_directory& runners,
+                                               time_point now) const
+{
+    auto const available = capacity(runners, now);
     double more_urgent_per_s = 0;
-    // Pieces that arrive later but are more urgent take a part of the capacity.
-    auto const wait_behind = [&](std::size_t pieces)
-    {
-        double const calls =
-            double(pieces) / batch + (has_free_slot ? 0.0 : 1.0);
-        auto const call = double(pieces) >= batch ? full_call : short_call;
-        double const capacity_left =
-            std::max(1 - more_urgent_per_s / pieces_per_s, min_capacity_left);
-        return from_seconds(calls * to_seconds(call) / rate / capacity_left);
-    };
     queue_forecast out;
-    out.without_queue = wait_behind(0);
+    out.without_queue = available.wait_behind(0, more_urgent_per_s);
     std::size_t ahead = 0;
     for (auto const& it : pieces_by_due_time(now))
     {
         queue_forecast::class_waits entry;
         entry.priority = it.first;
         for (std::size_t n = 0; n < wait_profile::size; ++n)
-            entry.waits.waits[n] = wait_behind(ahead + it.second[n]);
+            entry.waits.waits[n] =
+                available.wait_behind(ahead + it.second[n], more_urgent_per_s);
         ahead += it.second.back();
+        // Pieces of this class that arrive later are served before those of
+        // the classes behind it.
         auto const arrived = arrivals_.find(it.first);
         if (arrived != arrivals_.end())
             more_urgent_per_s += arrived->second.rate(now);
-        entry.behind = wait_behind(ahead);
+        entry.behind = available.wait_behind(ahead, more_urgent_per_s);
         out.classes.push_back(entry);
     }
     return out;
