decision: name the table of announced stages after what it is

Cause: announced_stages, a class, differed by one letter from the message announced_stage. Change: announced_stage_table, like member_table; no behaviour changes.

--- a/packages/decision/include/buckthornvale/decision/gateway/announced_stages.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/announced_stage_table.hpp
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGES_HPP
-#define BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGES_HPP
+#ifndef BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGE_TABLE_HPP
+#define BUCKTHORNVALE_DECISION_GATEWAY_ANNOUNCED_STAGE_TABLE_HPP
 
 #include <buckthornvale/decision/gateway/stage_message.hpp>
 
@@ -24,13 +24,13 @@
 
 //! Later stages of admitted requests, by the key of the first piece of the
 //! stage.
-class announced_stages
+class announced_stage_table
 {
 public:
-    using table = absl::flat_hash_map<std::uint64_t, announced_pieces>;
+    using map = absl::flat_hash_map<std::uint64_t, announced_pieces>;
 
-    table::const_iterator begin() const { return entries_.begin(); }
-    table::const_iterator end() const { return entries_.end(); }
+    map::const_iterator begin() const { return entries_.begin(); }
+    map::const_iterator end() const { return entries_.end(); }
 
     //! Adds an entry, or replaces the previous one.
     void add(std::uint64_t key, announced_pieces entry);
@@ -50,7 +50,7 @@
     void expire(time_point now);
 
 private:
-    table entries_;
+    map entries_;
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_SCHEDULER_HPP
 
-#include <buckthornvale/decision/gateway/announced_stages.hpp>
+#include <buckthornvale/decision/gateway/announced_stage_table.hpp>
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/piece_queue.hpp>
@@ -192,7 +192,7 @@
     //! Moving average of the pieces in a call while others wait.
     double average_batch_size_ = 0;
     piece_queue queue_;
-    announced_stages announced_;
+    announced_stage_table announced_;
     //! Arrivals of pieces, those of later stages when they are announced.
     std::map<dispatch_priority, rate_meter> arrivals_;
     //! Keys of all pieces that are queued or in progress.
