--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -16,9 +16,9 @@
 //! as unreachable.
 constexpr int protocol_version = 3;
 
-//! The most deeply nested message is a list of backlogs that each have a list of
-//! waits by class. A piece takes about 20 values, and a VM may hold thousands of
-//! pieces.
+//! The most deeply nested message is a list of backlogs that each have a list
+//! of waits by class. A piece takes about 20 values, and a VM may hold
+//! thousands of pieces.
 constexpr documents::cbor_bounds cbor_limits = {7, 2'000'000};
 
 //! Number of values of an encoded priority, before the waits of its class.
