gateway: search only new bytes for the end of an event

What callers saw: nothing. Cause: the splitter searched the whole incomplete event again for each read. Change: it searches the new bytes and the two before them.

--- a/packages/gateway/src/sse_splitter.cpp
+++ b/packages/gateway/src/sse_splitter.cpp
@@ -8,7 +8,11 @@
 namespace
 {
 
+//! Number of bytes of a separator of events that earlier bytes can end with.
+constexpr std::size_t max_partial_separator = 2;
+
 //! Returns the end of the last complete event, which an empty line terminates.
+//! Zero if there is none.
 std::size_t complete_events_end(std::string_view text)
 {
     auto const end_after = [&](std::string_view separator)
@@ -24,8 +28,13 @@
 std::string_view sse_splitter::feed(std::string_view bytes)
 {
     buffer_.erase(0, returned_bytes_);
+    // The rest of the buffer is an incomplete event, which may be large.
+    auto const searched_from =
+        buffer_.size() - std::min(buffer_.size(), max_partial_separator);
     buffer_.append(bytes);
-    returned_bytes_ = complete_events_end(buffer_);
+    auto const end =
+        complete_events_end(std::string_view(buffer_).substr(searched_from));
+    returned_bytes_ = end == 0 ? 0 : searched_from + end;
     std::string_view const events(buffer_.data(), returned_bytes_);
     update_last_event_id(events);
     return events;
