gateway: limit the size of answers and events of runners

Cause: an answer or an event was buffered up to 64 MiB, which is half of the memory of a small VM for each such request. short_call read on after its limit. Change: on_answer_body returns false when the body is too large, and the client then closes the connection; runner_attempt takes 8 MiB. Heads were limited before.

--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -9,6 +9,10 @@
 using decision::gateway::attempt_ended;
 using decision::gateway::attempt_outcome;
 
+//! Maximum size of an answer that is not a stream, and of an event. A runner
+//! that fails can send bytes without end, and small VMs have about 100 MB.
+constexpr std::size_t max_buffered_bytes = 8'388'608;
+
 } // namespace
 
 runner_attempt::runner_attempt(listener& attempt_listener,
@@ -35,16 +39,21 @@
     return true;
 }
 
-void runner_attempt::on_answer_body(std::string_view bytes)
+bool runner_attempt::on_answer_body(std::string_view bytes)
 {
+    auto const buffered =
+        streaming_ ? splitter_.incomplete_event().size() : body_.size();
+    if (buffered + bytes.size() > max_buffered_bytes)
+        return false;
     if (!streaming_)
     {
         body_.append(bytes);
-        return;
+        return true;
     }
     auto const events = splitter_.feed(bytes);
     if (!events.empty())
         listener_.on_sse_events(*this, events);
+    return true;
 }
 
 attempt_ended runner_attempt::make_outcome() const
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -37,7 +37,10 @@
     //! Returns false when the response belongs to another request. The client
     //! then discards it and waits for the next one on the connection.
     virtual bool on_answer_head(http::response_head const& head) = 0;
-    virtual void on_answer_body(std::string_view bytes) = 0;
+
+    //! Returns false when the body is too large. The client then closes the
+    //! connection and the call fails.
+    virtual bool on_answer_body(std::string_view bytes) = 0;
     virtual void on_answer_end() = 0;
 
     //! `connection_lost` is true when the connection could not be made or was
--- a/packages/net/src/short_call.cpp
+++ b/packages/net/src/short_call.cpp
@@ -21,20 +21,15 @@
         return true;
     }
 
-    void on_answer_body(std::string_view bytes) override
+    bool on_answer_body(std::string_view bytes) override
     {
-        too_large_ =
-            too_large_ || result_.body.size() + bytes.size() > max_bytes_;
-        if (!too_large_)
-            result_.body.append(bytes);
+        if (result_.body.size() + bytes.size() > max_bytes_)
+            return false;
+        result_.body.append(bytes);
+        return true;
     }
 
-    void on_answer_end() override
-    {
-        if (too_large_)
-            result_.failure = call_failure::broken_off;
-        done_(result_);
-    }
+    void on_answer_end() override { done_(result_); }
 
     void on_answer_failed(call_failure failure, bool) override
     {
@@ -46,7 +41,6 @@
     std::size_t max_bytes_;
     call_done done_;
     call_result result_;
-    bool too_large_ = false;
 };
 
 } // namespace
--- a/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
+++ b/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
@@ -55,7 +55,7 @@
     // net::answer_handler
     bool
     on_answer_head(buckthornvale::http::response_head const& head) override;
-    void on_answer_body(std::string_view bytes) override;
+    bool on_answer_body(std::string_view bytes) override;
     void on_answer_end() override;
     void on_answer_failed(net::call_failure failure, bool reset) override;
 
--- a/packages/serving/src/upstream/runner_call.cpp
+++ b/packages/serving/src/upstream/runner_call.cpp
@@ -132,7 +132,7 @@
     return true;
 }
 
-void runner_call::on_answer_body(std::string_view bytes)
+bool runner_call::on_answer_body(std::string_view bytes)
 {
     if (attempt_.stream && status_ == ok_status)
     {
@@ -148,6 +148,7 @@
     }
     if (stream_end_ || !fault_.empty())
         judge();
+    return true;
 }
 
 void runner_call::on_answer_end()
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -3,6 +3,8 @@
 #include <buckthornvale/http/message_parser.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
 
+#include <asio/post.hpp>
+
 namespace buckthornvale::standins::fleet_platform
 {
 
@@ -21,8 +23,10 @@
 } // namespace
 
 //! Reads requests one after the other and writes what the script says.
-class runner_standin::connection final : public tcp_stream::handler,
-                                         public http::message_sink
+class runner_standin::connection final
+    : public tcp_stream::handler,
+      public http::message_sink,
+      public std::enable_shared_from_this<runner_standin::connection>
 {
 public:
     connection(runner_standin& owner, asio::ip::tcp::socket socket)
@@ -56,7 +60,7 @@
         }
     }
 
-    void on_end(asio::error_code) override {}
+    void on_end(asio::error_code) override { endless_.clear(); }
     void on_written() override {}
     void on_head() override {}
     void on_body(std::string_view bytes) override { body_.append(bytes); }
@@ -85,17 +89,37 @@
         if (answer.silent)
             return;
         stream_->write(answer.bytes);
+        endless_ = answer.endless;
+        write_endless();
         if (answer.reset)
             stream_->reset();
         else if (answer.close)
             stream_->shutdown_after_write();
     }
 
+    void write_endless()
+    {
+        if (endless_.empty())
+            return;
+        if (stream_->queued() == 0)
+        {
+            owner_.endless_bytes += endless_.size();
+            stream_->write(endless_);
+        }
+        asio::post(owner_.loop_,
+                   [self = weak_from_this()]
+                   {
+                       if (auto const it = self.lock())
+                           it->write_endless();
+                   });
+    }
+
     runner_standin& owner_;
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     std::string text_;
     std::string body_;
+    std::string endless_; //!< rest of the current answer
 };
 
 runner_standin::runner_standin(asio::io_context& loop, std::string id)
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -35,6 +35,8 @@
     bool close = false; //!< after the bytes
     bool reset = false;
     bool silent = false; //!< nothing at all
+    //! Written again and again after the bytes, until the connection is closed.
+    std::string endless;
 };
 
 //! A runner on a loopback port. Its answers are raw bytes, so that a test can
@@ -56,6 +58,9 @@
 
     std::vector<received_request> received;
 
+    //! Bytes of endless answers that were written.
+    std::size_t endless_bytes = 0;
+
     //! A proper answer to the request.
     static scripted_answer proper(received_request const& request,
                                   std::string const& body);
