objects: limit the time until the next try at a rate of zero

What callers saw: nothing; store_gateway.does_not_count_a_write_that_the_budget_held_back fails under sanitizers on aarch64: signed integer overflow in store_budget::acquire. Cause: at a rate of zero, the time until the next token is infinite. Its conversion to a duration is undefined; here it gives the largest value, and a nanosecond is added. Change: one hour at most, as organisation_limiter limits its time. Test: defers_by_a_bounded_time_at_a_rate_of_zero.

--- a/packages/objects/src/budget/store_budget.cpp
+++ b/packages/objects/src/budget/store_budget.cpp
@@ -29,6 +29,10 @@
     {"status", 0.75},
 }};
 
+//! Maximum time until the next try. At a rate of zero, a bucket is never
+//! refilled.
+constexpr double max_wait_s = 3600.;
+
 // Prevents overflow; the delay reaches any practical limit long before.
 constexpr std::uint32_t max_backoff_doublings = 20;
 
@@ -80,11 +84,11 @@
     if (missing_tokens > 0.)
     {
         ++purpose_counters.deferred;
+        auto const wait_s =
+            std::min(missing_tokens / target_bucket.rate, max_wait_s);
         // One extra nanosecond, so that the bucket holds a full token at
         // retry_after in spite of rounding.
-        return {false,
-                decision::from_seconds(missing_tokens / target_bucket.rate) +
-                    decision::duration(1)};
+        return {false, decision::from_seconds(wait_s) + decision::duration(1)};
     }
     target_bucket.tokens -= 1.;
     ++purpose_counters.granted;
--- a/packages/objects/tests/budget/store_budget_test.cpp
+++ b/packages/objects/tests/budget/store_budget_test.cpp
@@ -61,6 +61,21 @@
     EXPECT_EQ(budget.counters(call_purpose::claim).deferred, 1U);
 }
 
+// Guards against a time that exceeds the range of a duration.
+TEST(store_budget, defers_by_a_bounded_time_at_a_rate_of_zero)
+{
+    store_budget_settings settings;
+    settings.fleet_writes_per_second = 0.;
+    store_budget budget(settings, 1);
+    budget.set_live_vms(1, at(0s));
+    count_grants(budget, call_purpose::claim, call_direction::write, at(1s));
+    auto const permit =
+        budget.acquire(call_purpose::claim, call_direction::write, at(1s));
+    EXPECT_FALSE(permit.is_granted);
+    EXPECT_GT(permit.retry_after, 0s);
+    EXPECT_LE(permit.retry_after, 2h);
+}
+
 // Guards against a call that is denied again after waiting for retry_after.
 TEST(store_budget, grants_the_call_at_retry_after)
 {
