gateway: log how each attempt on a runner ended

Change: attempts report facts (end of the transport, framing, incomplete event) in place of an outcome, and judge_attempt decides what they mean. The log line attempt_ended names them for each attempt that is not a plain success. No decision changes.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -29,25 +29,38 @@
     request_ref request = 0;
 };
 
-//! How an attempt on a runner ended.
-enum class attempt_outcome
+//! How the exchange of messages with a runner ended.
+enum class transport_end
 {
-    answered,    //!< a complete answer with a status
-    not_sent,    //!< no connection; the runner has received nothing
-    no_answer,   //!< sent; then the connection was lost or timed out
-    interrupted, //!< the answer or stream ended prematurely
-    refused      //!< the runner stated that it did not execute the request
+    complete,  //!< a whole message, as its framing defines it
+    not_sent,  //!< no connection; the runner has received nothing
+    no_answer, //!< sent; then the connection was lost or timed out
+    broken_off //!< the connection was lost or timed out within the message
 };
 
+//! What marks the end of the body of an answer.
+enum class body_framing
+{
+    length,
+    chunks,
+    connection //!< neither of both: the body ends with the connection
+};
+
+//! What is known of the answer to an attempt. `judge_attempt` tells what
+//! follows from it.
 struct attempt_ended
 {
     request_ref request = 0;
     std::uint32_t attempt = 0;
-    attempt_outcome outcome = attempt_outcome::no_answer;
+    transport_end transport = transport_end::no_answer;
+    body_framing framing = body_framing::length;
     int status = 0;
-    bool sealed = false;      //!< the answer carries a valid integrity seal
-    bool misdirected = false; //!< another runner now listens at the address
-    bool reset = false;       //!< the runner reset or closed the connection
+    bool not_executed = false; //!< the runner stated that it did not run it
+    bool sealed = false;       //!< the answer carries a valid integrity seal
+    bool misdirected = false;  //!< another runner now listens at the address
+    bool reset = false;        //!< the runner reset or closed the connection
+    bool event_stream = false; //!< its events were forwarded on arrival
+    bool inside_event = false; //!< the last event of the stream is incomplete
     std::optional<runner_load> load;
     //! Last complete event that was sent to the caller.
     std::string last_event_id;
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_REDUCER_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_REDUCER_HPP
 
+#include <buckthornvale/decision/gateway/attempt_judgement.hpp>
 #include <buckthornvale/decision/gateway/crash_registry.hpp>
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/event.hpp>
@@ -92,8 +93,10 @@
     active_request* find_attempt(request_ref ref, std::uint32_t attempt);
     void release_runner(active_request& request);
     bool restart_stages(active_request& request, time_point now);
+    void log_attempt(active_request const& request, attempt_ended const& in,
+                     attempt_outcome outcome, time_point now);
     void end_attempt(active_request& request, attempt_ended const& in,
-                     time_point now);
+                     attempt_outcome outcome, time_point now);
     void handle_answer(active_request& request, attempt_ended const& in,
                        time_point now);
     bool retry(active_request& request, bool may_have_run, time_point now);
@@ -101,7 +104,7 @@
     void finish_request(active_request& request, time_point now);
     void check_timeouts(active_request& request, time_point now);
     void record_signal(active_request const& request, attempt_ended const& in,
-                       time_point now);
+                       attempt_outcome outcome, time_point now);
     std::optional<duration> retry_after(active_request const& request,
                                         refusal reason, time_point now) const;
 
--- /dev/null
+++ b/packages/decision/src/gateway/attempt_judgement.cpp
@@ -0,0 +1,56 @@
+#include <buckthornvale/decision/gateway/attempt_judgement.hpp>
+
+namespace buckthornvale::decision::gateway
+{
+
+char const* name_of(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::answered:
+        return "answered";
+    case attempt_outcome::not_sent:
+        return "not_sent";
+    case attempt_outcome::no_answer:
+        return "no_answer";
+    case attempt_outcome::interrupted:
+        return "interrupted";
+    case attempt_outcome::refused:
+        return "refused";
+    }
+    return "";
+}
+
+char const* name_of(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection:
+        return "connection";
+    }
+    return "";
+}
+
+attempt_outcome judge_attempt(attempt_ended const& in)
+{
+    switch (in.transport)
+    {
+    case transport_end::not_sent:
+        return attempt_outcome::not_sent;
+    case transport_end::no_answer:
+        return attempt_outcome::no_answer;
+    case transport_end::broken_off:
+        return in.not_executed ? attempt_outcome::refused
+                               : attempt_outcome::interrupted;
+    case transport_end::complete:
+        break;
+    }
+    return in.not_executed ? attempt_outcome::refused
+                           : attempt_outcome::answered;
+}
+
+} // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -1,6 +1,7 @@
 #include "active_request.hpp"
 #include "milliseconds_text.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
+#include <buckthornvale/decision/gateway/attempt_judgement.hpp>
 #include <buckthornvale/decision/gateway/reducer.hpp>
 #include <buckthornvale/decision/gateway/runner_choice.hpp>
 
@@ -252,14 +253,15 @@
 }
 
 void reducer::record_signal(active_request const& request,
-                            attempt_ended const& in, time_point now)
+                            attempt_ended const& in, attempt_outcome outcome,
+                            time_point now)
 {
     auto* state = runners_.find(request.runner_id);
     if (state == nullptr)
         return;
     record_load(*state, in.load, now);
     auto const elapsed = now - request.sent_at;
-    switch (in.outcome)
+    switch (outcome)
     {
     case attempt_outcome::answered:
         runners_.record(*state,
@@ -304,25 +306,46 @@
     auto* request = find_attempt(in.request, in.attempt);
     if (request == nullptr || !request->in_flight)
         return;
-    record_signal(*request, in, now);
-    end_attempt(*request, in, now);
+    auto const outcome = judge_attempt(in);
+    log_attempt(*request, in, outcome, now);
+    record_signal(*request, in, outcome, now);
+    end_attempt(*request, in, outcome, now);
 }
 
-void reducer::end_attempt(active_request& request, attempt_ended const& in,
+void reducer::log_attempt(active_request const& request,
+                          attempt_ended const& in, attempt_outcome outcome,
                           time_point now)
+{
+    // "request_answered" tells the rest of a plain success.
+    if (outcome == attempt_outcome::answered && is_success(in.status) &&
+        in.framing != body_framing::connection)
+        return;
+    log("attempt_ended", &request,
+        {{"runner", request.runner_id},
+         {"outcome", name_of(outcome)},
+         {"status", std::to_string(in.status)},
+         {"framing", name_of(in.framing)},
+         {"connection_lost", in.reset ? "true" : "false"},
+         {"events_forwarded", request.streaming ? "true" : "false"},
+         {"inside_event", in.inside_event ? "true" : "false"},
+         {"took_ms", milliseconds_text(now - request.sent_at)}});
+}
+
+void reducer::end_attempt(active_request& request, attempt_ended const& in,
+                          attempt_outcome outcome, time_point now)
 {
     release_runner(request);
     if (!in.last_event_id.empty())
         request.last_event_id = in.last_event_id;
-    if (in.outcome != attempt_outcome::not_sent)
+    if (outcome != attempt_outcome::not_sent)
         ++request.sends;
-    bool const may_have_run = in.outcome != attempt_outcome::not_sent &&
-                              in.outcome != attempt_outcome::refused;
+    bool const may_have_run = outcome != attempt_outcome::not_sent &&
+                              outcome != attempt_outcome::refused;
     if (may_have_run)
         ++request.possible_executions;
     bool const connection_lost =
-        in.reset && (in.outcome == attempt_outcome::no_answer ||
-                     in.outcome == attempt_outcome::interrupted);
+        in.reset && (outcome == attempt_outcome::no_answer ||
+                     outcome == attempt_outcome::interrupted);
     if (connection_lost)
         update_crash_record(request, false, now);
     if (request.caller_gone)
@@ -330,7 +353,7 @@
         finish_request(request, now);
         return;
     }
-    switch (in.outcome)
+    switch (outcome)
     {
     case attempt_outcome::answered:
         handle_answer(request, in, now);
--- a/packages/decision/tests/gateway/load_simulation.cpp
+++ b/packages/decision/tests/gateway/load_simulation.cpp
@@ -131,7 +131,7 @@
     attempt_ended ended;
     ended.request = in.request;
     ended.attempt = in.attempt;
-    ended.outcome = attempt_outcome::answered;
+    ended.transport = transport_end::complete;
     constexpr int status_ok = 200;
     ended.status = status_ok;
     ended.sealed = true;
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -5,6 +5,28 @@
 
 using namespace std::chrono_literals;
 
+namespace
+{
+
+transport_end transport_of(attempt_outcome outcome)
+{
+    switch (outcome)
+    {
+    case attempt_outcome::not_sent:
+        return transport_end::not_sent;
+    case attempt_outcome::no_answer:
+        return transport_end::no_answer;
+    case attempt_outcome::interrupted:
+        return transport_end::broken_off;
+    case attempt_outcome::answered:
+    case attempt_outcome::refused:
+        break;
+    }
+    return transport_end::complete;
+}
+
+} // namespace
+
 reducer_fixture::reducer_fixture()
     : gateway({"vm-0", "north", 2s, 0s, {0.2, 40, 10s}})
 {
@@ -59,7 +81,8 @@
     attempt_ended in;
     in.request = last_request;
     in.attempt = next_attempt++;
-    in.outcome = outcome;
+    in.transport = transport_of(outcome);
+    in.not_executed = outcome == attempt_outcome::refused;
     in.status = status;
     in.sealed = sealed;
     in.reset = outcome != attempt_outcome::answered;
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -203,7 +203,7 @@
     attempt_ended in;
     in.request = last_request;
     in.attempt = next_attempt++;
-    in.outcome = attempt_outcome::interrupted;
+    in.transport = transport_end::broken_off;
     in.last_event_id = "17";
     auto const second = only<send_attempt>(feed(in));
     EXPECT_EQ(second.last_event_id, "17");
@@ -231,7 +231,7 @@
     attempt_ended late;
     late.request = last_request;
     late.attempt = 1;
-    late.outcome = attempt_outcome::answered;
+    late.transport = transport_end::complete;
     late.status = 200;
     late.sealed = true;
     EXPECT_TRUE(feed(late).empty());
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -94,7 +94,8 @@
     attempt_ended gone;
     gone.request = last_request;
     gone.attempt = 1;
-    gone.outcome = attempt_outcome::refused;
+    gone.transport = transport_end::complete;
+    gone.not_executed = true;
     gone.status = 409;
     auto const again = only<call_stage>(feed(gone));
     EXPECT_EQ(again.pieces.front().round, 1U);
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -13,8 +13,8 @@
 namespace buckthornvale::gateway
 {
 
-//! One attempt to send a request to a runner. It classifies the response and
-//! reports it to a listener; the reducer decides about retries.
+//! One attempt to send a request to a runner. It describes the response to a
+//! listener; the reducer decides what it means.
 class runner_attempt final : public net::answer_handler
 {
 public:
@@ -61,7 +61,8 @@
     net::call_id call = 0;
 
 private:
-    decision::gateway::attempt_ended make_outcome() const;
+    decision::gateway::attempt_ended
+    describe(decision::gateway::transport_end transport) const;
 
     listener& listener_;
     decision::gateway::request_ref const request_;
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -6,13 +6,29 @@
 namespace
 {
 
-using decision::gateway::attempt_ended;
-using decision::gateway::attempt_outcome;
+namespace model = decision::gateway;
 
 //! Maximum size of an answer that is not a stream, and of an event. A runner
 //! that fails can send bytes without end, and small VMs have about 100 MB.
 constexpr std::size_t max_buffered_bytes = 8'388'608;
 
+model::body_framing framing_of(http::response_head const& head)
+{
+    if (head.body_ends_at_close)
+        return model::body_framing::connection;
+    return head.chunked ? model::body_framing::chunks
+                        : model::body_framing::length;
+}
+
+model::transport_end transport_end_of(net::call_failure failure,
+                                      bool head_received)
+{
+    if (failure == net::call_failure::not_sent)
+        return model::transport_end::not_sent;
+    return head_received ? model::transport_end::broken_off
+                         : model::transport_end::no_answer;
+}
+
 } // namespace
 
 runner_attempt::runner_attempt(listener& attempt_listener,
@@ -56,16 +72,22 @@
     return true;
 }
 
-attempt_ended runner_attempt::make_outcome() const
+model::attempt_ended
+runner_attempt::describe(model::transport_end transport) const
 {
-    attempt_ended out;
+    model::attempt_ended out;
     out.request = request_;
     out.attempt = number_;
+    out.transport = transport;
     out.load = response_.load;
     out.last_event_id = splitter_.last_event_id();
+    out.event_stream = streaming_;
+    out.inside_event = !splitter_.incomplete_event().empty();
     if (head_received_)
     {
+        out.framing = framing_of(head_);
         out.status = head_.status;
+        out.not_executed = response_.not_executed;
         out.misdirected = response_.misdirected;
         out.sealed = response_.sealed && !response_.content_encoded &&
                      response_.request_id == request_id_;
@@ -75,9 +97,7 @@
 
 void runner_attempt::on_answer_end()
 {
-    auto out = make_outcome();
-    out.outcome = response_.not_executed ? attempt_outcome::refused
-                                         : attempt_outcome::answered;
+    auto const out = describe(model::transport_end::complete);
     if (streaming_)
         body_ = splitter_.incomplete_event();
     listener_.on_attempt_ended(*this, out);
@@ -85,15 +105,8 @@
 
 void runner_attempt::on_answer_failed(net::call_failure failure, bool reset)
 {
-    auto out = make_outcome();
+    auto out = describe(transport_end_of(failure, head_received_));
     out.reset = reset;
-    if (head_received_ && response_.not_executed)
-        out.outcome = attempt_outcome::refused;
-    else if (failure == net::call_failure::not_sent)
-        out.outcome = attempt_outcome::not_sent;
-    else
-        out.outcome = head_received_ ? attempt_outcome::interrupted
-                                     : attempt_outcome::no_answer;
     listener_.on_attempt_ended(*this, out);
 }
 
--- a/packages/http/include/buckthornvale/http/message.hpp
+++ b/packages/http/include/buckthornvale/http/message.hpp
@@ -44,6 +44,7 @@
     int status = 0;
     header_list headers;
     bool keep_alive = true;
+    bool chunked = false;
     bool body_ends_at_close = false; //!< no Content-Length, not chunked
 };
 
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -180,6 +180,7 @@
             parser.upgrade = 0;
             response.status = static_cast<int>(parser.status_code);
             response.keep_alive = http_should_keep_alive(&parser) != 0;
+            response.chunked = chunked;
             response.body_ends_at_close = !expects_no_body && !chunked &&
                                           !has_length && status_allows_body();
         }
