gateway: a stream that ends inside an event is not complete

Cause: callers got broken streams that were framed as complete. A runner's answer without length and chunks ends with its connection. The HTTP client takes an orderly close for the end of the message, and the gateway delivered the rest of the event buffer and ended the caller's answer regularly. So it did for an incomplete event in front of a regular end. Change: judge_attempt takes such a stream for interrupted, for each framing, and also an answer without length, chunks and events. It is then resumed, aborted, or answered by 502 if nothing was sent yet. Blank lines and comments are no part of an event. The stand-in's runner answers with an event, as routes of streams do.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -59,7 +59,8 @@
     bool sealed = false;       //!< the answer carries a valid integrity seal
     bool misdirected = false;  //!< another runner now listens at the address
     bool reset = false;        //!< the runner reset or closed the connection
-    bool event_stream = false; //!< its events were forwarded on arrival
+    bool event_stream = false; //!< its events are forwarded on arrival
+    bool has_events = false;   //!< of the stream, at least one was forwarded
     bool inside_event = false; //!< the last event of the stream is incomplete
     std::optional<runner_load> load;
     //! Last complete event that was sent to the caller.
--- a/packages/decision/src/gateway/attempt_judgement.cpp
+++ b/packages/decision/src/gateway/attempt_judgement.cpp
@@ -3,6 +3,20 @@
 namespace buckthornvale::decision::gateway
 {
 
+namespace
+{
+
+//! A runner that crashes closes its connections, which also ends a body without
+//! length and chunks. Only its last event shows that the stream is incomplete.
+bool is_unfinished_stream(attempt_ended const& in)
+{
+    bool const is_empty =
+        in.framing == body_framing::connection && !in.has_events;
+    return in.event_stream && (in.inside_event || is_empty);
+}
+
+} // namespace
+
 char const* name_of(attempt_outcome outcome)
 {
     switch (outcome)
@@ -49,8 +63,10 @@
     case transport_end::complete:
         break;
     }
-    return in.not_executed ? attempt_outcome::refused
-                           : attempt_outcome::answered;
+    if (in.not_executed)
+        return attempt_outcome::refused;
+    return is_unfinished_stream(in) ? attempt_outcome::interrupted
+                                    : attempt_outcome::answered;
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -70,6 +70,7 @@
     std::string const request_id_;
     bool const expects_stream_;
     bool streaming_ = false;
+    bool has_events_ = false;
     bool head_received_ = false;
     http::response_head head_;
     platform::runner_response response_;
--- a/packages/gateway/include/buckthornvale/gateway/sse_splitter.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/sse_splitter.hpp
@@ -20,6 +20,9 @@
     //! Bytes after the last complete event.
     std::string_view incomplete_event() const;
 
+    //! True if these bytes belong to an event. Blank lines and comments do not.
+    bool inside_event() const;
+
     //! Id of the last complete event that had one; empty if none had.
     std::string const& last_event_id() const { return last_event_id_; }
 
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -68,7 +68,10 @@
     }
     auto const events = splitter_.feed(bytes);
     if (!events.empty())
+    {
+        has_events_ = true;
         listener_.on_sse_events(*this, events);
+    }
     return true;
 }
 
@@ -82,7 +85,8 @@
     out.load = response_.load;
     out.last_event_id = splitter_.last_event_id();
     out.event_stream = streaming_;
-    out.inside_event = !splitter_.incomplete_event().empty();
+    out.has_events = has_events_;
+    out.inside_event = splitter_.inside_event();
     if (head_received_)
     {
         out.framing = framing_of(head_);
--- a/packages/gateway/src/sse_splitter.cpp
+++ b/packages/gateway/src/sse_splitter.cpp
@@ -45,6 +45,22 @@
     return std::string_view(buffer_).substr(returned_bytes_);
 }
 
+bool sse_splitter::inside_event() const
+{
+    auto rest = incomplete_event();
+    while (!rest.empty())
+    {
+        auto const end = rest.find('\n');
+        auto const line = rest.substr(0, end);
+        if (end == std::string_view::npos)
+            return line != "\r";
+        if (!line.empty() && line.front() != ':' && line != "\r")
+            return true;
+        rest.remove_prefix(end + 1);
+    }
+    return false;
+}
+
 void sse_splitter::update_last_event_id(std::string_view events)
 {
     constexpr std::string_view field = "id:";
--- a/packages/gateway/tests/sse_splitter_test.cpp
+++ b/packages/gateway/tests/sse_splitter_test.cpp
@@ -37,5 +37,22 @@
     }
 }
 
+TEST(sse_splitter, is_inside_an_event_after_its_first_byte)
+{
+    for (auto const* text : {"d", "data: a", "data: a\n", "data: a\r\n",
+                             ": note\ndata: a\n", "\nid: 2\n", ": no"})
+    {
+        sse_splitter it;
+        it.feed(std::string("id: 1\ndata: a\n\n") + text);
+        EXPECT_TRUE(it.inside_event()) << text;
+    }
+    for (auto const* text : {"", "\n", "\r", "\r\n", ": note\n", ": note\r\n"})
+    {
+        sse_splitter it;
+        it.feed(std::string("id: 1\ndata: a\n\n") + text);
+        EXPECT_FALSE(it.inside_event()) << text;
+    }
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -208,7 +208,8 @@
     }
     if (request.path == "/-/stage-run")
         return stage_answer(request);
-    return proper(request, "body of " + request.id);
+    // An event, because routes of streams accept nothing else.
+    return proper(request, "data: body of " + request.id + "\n\n");
 }
 
 } // namespace buckthornvale::standins::fleet_platform
