gateway: a begun stream never ends with another answer of a second runner

Cause: a resumable stream broke off, the next runner answered with an error, and the gateway sent the error's text as a part of the caller's stream and ended it as complete. The checks of the status were left out once events were forwarded. Change: judge_attempt is told whether the caller's stream has begun; then each answer that is not a stream of the same request counts as interrupted, and the request is resumed or its stream aborted. A runner's own 5xx still counts as a failure of that runner.

--- a/packages/decision/include/buckthornvale/decision/gateway/attempt_judgement.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/attempt_judgement.hpp
@@ -20,8 +20,9 @@
 char const* name_of(attempt_outcome outcome);
 
 //! Decides how an attempt ended, for each framing of its answer. This is the
-//! only place that takes an answer for complete.
-attempt_outcome judge_attempt(attempt_ended const& in);
+//! only place that takes an answer for complete. Once events were forwarded to
+//! the caller (`stream_begun`), only a stream can go on with its answer.
+attempt_outcome judge_attempt(attempt_ended const& in, bool stream_begun);
 
 //! Stable name in logs.
 char const* name_of(body_framing framing);
--- a/packages/decision/src/gateway/attempt_judgement.cpp
+++ b/packages/decision/src/gateway/attempt_judgement.cpp
@@ -49,7 +49,7 @@
     return "";
 }
 
-attempt_outcome judge_attempt(attempt_ended const& in)
+attempt_outcome judge_attempt(attempt_ended const& in, bool stream_begun)
 {
     switch (in.transport)
     {
@@ -65,8 +65,10 @@
     }
     if (in.not_executed)
         return attempt_outcome::refused;
-    return is_unfinished_stream(in) ? attempt_outcome::interrupted
-                                    : attempt_outcome::answered;
+    bool const other_answer = stream_begun && !in.event_stream;
+    return other_answer || is_unfinished_stream(in)
+               ? attempt_outcome::interrupted
+               : attempt_outcome::answered;
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -261,12 +261,13 @@
         return;
     record_load(*state, in.load, now);
     auto const elapsed = now - request.sent_at;
+    bool const failed =
+        in.transport == transport_end::complete && is_server_error(in.status);
     switch (outcome)
     {
     case attempt_outcome::answered:
         runners_.record(*state,
-                        is_server_error(in.status) ? runner_signal::failed
-                                                   : runner_signal::served,
+                        failed ? runner_signal::failed : runner_signal::served,
                         elapsed, now);
         break;
     case attempt_outcome::not_sent:
@@ -274,7 +275,9 @@
         break;
     case attempt_outcome::no_answer:
     case attempt_outcome::interrupted:
-        runners_.record(*state, runner_signal::silent, elapsed, now);
+        runners_.record(*state,
+                        failed ? runner_signal::failed : runner_signal::silent,
+                        elapsed, now);
         break;
     case attempt_outcome::refused:
         runners_.record(*state,
@@ -306,7 +309,7 @@
     auto* request = find_attempt(in.request, in.attempt);
     if (request == nullptr || !request->in_flight)
         return;
-    auto const outcome = judge_attempt(in);
+    auto const outcome = judge_attempt(in, request->streaming);
     log_attempt(*request, in, outcome, now);
     record_signal(*request, in, outcome, now);
     end_attempt(*request, in, outcome, now);
@@ -383,10 +386,9 @@
     bool const unverified = success && !in.sealed;
     if (success && !unverified)
         update_crash_record(request, true, now);
-    if ((unverified || is_server_error(in.status)) && !request.streaming &&
-        retry(request, true, now))
+    if ((unverified || is_server_error(in.status)) && retry(request, true, now))
         return;
-    if (unverified || (states_not_run(in.status) && !request.streaming))
+    if (unverified || states_not_run(in.status))
     {
         // The status would tell the caller that the request was not executed,
         // but the runner did not state that.
--- a/packages/decision/tests/gateway/attempt_judgement_test.cpp
+++ b/packages/decision/tests/gateway/attempt_judgement_test.cpp
@@ -28,7 +28,7 @@
     for (auto const framing : framings)
     {
         auto const in = whole_stream(framing);
-        EXPECT_EQ(judge_attempt(in), attempt_outcome::answered);
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::answered);
     }
 }
 
@@ -39,7 +39,7 @@
     {
         auto in = whole_stream(framing);
         in.inside_event = true;
-        EXPECT_EQ(judge_attempt(in), attempt_outcome::interrupted);
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::interrupted);
     }
 }
 
@@ -48,7 +48,7 @@
 {
     auto in = whole_stream(body_framing::connection);
     in.has_events = false;
-    EXPECT_EQ(judge_attempt(in), attempt_outcome::interrupted);
+    EXPECT_EQ(judge_attempt(in, false), attempt_outcome::interrupted);
 }
 
 TEST(attempt_judgement, takes_no_answer_that_was_broken_off)
@@ -57,9 +57,26 @@
     {
         auto in = whole_stream(framing);
         in.transport = transport_end::broken_off;
-        EXPECT_EQ(judge_attempt(in), attempt_outcome::interrupted);
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::interrupted);
         in.event_stream = false;
-        EXPECT_EQ(judge_attempt(in), attempt_outcome::interrupted);
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::interrupted);
+    }
+}
+
+// Guards against the error of a second runner in the middle of a stream, and
+// against a stream that ends as complete with that error.
+TEST(attempt_judgement, takes_no_other_answer_for_the_rest_of_a_stream)
+{
+    for (int const status : {200, 204, 302, 404, 429, 500, 503})
+    {
+        attempt_ended in;
+        in.transport = transport_end::complete;
+        in.status = status;
+        in.sealed = true;
+        EXPECT_EQ(judge_attempt(in, true), attempt_outcome::interrupted);
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::answered);
+        in.not_executed = true;
+        EXPECT_EQ(judge_attempt(in, true), attempt_outcome::refused);
     }
 }
 
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -210,6 +210,25 @@
     EXPECT_NE(second.runner_id, first.runner_id);
 }
 
+// Guards against a second runner's error that ends the caller's stream as
+// complete.
+TEST_F(gateway_streams, are_aborted_when_a_second_runner_answers_with_an_error)
+{
+    for (int const status : {500, 503, 404, 204})
+    {
+        arrive("/resume/" + std::to_string(status), 6s);
+        feed(stream_started{last_request, 1, {}, {}});
+        EXPECT_EQ(
+            all<send_attempt>(end_attempt(attempt_outcome::interrupted)).size(),
+            1U);
+        auto const out = end_attempt(attempt_outcome::answered, status, true);
+        EXPECT_TRUE(all<deliver_answer>(out).empty()) << status;
+        EXPECT_EQ(all<abort_stream>(out).size(), 1U) << status;
+        // Until the back-off of these runners has ended.
+        advance(5s);
+    }
+}
+
 // A runner may stall in the middle of a stream while its connection stays open.
 TEST_F(gateway_streams, resume_on_another_runner_after_a_stall)
 {
--- a/packages/gateway/tests/unfinished_answers_test.cpp
+++ b/packages/gateway/tests/unfinished_answers_test.cpp
@@ -45,6 +45,29 @@
     {"connection", runner_standin::without_length},
 };
 
+//! An answer that a runner gives in place of the rest of a stream.
+struct other_answer
+{
+    char const* name;
+    char const* status_line;
+    char const* headers;
+};
+
+void PrintTo(other_answer const& it, std::ostream* out)
+{
+    *out << it.name;
+}
+
+constexpr other_answer other_answers[] = {
+    {"server_error", "500 Internal Server Error", ""},
+    {"unavailable", "503 Service Unavailable", ""},
+    {"not_found", "404 Not Found", ""},
+    {"redirect", "302 Found", "Location: /elsewhere\r\n"},
+    {"partial", "206 Partial Content", "X-Response-Seal: s\r\n"},
+    {"no_seal", "200 OK", ""},
+    {"encoded", "200 OK", "X-Response-Seal: s\r\nContent-Encoding: gzip\r\n"},
+};
+
 class unfinished_answer : public fleet_fixture
 {
 protected:
@@ -77,6 +100,15 @@
     std::unique_ptr<gateway_process> gateway;
 };
 
+scripted_answer break_off_inside_second_event(received_request const& in)
+{
+    scripted_answer out;
+    out.bytes =
+        runner_standin::stream_head(in) + chunk("id: 1\ndata: a\n\nid: 2\nda");
+    out.close = true;
+    return out;
+}
+
 // Guards against a broken stream that the caller takes for a complete one. An
 // answer without length and chunks ends with its connection, so that only the
 // incomplete event shows that the runner has crashed.
@@ -149,5 +181,36 @@
     }
 }
 
+class other_answer_in_a_stream
+    : public unfinished_answer,
+      public testing::WithParamInterface<other_answer>
+{
+};
+
+// Guards against an error of a second runner, its head or its text inside a
+// stream that has begun, and against a regular end of that stream.
+TEST_P(other_answer_in_a_stream, is_not_delivered)
+{
+    auto const& it = GetParam();
+    script_sends(break_off_inside_second_event,
+                 [&](received_request const& in)
+                 {
+                     scripted_answer out;
+                     out.bytes = std::string("HTTP/1.1 ") + it.status_line +
+                                 "\r\nX-Request-Id: " + in.id + "\r\n" +
+                                 it.headers + "Content-Length: 5\r\n\r\nwrong";
+                     return out;
+                 });
+    auto const answer = exchange(request("POST", "/resume/x", "prompt"));
+    EXPECT_EQ(sends(), 2U);
+    EXPECT_TRUE(contains(answer, "data: a")) << answer;
+    EXPECT_FALSE(contains(answer, "wrong")) << answer;
+    EXPECT_EQ(answer.find("HTTP/1.1", 1), std::string::npos) << answer;
+    EXPECT_FALSE(contains(answer, last_chunk)) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(all, other_answer_in_a_stream,
+                         testing::ValuesIn(other_answers));
+
 } // namespace
 } // namespace buckthornvale::gateway
