gateway: a resumed stream does not repeat events

Cause: a runner that ignores where a stream is to be resumed begins anew, and the caller got the events of two runs, some of them twice. Change: the ids of a stream increase, so an attempt whose first event is not behind the last one that was sent counts as broken off.

--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -31,9 +31,12 @@
                          decision::gateway::attempt_ended const& outcome) = 0;
     };
 
+    //! `resumed_after` is the id of the last event that the caller has; empty
+    //! for a stream that begins.
     runner_attempt(listener& attempt_listener,
                    decision::gateway::request_ref request, std::uint32_t number,
-                   std::string request_id, bool expects_stream);
+                   std::string request_id, bool expects_stream,
+                   std::string resumed_after);
 
     decision::gateway::request_ref request() const { return request_; }
     std::uint32_t number() const { return number_; }
@@ -69,6 +72,7 @@
     std::uint32_t const number_;
     std::string const request_id_;
     bool const expects_stream_;
+    std::string const resumed_after_;
     bool streaming_ = false;
     bool has_events_ = false;
     bool head_received_ = false;
--- a/packages/gateway/include/buckthornvale/gateway/sse_splitter.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/sse_splitter.hpp
@@ -23,17 +23,25 @@
     //! True if these bytes belong to an event. Blank lines and comments do not.
     bool inside_event() const;
 
+    //! Id of the first complete event that had one; empty if none had.
+    std::string const& first_event_id() const { return first_event_id_; }
+
     //! Id of the last complete event that had one; empty if none had.
     std::string const& last_event_id() const { return last_event_id_; }
 
 private:
-    void update_last_event_id(std::string_view events);
+    void update_event_ids(std::string_view events);
 
     std::string buffer_;
     std::size_t returned_bytes_ = 0; //!< at the front, by the last call
+    std::string first_event_id_;
     std::string last_event_id_;
 };
 
+//! True if an event with the first id was sent no later than one with the
+//! second id. Ids of a stream are increasing numbers.
+bool is_repeated_event(std::string_view id, std::string_view last_sent_id);
+
 } // namespace buckthornvale::gateway
 
 #endif
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -365,7 +365,8 @@
         options.max_idle = max_reliable_idle;
     destroy_later(std::move(it->attempt));
     it->attempt = std::make_unique<runner_attempt>(
-        *this, effect.request, effect.attempt, it->request_id, effect.stream);
+        *this, effect.request, effect.attempt, it->request_id, effect.stream,
+        effect.last_event_id);
     it->attempt->call = http_client_.call(
         effect.address,
         platform::encode_runner_request(it->head, it->body->size(), headers),
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -34,9 +34,10 @@
 runner_attempt::runner_attempt(listener& attempt_listener,
                                decision::gateway::request_ref request,
                                std::uint32_t number, std::string request_id,
-                               bool expects_stream)
+                               bool expects_stream, std::string resumed_after)
     : listener_(attempt_listener), request_(request), number_(number),
-      request_id_(std::move(request_id)), expects_stream_(expects_stream)
+      request_id_(std::move(request_id)), expects_stream_(expects_stream),
+      resumed_after_(std::move(resumed_after))
 {
 }
 
@@ -67,6 +68,9 @@
         return true;
     }
     auto const events = splitter_.feed(bytes);
+    // The runner began anew instead of resuming the stream.
+    if (is_repeated_event(splitter_.first_event_id(), resumed_after_))
+        return false;
     if (!events.empty())
     {
         has_events_ = true;
--- a/packages/gateway/src/sse_splitter.cpp
+++ b/packages/gateway/src/sse_splitter.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/gateway/sse_splitter.hpp>
+#include <buckthornvale/http/text.hpp>
 
 #include <algorithm>
 
@@ -36,7 +37,7 @@
         complete_events_end(std::string_view(buffer_).substr(searched_from));
     returned_bytes_ = end == 0 ? 0 : searched_from + end;
     std::string_view const events(buffer_.data(), returned_bytes_);
-    update_last_event_id(events);
+    update_event_ids(events);
     return events;
 }
 
@@ -61,7 +62,7 @@
     return false;
 }
 
-void sse_splitter::update_last_event_id(std::string_view events)
+void sse_splitter::update_event_ids(std::string_view events)
 {
     constexpr std::string_view field = "id:";
     std::size_t start = 0;
@@ -78,7 +79,18 @@
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         last_event_id_ = line;
+        if (first_event_id_.empty())
+            first_event_id_ = line;
     }
 }
 
+bool is_repeated_event(std::string_view id, std::string_view last_sent_id)
+{
+    if (id.empty() || last_sent_id.empty())
+        return false;
+    auto const number = http::parse_number(id);
+    auto const last_number = http::parse_number(last_sent_id);
+    return number && last_number ? *number <= *last_number : id == last_sent_id;
+}
+
 } // namespace buckthornvale::gateway
--- a/packages/gateway/tests/sse_splitter_test.cpp
+++ b/packages/gateway/tests/sse_splitter_test.cpp
@@ -54,5 +54,17 @@
     }
 }
 
+// Guards against a comparison of ids as text, for which 10 comes before 9.
+TEST(sse_splitter, recognises_events_that_were_sent_before)
+{
+    EXPECT_TRUE(is_repeated_event("1", "1"));
+    EXPECT_TRUE(is_repeated_event("9", "10"));
+    EXPECT_FALSE(is_repeated_event("10", "9"));
+    EXPECT_FALSE(is_repeated_event("1", ""));
+    EXPECT_FALSE(is_repeated_event("", "1"));
+    EXPECT_TRUE(is_repeated_event("a", "a"));
+    EXPECT_FALSE(is_repeated_event("b", "a"));
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
--- a/packages/gateway/tests/unfinished_answers_test.cpp
+++ b/packages/gateway/tests/unfinished_answers_test.cpp
@@ -212,5 +212,19 @@
 INSTANTIATE_TEST_SUITE_P(all, other_answer_in_a_stream,
                          testing::ValuesIn(other_answers));
 
+// Guards against a stream that is joined of two runs: the second runner ignores
+// where the stream is to be resumed and begins anew.
+TEST_F(unfinished_answer, is_not_continued_with_events_that_were_sent_before)
+{
+    script_sends(
+        break_off_inside_second_event, [](received_request const& in)
+        { return in_chunks(in, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"); });
+    auto const answer = exchange(request("POST", "/resume/x", "prompt"));
+    auto const first = answer.find("id: 1\n");
+    ASSERT_NE(first, std::string::npos) << answer;
+    EXPECT_EQ(answer.find("id: 1\n", first + 1), std::string::npos) << answer;
+    EXPECT_FALSE(contains(answer, last_chunk)) << answer;
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -38,8 +38,9 @@
     //! then discards it and waits for the next one on the connection.
     virtual bool on_answer_head(http::response_head const& head) = 0;
 
-    //! Returns false when the body is too large. The client then closes the
-    //! connection and the call fails.
+    //! Returns false when the rest of the body is not wanted, for example
+    //! because it is too large. The client then closes the connection and the
+    //! call fails.
     virtual bool on_answer_body(std::string_view bytes) = 0;
     virtual void on_answer_end() = 0;
 
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -62,7 +62,7 @@
         body_ = std::move(body);
         deadline_ = now + options.timeout;
         discarding_response_ = false;
-        body_too_large_ = false;
+        body_rejected_ = false;
         keep_connection_ = options.keep_connection;
         is_head_request_ = head_.compare(0, 5, "HEAD ") == 0;
         parser_.next();
@@ -125,7 +125,7 @@
             bytes.remove_prefix(std::min(n, bytes.size()));
             if (handler_ == nullptr)
                 return;
-            if (parser_.error() != http::parse_error::none || body_too_large_)
+            if (parser_.error() != http::parse_error::none || body_rejected_)
             {
                 fail(response_started_ ? call_failure::broken_off
                                        : call_failure::no_answer,
@@ -181,8 +181,8 @@
     void on_body(std::string_view bytes) override
     {
         if (handler_ != nullptr && !discarding_response_ &&
-            !is_interim_response_ && !body_too_large_)
-            body_too_large_ = !handler_->on_answer_body(bytes);
+            !is_interim_response_ && !body_rejected_)
+            body_rejected_ = !handler_->on_answer_body(bytes);
     }
 
     void on_complete() override {}
@@ -298,7 +298,7 @@
     bool sent_ = false;
     bool response_started_ = false;
     bool discarding_response_ = false;
-    bool body_too_large_ = false; //!< the handler does not take more of it
+    bool body_rejected_ = false; //!< by the handler
     bool is_interim_response_ = false;
     bool is_head_request_ = false;
     bool keep_connection_ = true;
