net: an unfinished response to HTTP/1.0 ends with a reset

Cause: a response without length and chunks is complete when its connection is closed in order. The server closed it in order when a client read nothing for long, and when it was destroyed at the end of a drain. Change: each way to close a connection resets it while such a response is unfinished; abort uses the same way.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -160,6 +160,7 @@
     void finish_response();
     void close_gracefully();
     void close_now();
+    void close_stream();
     void check_receive_timeouts(server_limits const& limits, time_point now);
     bool is_send_stalled(server_limits const& limits, time_point now);
     void append_connection_headers(std::string& head) const;
@@ -174,6 +175,8 @@
     state state_ = state::reading;
     bool keep_alive_ = true;
     bool chunked_ = false;
+    //! The response has neither length nor chunks and ends with the connection.
+    bool ends_at_close_ = false;
     bool response_started_ = false;
     bool close_after_response_ = false;
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -62,7 +62,7 @@
 server_connection::~server_connection()
 {
     stream_->detach();
-    stream_->close();
+    close_stream();
 }
 
 void server_connection::start()
@@ -170,6 +170,7 @@
         http::append_header(head, "Transfer-Encoding", "chunked");
     else
         keep_alive_ = false;
+    ends_at_close_ = !chunked_;
     append_connection_headers(head);
     head += "\r\n";
     stream_->write(head);
@@ -248,15 +249,10 @@
 void server_connection::abort()
 {
     keep_alive_ = false;
-    if (chunked_ || !response_started_)
-    {
+    if (ends_at_close_)
+        close_now();
+    else
         close_gracefully();
-        return;
-    }
-    // A response without a length is complete when the connection is closed in
-    // an orderly way, so only a reset marks it as incomplete.
-    stream_->reset();
-    close_now();
 }
 
 void server_connection::close_gracefully()
@@ -269,10 +265,21 @@
 void server_connection::close_now()
 {
     stream_->detach();
-    stream_->close();
+    close_stream();
     server_.remove(id_);
 }
 
+void server_connection::close_stream()
+{
+    // A response that ends with its connection is complete when that is closed
+    // in order, so only a reset marks it as incomplete.
+    bool const unfinished = response_started_ || stream_->queued() > 0;
+    if (ends_at_close_ && unfinished)
+        stream_->reset();
+    else
+        stream_->close();
+}
+
 void server_connection::close_after_response()
 {
     close_after_response_ = true;
--- a/packages/net/tests/loopback_test.cpp
+++ b/packages/net/tests/loopback_test.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::seconds hang_timeout{60};
 
 //! Responds with a body whose size in bytes is given by the request target.
+//! A target that is no number starts a response that is not ended.
 class fake_handler final : public request_handler
 {
 public:
@@ -29,15 +30,22 @@
                     std::string&) override
     {
         ++requests;
-        auto const n = http::parse_number(head.target.substr(1)).value_or(0);
+        auto const n = http::parse_number(head.target.substr(1));
         std::string response_head;
         http::append_status_line(response_head, http::status_ok);
-        from.answer(std::move(response_head), std::string(n, 'x'));
+        if (n)
+        {
+            from.answer(std::move(response_head), std::string(*n, 'x'));
+            return;
+        }
+        from.start_answer(std::move(response_head));
+        from.send_part(std::string(unfinished_bytes, 'x'));
     }
     void on_caller_left(server_connection&) override {}
     void on_drained(server_connection&) override {}
 
     std::atomic<int> requests{0};
+    std::size_t unfinished_bytes = 3;
 };
 
 //! Runs a server and a client on the same event loop.
@@ -149,6 +157,47 @@
     EXPECT_EQ(handler.requests, 1);
 }
 
+// A response to HTTP/1.0 has neither length nor chunks: a connection that is
+// closed in order ends it as complete. Guards against a server that gives up a
+// client which reads nothing, or that is destroyed, within such a response.
+TEST_F(loopback_test, resets_an_unfinished_response_without_framing)
+{
+    server_limits limits;
+    limits.send_timeout = 100ms;
+    start(limits);
+    asio::io_context client_loop;
+    auto const request = [&](asio::ip::tcp::socket& caller)
+    {
+        std::string const text = "GET /unfinished HTTP/1.0\r\nHost: a\r\n\r\n";
+        asio::write(caller, asio::buffer(text));
+    };
+    auto const end_of_response = [](asio::ip::tcp::socket& caller)
+    {
+        std::string received;
+        asio::error_code ec;
+        asio::read(caller, asio::dynamic_buffer(received), ec);
+        return ec;
+    };
+    handler.unfinished_bytes = 50'000'000;
+    auto slow_caller = connect(client_loop);
+    request(slow_caller);
+    EXPECT_TRUE(reaches_connection_count(1));
+    EXPECT_TRUE(reaches_connection_count(0));
+    EXPECT_EQ(end_of_response(slow_caller), asio::error::connection_reset);
+
+    handler.unfinished_bytes = 3;
+    auto other_server = std::make_unique<http_server>(
+        loop.loop(), handler, [this] { return limits_; }, steady_now);
+    loop.run([&] { other_server->listen("127.0.0.1", 0); });
+    address = endpoint_text("127.0.0.1", other_server->port());
+    auto caller = connect(client_loop);
+    request(caller);
+    std::string first(1, ' ');
+    asio::read(caller, asio::buffer(first));
+    loop.run([&] { other_server.reset(); });
+    EXPECT_EQ(end_of_response(caller), asio::error::connection_reset);
+}
+
 // Guards against a request body that never ends and holds its connection
 // indefinitely.
 TEST_F(loopback_test, rejects_a_body_that_arrives_too_slowly)
