gateway: a refusal has to name its request

Cause: an answer without a request id was taken for the answer to the request in progress. A faulty runner that wrote an earlier refusal again, without its id, made a request that was running count as not run: it was sent to a second runner, or its caller was told to come again. Change: judge_attempt takes such an answer for an interrupted one. Result: gateway_process_http.does_not_believe_a_refusal_without_an_id and attempt_judgement.believes_no_refusal_that_names_no_request failed with the former judge_attempt; now 43 tests of the gateway and 40 of its decisions pass.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -55,7 +55,8 @@
     transport_end transport = transport_end::no_answer;
     body_framing framing = body_framing::length;
     int status = 0;
-    bool not_executed = false; //!< the runner stated that it did not run it
+    bool identified = false;   //!< the answer names the request
+    bool not_executed = false; //!< the answer states that it did not run
     bool sealed = false;       //!< the answer carries a valid integrity seal
     bool misdirected = false;  //!< another runner now listens at the address
     bool reset = false;        //!< the runner reset or closed the connection
--- a/packages/decision/src/gateway/attempt_judgement.cpp
+++ b/packages/decision/src/gateway/attempt_judgement.cpp
@@ -58,13 +58,15 @@
     case transport_end::no_answer:
         return attempt_outcome::no_answer;
     case transport_end::broken_off:
-        return in.not_executed ? attempt_outcome::refused
-                               : attempt_outcome::interrupted;
     case transport_end::complete:
         break;
     }
+    // A refusal that names no request may be an earlier one, written again.
     if (in.not_executed)
-        return attempt_outcome::refused;
+        return in.identified ? attempt_outcome::refused
+                             : attempt_outcome::interrupted;
+    if (in.transport == transport_end::broken_off)
+        return attempt_outcome::interrupted;
     bool const other_answer = stream_begun && !in.event_stream;
     return other_answer || is_unfinished_stream(in)
                ? attempt_outcome::interrupted
--- a/packages/decision/tests/gateway/attempt_judgement_test.cpp
+++ b/packages/decision/tests/gateway/attempt_judgement_test.cpp
@@ -72,6 +72,7 @@
         attempt_ended in;
         in.transport = transport_end::complete;
         in.status = status;
+        in.identified = true;
         in.sealed = true;
         EXPECT_EQ(judge_attempt(in, true), attempt_outcome::interrupted);
         EXPECT_EQ(judge_attempt(in, false), attempt_outcome::answered);
@@ -80,5 +81,22 @@
     }
 }
 
+// Guards against an earlier refusal, written again without the id of its
+// request: the caller would be told that a running request did not run.
+TEST(attempt_judgement, believes_no_refusal_that_names_no_request)
+{
+    for (auto const transport :
+         {transport_end::complete, transport_end::broken_off})
+    {
+        attempt_ended in;
+        in.transport = transport;
+        in.status = 503;
+        in.not_executed = true;
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::interrupted);
+        in.identified = true;
+        EXPECT_EQ(judge_attempt(in, false), attempt_outcome::refused);
+    }
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -82,6 +82,7 @@
     in.request = last_request;
     in.attempt = next_attempt++;
     in.transport = transport_of(outcome);
+    in.identified = true;
     in.not_executed = outcome == attempt_outcome::refused;
     in.status = status;
     in.sealed = sealed;
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -95,6 +95,7 @@
     gone.request = last_request;
     gone.attempt = 1;
     gone.transport = transport_end::complete;
+    gone.identified = true;
     gone.not_executed = true;
     gone.status = 409;
     auto const again = only<call_stage>(feed(gone));
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -95,10 +95,11 @@
     {
         out.framing = framing_of(head_);
         out.status = head_.status;
+        out.identified = response_.request_id == request_id_;
         out.not_executed = response_.not_executed;
         out.misdirected = response_.misdirected;
-        out.sealed = response_.sealed && !response_.content_encoded &&
-                     response_.request_id == request_id_;
+        out.sealed =
+            response_.sealed && !response_.content_encoded && out.identified;
     }
     return out;
 }
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -233,6 +233,26 @@
     EXPECT_FALSE(contains(answer, "wrong"));
 }
 
+// Guards against an earlier refusal that a faulty runner writes again, without
+// the id of its request: the booking would run at a second runner too.
+TEST_F(gateway_process_http, does_not_believe_a_refusal_without_an_id)
+{
+    auto const other = add_runner("plain-2", "plain");
+    run_for(std::chrono::milliseconds(500));
+    auto const refusal = [](received_request const&)
+    {
+        scripted_answer out;
+        out.bytes = "HTTP/1.1 503 Service Unavailable\r\n"
+                    "X-Not-Executed: full\r\nContent-Length: 0\r\n\r\n";
+        return out;
+    };
+    plain->script.emplace_back(refusal);
+    other->script.emplace_back(refusal);
+    auto const answer = exchange(request("POST", "/book/x", "body"));
+    EXPECT_EQ(status_of(answer), 502) << answer;
+    EXPECT_EQ(plain->received.size() + other->received.size(), 1U);
+}
+
 // Guards against a truncated body that looks complete to the caller.
 TEST_F(gateway_process_http, rejects_a_truncated_answer)
 {
