gateway: send a request again to a runner on a connection of its own

Cause: when the results of its stages are gone, a request is sent again after its stages, possibly to the same runner and on the same kept connection. A faulty runner that writes the former refusal again then answers the second send: the id is the same both times, and the request ran at a second runner too. Change: such a send gets a new connection.

--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -40,6 +40,8 @@
     bool streaming = false; //!< events were forwarded to the caller
     std::string runner_id;
     std::set<std::string> tried_runners;
+    //! Those tried before its stages were restarted.
+    std::set<std::string> runners_before_restart;
     time_point sent_at{};
     time_point last_progress{};
     std::string last_event_id;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -235,6 +235,8 @@
     send.time_left = request.deadline - now;
     send.stream = request.matched_route->kind == request_kind::stream;
     send.reliable_connection = !request.matched_route->repeatable();
+    send.new_connection =
+        request.runners_before_restart.count(request.runner_id) > 0;
     send.last_event_id = request.last_event_id;
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -363,6 +363,7 @@
     options.timeout = effect.time_left + call_timeout_margin;
     if (effect.reliable_connection)
         options.max_idle = max_reliable_idle;
+    options.keep_connection = !effect.new_connection;
     destroy_later(std::move(it->attempt));
     it->attempt = std::make_unique<runner_attempt>(
         *this, effect.request, effect.attempt, it->request_id, effect.stream,
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -253,6 +253,34 @@
     EXPECT_EQ(plain->received.size() + other->received.size(), 1U);
 }
 
+// Guards against an earlier refusal of the same request that a faulty runner
+// writes again on a kept connection, where the id does not tell it apart: the
+// request, sent again after its stages, would run at a second runner too.
+TEST_F(gateway_process_fleet, sends_a_request_again_on_a_connection_of_its_own)
+{
+    auto const engine = add_runner("engine-1", "engine");
+    auto const stage = add_runner("stage-1", "stage");
+    auto const gateway = start_gateway("vm-0");
+    auto const inputs_gone = [](received_request const& in)
+    {
+        scripted_answer out;
+        out.bytes = "HTTP/1.1 409 Conflict\r\nX-Request-Id: " + in.id +
+                    "\r\nX-Not-Executed: inputs\r\nContent-Length: 0\r\n\r\n";
+        return out;
+    };
+    engine->script.emplace_back(inputs_gone);
+    engine->script.emplace_back(
+        [&](received_request const& in)
+        {
+            bool const kept = in.connection == engine->received[0].connection;
+            return kept ? inputs_gone(in)
+                        : runner_standin::proper(in, "data: done\n\n");
+        });
+    auto const answer = exchange(request("POST", "/staged/x", "", 1));
+    EXPECT_EQ(status_of(answer), 200) << answer;
+    EXPECT_TRUE(contains(answer, "done")) << answer;
+}
+
 // Guards against a truncated body that looks complete to the caller.
 TEST_F(gateway_process_http, rejects_a_truncated_answer)
 {
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -29,8 +29,9 @@
       public std::enable_shared_from_this<runner_standin::connection>
 {
 public:
-    connection(runner_standin& owner, asio::ip::tcp::socket socket)
-        : owner_(owner),
+    connection(runner_standin& owner, std::size_t number,
+               asio::ip::tcp::socket socket)
+        : owner_(owner), number_(number),
           stream_(std::make_shared<tcp_stream>(std::move(socket))),
           parser_(http::message_type::request, {}, *this)
     {
@@ -84,6 +85,7 @@
         request.expected_runner = header("X-Expect-Instance");
         request.inputs = header("X-Inputs");
         request.last_event_id = header("Last-Event-Id");
+        request.connection = number_;
         owner_.received.push_back(request);
         auto const answer = owner_.answer_to(request);
         if (answer.silent)
@@ -115,6 +117,7 @@
     }
 
     runner_standin& owner_;
+    std::size_t const number_;
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     std::string text_;
@@ -148,8 +151,8 @@
         {
             if (ec)
                 return;
-            connections_.push_back(
-                std::make_shared<connection>(*this, std::move(socket)));
+            connections_.push_back(std::make_shared<connection>(
+                *this, connections_.size(), std::move(socket)));
             accept();
         });
 }
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -26,6 +26,7 @@
     std::string expected_runner;
     std::string inputs; //!< results of stages
     std::string last_event_id;
+    std::size_t connection = 0; //!< number of its connection at the runner
 };
 
 //! What a runner writes to its connection for one request.
