gateway: blame falls on what lost runs share, by evidence of all VMs

Cause: a part of a prompt crashed each runner that began to answer a request with it, one runner after the other. Crashes were counted by a hash of path, key and body, and no two of these requests had the same body. Change: each VM reports the runs that it loses with their connection to the VM that judges crashes of the service. crash_judge finds the part, path or key that crashed runs share and that no answered run has. It asks the other VMs for answered runs before it blames, counts a crash only if the runner has ended, leaves out crashes that a blocked suspect explains, and blames nothing while the service answers nothing. suspect_table holds what is accused or blocked on each VM; verdicts are repeated to one VM after the other, and told to those that join or restart, and end two minutes after the last crash. Blocked requests are refused at once, without Retry-After. Messages between VMs have protocol version 4.

--- a/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
@@ -30,7 +30,8 @@
 
     explicit member_table(std::string self) : self_(std::move(self)) {}
 
-    void assign(absl::Span<member const> members);
+    //! Returns the names of the other VMs that are new or have restarted.
+    std::vector<std::string> assign(absl::Span<member const> members);
     void suspect(std::string_view name, time_point now);
 
     //! Records an answer. Returns true if the incarnation differs from the last
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_DECISION_GATEWAY_REDUCER_HPP
 
 #include <buckthornvale/decision/gateway/attempt_judgement.hpp>
+#include <buckthornvale/decision/gateway/crash_judge.hpp>
 #include <buckthornvale/decision/gateway/crash_registry.hpp>
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/event.hpp>
@@ -11,6 +12,7 @@
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 #include <buckthornvale/decision/gateway/stage_pipeline.hpp>
 #include <buckthornvale/decision/gateway/stage_scheduler.hpp>
+#include <buckthornvale/decision/gateway/suspect_table.hpp>
 
 #include <cstdint>
 #include <map>
@@ -160,6 +162,25 @@
     void run_schedulers(time_point now);
     void log_calls(std::string const& service, std::size_t from);
 
+    // Requests that crash runners.
+    std::string const& judge_of(std::string const& service,
+                                time_point now) const;
+    bool is_blocked(active_request const& request, time_point now);
+    void record_crash_evidence(active_request const& request,
+                               attempt_ended const& in, attempt_outcome outcome,
+                               time_point now);
+    void report_loss(active_request const& request, attempt_ended const& in,
+                     time_point now);
+    void report_unreachable(std::string const& service,
+                            std::string const& runner, time_point now);
+    void record_answered(absl::Span<crash_suspect const> suspects,
+                         time_point now);
+    void judge_crashes(time_point now);
+    void repeat_verdicts(time_point now);
+    void send_verdicts(std::string const& member, time_point now);
+    void log_suspect(char const* what, active_request const* request,
+                     crash_suspect const& suspect);
+
     // Other VMs.
     void send_message(std::string const& name, peer_message message,
                       time_point now);
@@ -175,6 +196,16 @@
                         time_point now);
     void handle_message(std::string const& from, report_crash const& in,
                         time_point now);
+    void handle_message(std::string const& from, report_lost_run const& in,
+                        time_point now);
+    void handle_message(std::string const& from,
+                        report_unreachable_runner const& in, time_point now);
+    void handle_message(std::string const& from, accuse_suspects const& in,
+                        time_point now);
+    void handle_message(std::string const& from, report_answered const& in,
+                        time_point now);
+    void handle_message(std::string const& from, block_suspects const& in,
+                        time_point now);
     void probe_owners(time_point now);
     void remove_unreachable_members(time_point now);
     void update_crash_record(active_request const& request, bool cleared,
@@ -195,6 +226,10 @@
     member_table members_;
     retry_budget retry_budget_;
     crash_registry crashes_;
+    crash_judge judge_;
+    suspect_table suspects_;
+    time_point verdicts_repeated_at_{};
+    std::size_t next_verdict_receiver_ = 0;
     std::map<std::string, stage_scheduler> schedulers_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
     //! Moving average of the time from a send to the first event, by service.
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -36,8 +36,9 @@
     double latency_s = 0; //!< moving average of successful sends; 0: unknown
     double failure_share = 0; //!< moving average
     std::uint32_t consecutive_silent_sends = 0;
-    time_point backoff_until{};      //!< receives no requests before
-    std::uint32_t backoff_count = 0; //!< consecutive back-offs
+    time_point backoff_until{};           //!< receives no requests before
+    std::uint32_t backoff_count = 0;      //!< consecutive back-offs
+    time_point unreachable_reported_at{}; //!< to the VM that judges crashes
     //! If set, the entry has disappeared from the store, or another runner took
     //! over the address. The runner counts as gone from this time on.
     std::optional<time_point> expires_at;
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_MESSAGE_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/gateway/crash_suspect.hpp>
 #include <buckthornvale/decision/gateway/dispatch_priority.hpp>
 #include <buckthornvale/decision/gateway/queue_forecast.hpp>
 
@@ -136,9 +137,47 @@
     bool cleared = false;
 };
 
+//! A run was lost with its connection to the runner. Sent to the VM that judges
+//! crashes of the service.
+struct report_lost_run
+{
+    std::string service;
+    std::string runner_id;
+    bool answer_begun = false;
+    std::vector<crash_suspect> suspects; //!< empty if events had arrived
+};
+
+//! A connection to the runner could not be made. Sent to the same VM.
+struct report_unreachable_runner
+{
+    std::string service;
+    std::string runner_id;
+};
+
+//! Asks for answered runs of these suspects since the first crash, now and
+//! later.
+struct accuse_suspects
+{
+    std::vector<crash_verdict> verdicts;
+};
+
+//! Runs with these suspects were answered; they are not to blame.
+struct report_answered
+{
+    std::vector<crash_suspect> suspects;
+};
+
+//! Requests with these suspects are no longer sent to runners.
+struct block_suspects
+{
+    std::vector<crash_verdict> verdicts;
+};
+
 using peer_message =
     std::variant<submit_pieces, return_results, release_results, cancel_pieces,
-                 report_crash, announce_stages>;
+                 report_crash, announce_stages, report_lost_run,
+                 report_unreachable_runner, accuse_suspects, report_answered,
+                 block_suspects>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -18,6 +18,7 @@
     std::string organisation;
     int rank = 0;
     std::uint64_t fingerprint = 0; //!< hash of path, API key and body
+    std::vector<crash_suspect> suspects;
     time_point arrived_at{};
     time_point due{};      //!< when the target latency ends
     time_point deadline{}; //!< when the caller stops waiting
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -30,19 +30,25 @@
 
 } // namespace
 
-void member_table::assign(absl::Span<member const> members)
+std::vector<std::string> member_table::assign(absl::Span<member const> members)
 {
+    std::vector<std::string> joined;
     absl::flat_hash_set<std::string_view> listed;
     for (auto const& it : members)
     {
         listed.insert(it.name);
         auto& known = members_[it.name];
         if (known.value.incarnation != it.incarnation)
+        {
             known = {};
+            if (it.name != self_)
+                joined.push_back(it.name);
+        }
         known.value = it;
     }
     for (auto it = members_.begin(); it != members_.end();)
         it = listed.contains(it->first) ? std::next(it) : members_.erase(it);
+    return joined;
 }
 
 void member_table::suspect(std::string_view name, time_point now)
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -88,9 +88,10 @@
          {"after_outage", in.after_outage ? "true" : "false"}});
 }
 
-void reducer::on(members_listed const& in, time_point)
+void reducer::on(members_listed const& in, time_point now)
 {
-    members_.assign(in.members);
+    for (auto const& name : members_.assign(in.members))
+        send_verdicts(name, now);
     log("members_listed", nullptr,
         {{"count", std::to_string(in.members.size())}});
 }
@@ -106,6 +107,10 @@
 {
     runners_.expire(now);
     crashes_.expire(now);
+    judge_.expire(now);
+    suspects_.expire(now);
+    judge_crashes(now);
+    repeat_verdicts(now);
     std::vector<request_ref> refs;
     refs.reserve(requests_.size());
     for (auto const& it : requests_)
--- /dev/null
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -0,0 +1,200 @@
+#include "active_request.hpp"
+#include <buckthornvale/decision/gateway/reducer.hpp>
+
+#include <algorithm>
+#include <cstdio>
+
+namespace buckthornvale::decision::gateway
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! Time in which the other VMs answer an accusation.
+constexpr duration hearing_time = 400ms;
+
+//! Interval in which a VM repeats its verdicts to one other VM, in turn. VMs
+//! that were cut off or frozen learn of them in this way.
+constexpr duration verdict_interval = 500ms;
+
+//! An unreachable runner is reported once per interval.
+constexpr duration unreachable_report_interval = 1s;
+
+std::string hex(std::uint64_t value)
+{
+    char buf[17];
+    std::snprintf(buf, sizeof(buf), "%llx",
+                  static_cast<unsigned long long>(value));
+    return buf;
+}
+
+} // namespace
+
+std::string const& reducer::judge_of(std::string const& service,
+                                     time_point now) const
+{
+    return members_.owner("crashes of " + service, now);
+}
+
+void reducer::log_suspect(char const* what, active_request const* request,
+                          crash_suspect const& suspect)
+{
+    log(what, request,
+        {{"suspect", name_of(suspect.kind)}, {"value", hex(suspect.value)}});
+}
+
+bool reducer::is_blocked(active_request const& request, time_point now)
+{
+    if (crashes_.is_blocked(request.fingerprint, now))
+        return true;
+    auto const suspect = suspects_.find_blocked(request.suspects);
+    if (suspect)
+        log_suspect("request_blocked", &request, *suspect);
+    return suspect.has_value();
+}
+
+void reducer::record_crash_evidence(active_request const& request,
+                                    attempt_ended const& in,
+                                    attempt_outcome outcome, time_point now)
+{
+    bool const lost = in.reset && (outcome == attempt_outcome::no_answer ||
+                                   outcome == attempt_outcome::interrupted);
+    if (outcome == attempt_outcome::answered)
+        record_answered(request.suspects, now);
+    else if (outcome == attempt_outcome::not_sent)
+        report_unreachable(request.service, request.runner_id, now);
+    else if (lost)
+        report_loss(request, in, now);
+}
+
+void reducer::report_loss(active_request const& request,
+                          attempt_ended const& in, time_point now)
+{
+    update_crash_record(request, false, now);
+    report_lost_run message;
+    message.service = request.service;
+    message.runner_id = request.runner_id;
+    message.answer_begun = in.transport == transport_end::broken_off;
+    if (!in.has_events)
+        message.suspects = request.suspects;
+    send_message(judge_of(request.service, now), std::move(message), now);
+}
+
+void reducer::report_unreachable(std::string const& service,
+                                 std::string const& runner, time_point now)
+{
+    auto* state = runners_.find(runner);
+    if (state == nullptr ||
+        now - state->unreachable_reported_at < unreachable_report_interval)
+        return;
+    state->unreachable_reported_at = now;
+    send_message(judge_of(service, now),
+                 report_unreachable_runner{service, runner}, now);
+}
+
+void reducer::record_answered(absl::Span<crash_suspect const> suspects,
+                              time_point now)
+{
+    judge_.record_answered(suspects, now);
+    auto const cleared = suspects_.record_answered(suspects, now);
+    if (cleared.empty())
+        return;
+    for (auto const& it : cleared)
+        log_suspect("suspect_cleared", nullptr, it);
+    for (auto const& name : members_.others())
+        send_message(name, report_answered{cleared}, now);
+}
+
+void reducer::handle_message(std::string const&, report_lost_run const& in,
+                             time_point now)
+{
+    judge_.record_lost_run({in.runner_id, in.answer_begun, in.suspects}, now);
+    judge_crashes(now);
+}
+
+void reducer::handle_message(std::string const&,
+                             report_unreachable_runner const& in,
+                             time_point now)
+{
+    judge_.record_unreachable(in.runner_id, now);
+    judge_crashes(now);
+}
+
+void reducer::handle_message(std::string const&, report_answered const& in,
+                             time_point now)
+{
+    judge_.record_answered(in.suspects, now);
+    for (auto const& it : suspects_.record_answered(in.suspects, now))
+        log_suspect("suspect_cleared", nullptr, it);
+}
+
+void reducer::handle_message(std::string const& from, accuse_suspects const& in,
+                             time_point now)
+{
+    report_answered reply;
+    for (auto const& it : in.verdicts)
+        if (suspects_.accuse(it, now))
+            reply.suspects.push_back(it.suspect);
+    if (!reply.suspects.empty())
+        send_message(from, std::move(reply), now);
+}
+
+void reducer::handle_message(std::string const& from, block_suspects const& in,
+                             time_point now)
+{
+    report_answered reply;
+    for (auto const& it : in.verdicts)
+    {
+        bool const known = suspects_.is_blocked(it.suspect);
+        if (suspects_.block(it, now))
+            reply.suspects.push_back(it.suspect);
+        else if (!known)
+            log_suspect("suspect_blocked", nullptr, it.suspect);
+    }
+    if (!reply.suspects.empty())
+        send_message(from, std::move(reply), now);
+}
+
+void reducer::judge_crashes(time_point now)
+{
+    if (!judge_.has_evidence())
+        return;
+    auto const others = members_.others();
+    accuse_suspects accusation{judge_.take_accused(suspects_.blocked(), now)};
+    if (!accusation.verdicts.empty())
+    {
+        for (auto const& it : accusation.verdicts)
+            log_suspect("suspect_accused", nullptr, it.suspect);
+        handle_message(members_.self(), accusation, now);
+        for (auto const& name : others)
+            send_message(name, accusation, now);
+    }
+    block_suspects verdict{judge_.take_blamed(
+        suspects_.blocked(), others.empty() ? 0ms : hearing_time, now)};
+    if (verdict.verdicts.empty())
+        return;
+    handle_message(members_.self(), verdict, now);
+    for (auto const& name : others)
+        send_message(name, verdict, now);
+}
+
+void reducer::repeat_verdicts(time_point now)
+{
+    if (now - verdicts_repeated_at_ < verdict_interval)
+        return;
+    verdicts_repeated_at_ = now;
+    auto const others = members_.others();
+    if (!others.empty())
+        send_verdicts(others[next_verdict_receiver_++ % others.size()], now);
+}
+
+void reducer::send_verdicts(std::string const& member, time_point now)
+{
+    block_suspects message{suspects_.verdicts(now)};
+    if (!message.verdicts.empty())
+        send_message(member, std::move(message), now);
+}
+
+} // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -38,7 +38,9 @@
                                              refusal reason,
                                              time_point now) const
 {
-    if (traits_of(reason).status != status_unavailable)
+    // A request that crashes runners is not served later either.
+    if (traits_of(reason).status != status_unavailable ||
+        reason == refusal::crashes_runners)
         return std::nullopt;
     duration wait = min_retry_after;
     if (reason == refusal::cannot_finish_in_time ||
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -101,9 +101,12 @@
     for (auto const& message : in.undelivered)
     {
         // Undelivered results are dropped: a VM that still waits for them
-        // submits the pieces again. Releases are redirected to the new owner.
+        // submits the pieces again. Releases and lost runs go to the new
+        // owner.
         if (auto const* freed = std::get_if<release_results>(&message))
             send_message(members_.owner(freed->service, now), *freed, now);
+        else if (auto const* lost = std::get_if<report_lost_run>(&message))
+            send_message(judge_of(lost->service, now), *lost, now);
     }
     resubmit_from(in.member, now);
 }
@@ -126,6 +129,7 @@
     if (!members_.record_answer(in.member, in.incarnation, now))
         return;
     log("peer_restarted", nullptr, {{"member", in.member}});
+    send_verdicts(in.member, now);
     for (auto& it : schedulers_)
         it.second.withdraw_all(in.member);
     resubmit_from(in.member, now);
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -120,6 +120,7 @@
                        ? caller_organisation->rank.value_or(found->rank)
                        : found->rank;
     request.fingerprint = fingerprint_of(in.traits);
+    request.suspects = crash_suspects_of(request.service, in.traits);
     request.last_event_id = in.traits.last_event_id;
     auto wait = in.traits.time_left.value_or(default_time_left);
     if (found->timeout > duration::zero())
@@ -133,7 +134,7 @@
             request.expected_domain = expected_runner->entry.failure_domain;
     retry_budget_.count_request(request.service, now);
     requests_[in.request] = std::move(entry);
-    if (crashes_.is_blocked(request.fingerprint, now))
+    if (is_blocked(request, now))
     {
         fail_request(request, refusal::crashes_runners, now);
         return;
@@ -210,6 +211,11 @@
         check_timeouts(request, now);
         return;
     }
+    if (is_blocked(request, now))
+    {
+        fail_request(request, refusal::crashes_runners, now);
+        return;
+    }
     auto* state = choose_runner(request, now);
     if (state == nullptr)
     {
@@ -348,11 +354,7 @@
                               outcome != attempt_outcome::refused;
     if (may_have_run)
         ++request.possible_executions;
-    bool const connection_lost =
-        in.reset && (outcome == attempt_outcome::no_answer ||
-                     outcome == attempt_outcome::interrupted);
-    if (connection_lost)
-        update_crash_record(request, false, now);
+    record_crash_evidence(request, in, outcome, now);
     if (request.caller_gone)
     {
         finish_request(request, now);
@@ -418,7 +420,7 @@
     if (request.possible_executions >= request.matched_route->max_attempts ||
         request.sends >= max_sends || request.attempt >= 2 * max_sends)
         return false;
-    if (crashes_.is_blocked(request.fingerprint, now))
+    if (is_blocked(request, now))
         return false;
     if (request.sends > 0 &&
         !retry_budget_.try_consume(request.service, members_.count(), now))
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -3,6 +3,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <chrono>
+
 namespace buckthornvale::gateway::peer
 {
 
@@ -14,7 +17,7 @@
 
 //! First element of an envelope. VMs with different versions treat each other
 //! as unreachable.
-constexpr int protocol_version = 3;
+constexpr int protocol_version = 4;
 
 //! The most deeply nested message is a list of backlogs that each have a list
 //! of waits by class. A piece takes about 20 values, and a VM may hold
@@ -32,7 +35,12 @@
     release_results,
     cancel_pieces,
     report_crash,
-    announce_stages
+    announce_stages,
+    report_lost_run,
+    report_unreachable_runner,
+    accuse_suspects,
+    report_answered,
+    block_suspects
 };
 
 json encode(model::dispatch_priority const& it)
@@ -106,11 +114,67 @@
     return {message_tag::announce_stages, std::move(list)};
 }
 
+json encode(model::crash_suspect const& it)
+{
+    return {it.kind, it.service, it.value};
+}
+
+json encode(std::vector<model::crash_verdict> const& verdicts)
+{
+    auto out = json::array();
+    for (auto const& it : verdicts)
+        out.push_back({encode(it.suspect), it.first_crash_age.count(),
+                       it.last_crash_age.count()});
+    return out;
+}
+
+json encode(std::vector<model::crash_suspect> const& suspects)
+{
+    auto out = json::array();
+    for (auto const& it : suspects)
+        out.push_back(encode(it));
+    return out;
+}
+
+json encode(model::report_lost_run const& it)
+{
+    return {message_tag::report_lost_run, it.service, it.runner_id,
+            it.answer_begun, encode(it.suspects)};
+}
+
+json encode(model::report_unreachable_runner const& it)
+{
+    return {message_tag::report_unreachable_runner, it.service, it.runner_id};
+}
+
+json encode(model::accuse_suspects const& it)
+{
+    return {message_tag::accuse_suspects, encode(it.verdicts)};
+}
+
+json encode(model::report_answered const& it)
+{
+    return {message_tag::report_answered, encode(it.suspects)};
+}
+
+json encode(model::block_suspects const& it)
+{
+    return {message_tag::block_suspects, encode(it.verdicts)};
+}
+
 decision::duration decode_duration(json const& value)
 {
     return decision::duration(value.get<std::int64_t>());
 }
 
+//! Ages outside of this range would overflow when they are subtracted.
+decision::duration decode_age(json const& value)
+{
+    constexpr decision::duration max_age = std::chrono::hours(1);
+    return std::clamp(decode_duration(value), decision::duration::zero(),
+                      max_age);
+}
+
 model::piece_outcome decode_outcome(json const& value)
 {
     auto const n = value.get<int>();
@@ -215,6 +279,54 @@
     return out;
 }
 
+//! Suspects of an unknown kind are left out.
+bool decode_suspect(json const& value, model::crash_suspect& out)
+{
+    auto const kind = value.at(0).get<int>();
+    out.service = value.at(1).get<std::uint64_t>();
+    out.value = value.at(2).get<std::uint64_t>();
+    if (kind < 0 || kind > static_cast<int>(model::suspect_kind::key))
+        return false;
+    out.kind = static_cast<model::suspect_kind>(kind);
+    return true;
+}
+
+std::vector<model::crash_suspect> decode_suspects(json const& value)
+{
+    std::vector<model::crash_suspect> out;
+    for (auto const& it : value)
+    {
+        model::crash_suspect suspect;
+        if (decode_suspect(it, suspect))
+            out.push_back(suspect);
+    }
+    return out;
+}
+
+std::vector<model::crash_verdict> decode_verdicts(json const& value)
+{
+    std::vector<model::crash_verdict> out;
+    for (auto const& it : value)
+    {
+        model::crash_verdict verdict;
+        verdict.first_crash_age = decode_age(it.at(1));
+        verdict.last_crash_age = decode_age(it.at(2));
+        if (decode_suspect(it.at(0), verdict.suspect))
+            out.push_back(verdict);
+    }
+    return out;
+}
+
+model::report_lost_run decode_lost_run(json const& value)
+{
+    model::report_lost_run out;
+    out.service = value.at(1).get<std::string>();
+    out.runner_id = value.at(2).get<std::string>();
+    out.answer_begun = value.at(3).get<bool>();
+    out.suspects = decode_suspects(value.at(4));
+    return out;
+}
+
 peer_message decode_message(json const& value)
 {
     switch (static_cast<message_tag>(value.at(0).get<int>()))
@@ -235,6 +347,17 @@
                                    value.at(2).get<bool>()};
     case message_tag::announce_stages:
         return decode_announce_stages(value);
+    case message_tag::report_lost_run:
+        return decode_lost_run(value);
+    case message_tag::report_unreachable_runner:
+        return model::report_unreachable_runner{value.at(1).get<std::string>(),
+                                                value.at(2).get<std::string>()};
+    case message_tag::accuse_suspects:
+        return model::accuse_suspects{decode_verdicts(value.at(1))};
+    case message_tag::report_answered:
+        return model::report_answered{decode_suspects(value.at(1))};
+    case message_tag::block_suspects:
+        return model::block_suspects{decode_verdicts(value.at(1))};
     }
     // An unknown message type decodes to an empty message that has no effect.
     return model::submit_pieces{};
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -21,6 +21,10 @@
     return out;
 }
 
+constexpr model::crash_suspect part_suspect = {model::suspect_kind::prompt_part,
+                                               18446744073709551615U, 5};
+constexpr model::crash_suspect key_suspect = {model::suspect_kind::key, 7, 8};
+
 envelope full_envelope()
 {
     model::piece piece;
@@ -47,6 +51,11 @@
         model::release_results{"s", {"a/1"}},
         model::cancel_pieces{{1, 2}},
         model::report_crash{99, true},
+        model::report_lost_run{"s", "r", true, {part_suspect}},
+        model::report_unreachable_runner{"s", "r"},
+        model::accuse_suspects{{{key_suspect, 3s, 1s}}},
+        model::report_answered{{part_suspect, key_suspect}},
+        model::block_suspects{{{part_suspect, 2s, 0s}}},
     };
     return out;
 }
@@ -57,7 +66,7 @@
     ASSERT_TRUE(out);
     EXPECT_EQ(out->member, "vm-1");
     EXPECT_EQ(out->incarnation, 18446744073709551615U);
-    ASSERT_EQ(out->messages.size(), 5U);
+    ASSERT_EQ(out->messages.size(), 10U);
     auto const& piece =
         std::get<model::submit_pieces>(out->messages[0]).pieces.at(0);
     EXPECT_EQ(piece.inputs.size(), 2U);
@@ -72,6 +81,27 @@
     EXPECT_TRUE(std::get<model::report_crash>(out->messages[4]).cleared);
 }
 
+TEST(peer_codec, messages_about_crashes_round_trip)
+{
+    auto const out = decode_envelope(encode_envelope(full_envelope()));
+    ASSERT_TRUE(out);
+    ASSERT_EQ(out->messages.size(), 10U);
+    auto const& lost = std::get<model::report_lost_run>(out->messages[5]);
+    EXPECT_EQ(lost.runner_id, "r");
+    EXPECT_TRUE(lost.answer_begun);
+    EXPECT_TRUE(lost.suspects.at(0) == part_suspect);
+    auto const& unreachable =
+        std::get<model::report_unreachable_runner>(out->messages[6]);
+    EXPECT_EQ(unreachable.service, "s");
+    auto const& accused = std::get<model::accuse_suspects>(out->messages[7]);
+    EXPECT_TRUE(accused.verdicts.at(0).suspect == key_suspect);
+    EXPECT_EQ(accused.verdicts.at(0).first_crash_age, 3s);
+    auto const& answered = std::get<model::report_answered>(out->messages[8]);
+    EXPECT_EQ(answered.suspects.size(), 2U);
+    auto const& blocked = std::get<model::block_suspects>(out->messages[9]);
+    EXPECT_TRUE(blocked.verdicts.at(0).suspect == part_suspect);
+}
+
 // Guards against a crash on truncated or corrupted bytes.
 TEST(peer_codec, rejects_malformed_envelopes)
 {
