platform: an unreadable entry leaves the rest of its page readable

Cause: a number that no double can hold, such as 1e400, in one entry of another writer made the whole page unreadable, so that the list of runners was no longer followed. Change: a page that cannot be read as a whole is read element by element.

--- a/packages/documents/include/buckthornvale/documents/json_text.hpp
+++ b/packages/documents/include/buckthornvale/documents/json_text.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace buckthornvale::documents
 {
@@ -23,6 +24,10 @@
 //! represent.
 std::string_view raw_member(std::string_view object, std::string_view name);
 
+//! Unmodified texts of the elements of an array. Strings and the nesting of
+//! brackets have to be intact, but an element may be malformed otherwise.
+std::vector<std::string_view> raw_elements(std::string_view array);
+
 //! Serialises a value and replaces invalid UTF-8 in strings.
 std::string write_json(nlohmann::json const& value);
 
--- a/packages/documents/src/json_text.cpp
+++ b/packages/documents/src/json_text.cpp
@@ -119,6 +119,29 @@
     return found;
 }
 
+std::vector<std::string_view> raw_elements(std::string_view array)
+{
+    std::vector<std::string_view> out;
+    std::size_t start = 0;
+    for (json_scanner it(array); !it.done();)
+    {
+        auto const c = it.current();
+        auto const at = it.position();
+        auto const depth = it.depth();
+        it.advance();
+        if (depth == 0 && c == '[')
+            start = at + 1;
+        else if (depth == 1 && (c == ',' || c == ']'))
+        {
+            auto const element = trim(array.substr(start, at - start));
+            if (!element.empty())
+                out.push_back(element);
+            start = at + 1;
+        }
+    }
+    return out;
+}
+
 std::string write_json(nlohmann::json const& value)
 {
     return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/packages/documents/tests/json_text_test.cpp
+++ b/packages/documents/tests/json_text_test.cpp
@@ -69,5 +69,15 @@
     EXPECT_EQ(object, R"({"a":1,"b":[2]})");
 }
 
+// Guards against one malformed element that hides the others of its array.
+TEST(raw_elements, returns_each_element_unmodified)
+{
+    using texts = std::vector<std::string_view>;
+    EXPECT_EQ(raw_elements("[]"), texts());
+    EXPECT_EQ(raw_elements("[ 1e400 , {\"a\":[1,2]},\"],[\",[3] ]"),
+              (texts{"1e400", "{\"a\":[1,2]}", "\"],[\"", "[3]"}));
+    EXPECT_EQ(raw_elements("[[[1,2"), texts());
+}
+
 } // namespace
 } // namespace buckthornvale::documents
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -160,6 +160,43 @@
         { return status_of(exchange(request("GET", "/extra/x"))) == 200; }));
 }
 
+// Guards against an odd entry of another writer: the gateway would end, or no
+// longer follow the list of runners.
+TEST_F(gateway_process_fleet, follows_the_runner_list_past_odd_entries)
+{
+    auto const gateway = start_gateway("vm-0");
+    auto const plain = add_runner("plain-1", "plain");
+    auto const odd_entry =
+        [&](char const* name, char const* field, nlohmann::json value)
+    {
+        auto entry = plain->entry("plain");
+        entry[field] = std::move(value);
+        object_store.put_runner(name, entry);
+    };
+    object_store.replace_in_answers("huge", "1e400");
+    object_store.replace_in_answers("deep", std::string(50'000, '[') +
+                                                std::string(50'000, ']'));
+    odd_entry("odd-1", "slots", "huge");
+    odd_entry("odd-2", "born", "deep");
+    odd_entry("odd-3", "address", "127.0.0.1:99999");
+    odd_entry("odd-4", "slots", -4);
+    odd_entry("odd-5", "address", "no address");
+    auto const later = add_runner("plain-2", "plain");
+    EXPECT_TRUE(run_until(
+        [&] { return status_of(exchange(request("GET", "/read/x"))) == 200; }));
+    // The change after the odd entries has arrived too.
+    object_store.remove("servers", "plain-1");
+    EXPECT_TRUE(run_until(
+        [&]
+        {
+            exchange(request("GET", "/read/x"));
+            return !later->received.empty();
+        }));
+    // A gateway that starts with the odd entries in its list.
+    auto const second = start_gateway("vm-1");
+    EXPECT_EQ(status_of(exchange(request("GET", "/read/x"))), 200);
+}
+
 // Guards against requests whose pieces are lost with the VM that scheduled
 // them. Of the two VMs, one schedules the stage for both.
 TEST_F(gateway_process_fleet, serves_stages_after_another_vm_is_killed)
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -108,8 +108,21 @@
 {
     std::string head;
     http::append_status_line(head, status);
+    auto text = body.dump();
+    for (auto const& it : replaced_values_)
+    {
+        auto const value = json(it.first).dump();
+        for (auto at = text.find(value); at != std::string::npos;
+             at = text.find(value, at + it.second.size()))
+            text.replace(at, value.size(), it.second);
+    }
     if (auto* to = server_.find(connection))
-        to->answer(std::move(head), body.dump());
+        to->answer(std::move(head), text);
+}
+
+void store_standin::replace_in_answers(std::string value, std::string text)
+{
+    replaced_values_[std::move(value)] = std::move(text);
 }
 
 void store_standin::on_request(net::server_connection& from,
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -31,6 +31,10 @@
     void put_manifest(nlohmann::json manifest);
     void put_runner(std::string const& id, nlohmann::json entry);
 
+    //! Writes the text in place of this string value in all answers. The text
+    //! may be no JSON that this program can hold.
+    void replace_in_answers(std::string value, std::string text);
+
     //! VMs of the product that have registered themselves.
     std::size_t members() const;
 
@@ -83,6 +87,7 @@
     std::map<std::uint64_t, watch> watches_;
     std::uint64_t revision_ = 1;
     std::uint64_t first_kept_ = 1;
+    std::map<std::string, std::string> replaced_values_;
     bool down_ = false;
     bool silent_ = false;
 };
