--- a/packages/decision/tests/gateway/load_simulation.cpp
+++ b/packages/decision/tests/gateway/load_simulation.cpp
@@ -134,7 +134,8 @@
     ended.transport = transport_end::complete;
     constexpr int status_ok = 200;
     ended.status = status_ok;
-    ended.sealed = true;
+    ended.identified = ended.sealed = true;
+    ended.event_stream = ended.has_events = true;
     events_.emplace(now_ + stream_time, ended);
 }
 
