--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -122,6 +122,14 @@
         duration queue_wait{}; //!< part of `deferred` that is spent in queues
     };
 
+    //! Durations of the stages and of the answer of a request, without
+    //! queueing.
+    struct stage_estimate
+    {
+        std::vector<duration> stages;
+        duration answer{};
+    };
+
     //! What places the pieces of a request in the queues of stage services.
     struct queue_position
     {
@@ -141,9 +149,12 @@
         time_point now);
     void advance(active_request& request, time_point now);
     void resubmit_from(std::string const& member, time_point now);
-    //! Duration of each stage without queueing.
-    std::vector<duration> stage_times(active_request const& request,
-                                      time_point now) const;
+    stage_estimate estimate_stages(active_request const& request,
+                                   time_point now) const;
+    //! Time from the start of the stage to the answer, without queueing.
+    static duration time_to_answer(active_request const& request,
+                                   stage_estimate const& estimate,
+                                   std::uint32_t stage);
     duration average_answer_time(std::string const& service) const;
     void record_answer_time(std::string const& service, duration elapsed);
     forecast forecast_stages(active_request const& request,
@@ -156,6 +167,7 @@
     bool is_result_memory_scarce(active_request const& request,
                                  std::uint32_t stage, time_point now) const;
     duration expected_answer_time(active_request const& request,
+                                  stage_estimate const& estimate,
                                   queue_position const& position,
                                   time_point now) const;
     stage_scheduler& scheduler(std::string const& service);
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -83,10 +83,11 @@
     return false;
 }
 
-std::vector<duration> reducer::stage_times(active_request const& request,
-                                           time_point now) const
+reducer::stage_estimate reducer::estimate_stages(active_request const& request,
+                                                 time_point now) const
 {
-    std::vector<duration> out;
+    stage_estimate out;
+    out.answer = average_answer_time(request.service);
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
     {
         auto const& service = request.pipeline.stage(n).service;
@@ -99,30 +100,38 @@
                        request.pipeline.piece_count(n);
         if (auto const* known = fresh_backlog(service, now))
             time = std::max(time, known->average_call_time);
-        out.push_back(time);
+        out.stages.push_back(time);
     }
     return out;
 }
 
+duration reducer::time_to_answer(active_request const& request,
+                                 stage_estimate const& estimate,
+                                 std::uint32_t stage)
+{
+    return request.pipeline.remaining_time(stage, estimate.stages) +
+           estimate.answer;
+}
+
 duration reducer::expected_answer_time(active_request const& request,
+                                       stage_estimate const& estimate,
                                        queue_position const& position,
                                        time_point now) const
 {
-    auto const times = stage_times(request, now);
-    auto const answer_time = average_answer_time(request.service);
     std::vector<duration> waits;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
     {
         // Later stages are due later, so more pieces are served before theirs.
-        auto const start_due_in = position.due_in - answer_time -
-                                  request.pipeline.remaining_time(n, times);
+        auto const start_due_in =
+            position.due_in - time_to_answer(request, estimate, n);
         auto const* known =
             fresh_backlog(request.pipeline.stage(n).service, now);
         waits.push_back(known != nullptr
                             ? known->waits.at(position.priority, start_due_in)
                             : duration());
     }
-    return request.pipeline.finish_time(times, waits) + answer_time;
+    return request.pipeline.finish_time(estimate.stages, waits) +
+           estimate.answer;
 }
 
 duration reducer::average_answer_time(std::string const& service) const
@@ -142,17 +151,18 @@
 reducer::forecast reducer::forecast_stages(active_request const& request,
                                            time_point now) const
 {
-    auto const times = stage_times(request, now);
-    auto const needed = request.pipeline.finish_time(
-                            times, std::vector<duration>(times.size())) +
-                        average_answer_time(request.service);
+    auto const estimate = estimate_stages(request, now);
+    std::vector<duration> const no_waits(estimate.stages.size());
+    auto const needed =
+        request.pipeline.finish_time(estimate.stages, no_waits) +
+        estimate.answer;
     forecast out;
     auto priority = request.priority();
-    out.on_schedule =
-        expected_answer_time(request, {priority, request.due - now}, now);
+    out.on_schedule = expected_answer_time(request, estimate,
+                                           {priority, request.due - now}, now);
     priority.deferred = true;
-    out.deferred =
-        expected_answer_time(request, {priority, request.deadline - now}, now);
+    out.deferred = expected_answer_time(
+        request, estimate, {priority, request.deadline - now}, now);
     out.queue_wait = out.deferred - needed;
     return out;
 }
@@ -194,8 +204,7 @@
 
 void reducer::announce_later_stages(active_request& request, time_point now)
 {
-    auto const times = stage_times(request, now);
-    auto const answer_time = average_answer_time(request.service);
+    auto const estimate = estimate_stages(request, now);
     std::map<std::string, announce_stages> by_scheduler;
     for (std::uint32_t n = 0; n < request.pipeline.size(); ++n)
     {
@@ -209,8 +218,7 @@
         out.stage = n;
         out.pieces = std::uint32_t(pieces);
         out.priority = request.priority();
-        out.due_in = request.due - now - answer_time -
-                     request.pipeline.remaining_time(n, times);
+        out.due_in = request.due - now - time_to_answer(request, estimate, n);
         by_scheduler[members_.owner(stage.service, now)].stages.push_back(
             std::move(out));
     }
@@ -255,8 +263,7 @@
     auto const& owner = members_.owner(stage.service, now);
     auto const inputs = request.pipeline.inputs_of(n);
     auto const after =
-        request.pipeline.remaining_time(n, stage_times(request, now)) +
-        average_answer_time(request.service);
+        time_to_answer(request, estimate_stages(request, now), n);
     auto const latest_start_in = request.deadline - after - now;
     auto const domain = preferred_domain(request, n);
     submit_pieces message;
