decision: judge crashes on new evidence, and keep room for verdicts

Cause: the VM that judges crashes weighed all of them at each tick for two minutes after the last one, and a table full of accusations had no room for a verdict. Change: ticks judge only while a suspect is accused; a verdict replaces an accusation when the table is full.

--- a/packages/decision/include/buckthornvale/decision/gateway/crash_judge.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/crash_judge.hpp
@@ -81,6 +81,7 @@
     void expire(time_point now);
 
     bool has_evidence() const { return !crashes_.empty(); }
+    bool has_accused() const { return !accused_at_.empty(); }
 
 private:
     using suspect_set = absl::flat_hash_set<crash_suspect>;
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -109,7 +109,8 @@
     crashes_.expire(now);
     judge_.expire(now);
     suspects_.expire(now);
-    judge_crashes(now);
+    if (judge_.has_accused())
+        judge_crashes(now);
     repeat_verdicts(now);
     std::vector<request_ref> refs;
     refs.reserve(requests_.size());
--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -159,8 +159,6 @@
 
 void reducer::judge_crashes(time_point now)
 {
-    if (!judge_.has_evidence())
-        return;
     auto const others = members_.others();
     accuse_suspects accusation{judge_.take_accused(suspects_.blocked(), now)};
     if (!accusation.verdicts.empty())
--- a/packages/decision/src/gateway/suspect_table.cpp
+++ b/packages/decision/src/gateway/suspect_table.cpp
@@ -24,8 +24,14 @@
     if (entries_.size() >= max_entries && !entries_.contains(suspect))
     {
         expire(now);
-        if (entries_.size() >= max_entries)
+        // A verdict must not be lost for accusations.
+        auto const accused =
+            std::find_if(entries_.begin(), entries_.end(),
+                         [](auto const& it) { return !it.second.blocked; });
+        if (entries_.size() >= max_entries && accused == entries_.end())
             return nullptr;
+        if (entries_.size() >= max_entries)
+            entries_.erase(accused);
     }
     return &entries_[suspect];
 }
--- a/packages/decision/tests/gateway/suspect_table_test.cpp
+++ b/packages/decision/tests/gateway/suspect_table_test.cpp
@@ -72,6 +72,17 @@
     EXPECT_TRUE(table.blocked().empty());
 }
 
+// Guards against accusations that leave no room for a verdict.
+TEST(suspect_table, prefers_verdicts_to_accusations_when_full)
+{
+    suspect_table table;
+    for (std::uint64_t n = 0; n < 2 * suspect_table::max_entries; ++n)
+        table.accuse(verdict_against(n), start);
+    auto const verdict = verdict_against(10 * suspect_table::max_entries);
+    table.block(verdict, start);
+    EXPECT_TRUE(table.is_blocked(verdict.suspect));
+}
+
 // Verdicts go round between VMs, which must not prolong them.
 TEST(suspect_table, does_not_prolong_a_repeated_verdict)
 {
