--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -1,8 +1,7 @@
 #include "active_request.hpp"
 #include <buckthornvale/decision/gateway/reducer.hpp>
 
-#include <algorithm>
-#include <cstdio>
+#include <absl/strings/str_cat.h>
 
 namespace buckthornvale::decision::gateway
 {
@@ -22,14 +21,6 @@
 //! An unreachable runner is reported once per interval.
 constexpr duration unreachable_report_interval = 1s;
 
-std::string hex(std::uint64_t value)
-{
-    char buf[17];
-    std::snprintf(buf, sizeof(buf), "%llx",
-                  static_cast<unsigned long long>(value));
-    return buf;
-}
-
 } // namespace
 
 std::string const& reducer::judge_of(std::string const& service,
@@ -42,7 +33,8 @@
                           crash_suspect const& suspect)
 {
     log(what, request,
-        {{"suspect", name_of(suspect.kind)}, {"value", hex(suspect.value)}});
+        {{"suspect", name_of(suspect.kind)},
+         {"value", absl::StrCat(absl::Hex(suspect.value))}});
 }
 
 bool reducer::is_blocked(active_request const& request, time_point now)
--- a/packages/decision/tests/gateway/crash_simulation.cpp
+++ b/packages/decision/tests/gateway/crash_simulation.cpp
@@ -1,5 +1,7 @@
 #include "crash_simulation.hpp"
 
+#include "uniform.hpp"
+
 #include <algorithm>
 
 namespace buckthornvale::decision::gateway
@@ -20,12 +22,6 @@
 constexpr duration stream_time = 300ms;
 constexpr duration restart_time = 3s;
 
-double uniform(pcg32& random)
-{
-    constexpr double range = 4294967296.0; // 2^32
-    return double(random()) / range;
-}
-
 std::string name_of_vm(std::size_t vm)
 {
     return "vm-" + std::to_string(vm);
--- a/packages/decision/tests/gateway/load_simulation.cpp
+++ b/packages/decision/tests/gateway/load_simulation.cpp
@@ -1,5 +1,7 @@
 #include "load_simulation.hpp"
 
+#include "uniform.hpp"
+
 #include <algorithm>
 
 namespace buckthornvale::decision::gateway
@@ -25,12 +27,6 @@
 //! Minimum time after which a refused caller returns.
 constexpr duration min_return_time = 1s;
 
-double uniform(pcg32& random)
-{
-    constexpr double range = 4294967296.0; // 2^32
-    return double(random()) / range;
-}
-
 runner make_runner(std::string const& service, std::size_t number)
 {
     runner out;
