standins: heads of answers are described, not written in the gateway's tests

Cause: tests of the gateway wrote headers of the platform by hand, which belong to the adapter, its tests and the stand-ins. Change: answer_head says what the head of an answer states; the stand-in's runner writes it. The gateway's program is unchanged.

--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -40,6 +40,16 @@
     std::string endless;
 };
 
+//! What the head of an answer states.
+struct answer_head
+{
+    std::string status_line = "200 OK";
+    bool names_request = true;
+    bool sealed = false;
+    bool not_executed = false; //!< the runner did not run the request
+    bool encoded = false;      //!< the body is not the runner's
+};
+
 //! A runner on a loopback port. Its answers are raw bytes, so that a test can
 //! break the protocol; without a script it answers properly, to calls of
 //! stages too.
@@ -62,6 +72,11 @@
     //! Bytes of endless answers that were written.
     std::size_t endless_bytes = 0;
 
+    //! An answer with a length.
+    static scripted_answer with_head(received_request const& request,
+                                     answer_head const& head,
+                                     std::string const& body);
+
     //! A proper answer to the request.
     static scripted_answer proper(received_request const& request,
                                   std::string const& body);
