net: the test of unframed responses does not depend on when it looks

Cause: the test waited to see one open connection, which the server closes after 100 ms; on a busy machine it could look too late. Change: it waits until the request has arrived.

--- a/packages/net/tests/loopback_test.cpp
+++ b/packages/net/tests/loopback_test.cpp
@@ -9,6 +9,7 @@
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <future>
 
 namespace buckthornvale::net
@@ -92,10 +93,10 @@
         return n;
     }
 
-    bool reaches_connection_count(std::size_t n)
+    static bool waits_until(std::function<bool()> const& condition)
     {
         auto const end = std::chrono::steady_clock::now() + hang_timeout;
-        while (connection_count() != n)
+        while (!condition())
         {
             if (std::chrono::steady_clock::now() > end)
                 return false;
@@ -104,6 +105,11 @@
         return true;
     }
 
+    bool reaches_connection_count(std::size_t n)
+    {
+        return waits_until([&] { return connection_count() == n; });
+    }
+
     asio::ip::tcp::socket connect(asio::io_context& client_loop) const
     {
         asio::ip::tcp::socket out(client_loop);
@@ -181,7 +187,7 @@
     handler.unfinished_bytes = 50'000'000;
     auto slow_caller = connect(client_loop);
     request(slow_caller);
-    EXPECT_TRUE(reaches_connection_count(1));
+    EXPECT_TRUE(waits_until([&] { return handler.requests == 1; }));
     EXPECT_TRUE(reaches_connection_count(0));
     EXPECT_EQ(end_of_response(slow_caller), asio::error::connection_reset);
 
