decision: the crash simulation keeps no state that it can derive

Cause: it stored a seed that nothing read, incarnations that its members hold, and whether a request had begun beside the times at which it was sent. Change: the three are gone; the checks are the same.

--- a/packages/decision/tests/gateway/crash_simulation.cpp
+++ b/packages/decision/tests/gateway/crash_simulation.cpp
@@ -59,8 +59,7 @@
 
 crash_simulation::crash_simulation(std::size_t vms, std::size_t runners,
                                    std::uint64_t seed)
-    : seed_(seed), manifest_(make_manifest()), incarnations_(vms, 1),
-      runners_(runners), random_(seed)
+    : manifest_(make_manifest()), runners_(runners), random_(seed)
 {
     for (std::size_t n = 0; n < runners; ++n)
     {
@@ -157,7 +156,7 @@
        [this, vm]
        {
            vms_[vm] = make_reducer(vm);
-           members_[vm].incarnation = ++incarnations_[vm];
+           ++members_[vm].incarnation;
            introduce(vm);
            // The store tells the others, who read it with a delay.
            at(now_ + 1500ms,
@@ -230,7 +229,6 @@
     }
     auto& record = requests_.at(in.request);
     record.sent_at.push_back(now_);
-    record.begun = true;
     auto const run = next_run_++;
     to.runs[run] = {vm, ended, false, record.deadly};
     at(now_ + prefill_time, [this, number, run] { begin_answer(number, run); });
@@ -325,7 +323,7 @@
                              record.arrived_at >= start_ + from &&
                              record.arrived_at < now_ - 1s;
         out.requests += counted ? 1 : 0;
-        out.begun += counted && record.begun ? 1 : 0;
+        out.begun += counted && !record.sent_at.empty() ? 1 : 0;
     }
     return out;
 }
--- a/packages/decision/tests/gateway/crash_simulation.hpp
+++ b/packages/decision/tests/gateway/crash_simulation.hpp
@@ -83,14 +83,13 @@
         request_traits traits;
         time_point arrived_at{};
         bool deadly = false;
-        bool begun = false;
-        std::vector<time_point> sent_at;
+        std::vector<time_point> sent_at; //!< sends that reached a runner
     };
 
     struct runner_record
     {
         time_point down_until{};
-        //! Running attempts: VM, attempt and whether an event was sent.
+        //! An attempt that the runner executes.
         struct run
         {
             std::size_t vm = 0;
@@ -119,10 +118,8 @@
     void tick(std::size_t vm);
     bool is_cut_off(std::size_t vm) const;
 
-    std::uint64_t const seed_;
     std::shared_ptr<manifest const> manifest_;
     std::vector<std::unique_ptr<reducer>> vms_;
-    std::vector<std::uint64_t> incarnations_;
     std::vector<member> members_;
     std::vector<runner> runner_entries_;
     std::vector<runner_record> runners_;
