--- a/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
@@ -54,7 +54,7 @@
     std::string const& self() const { return self_; }
     std::vector<std::string> others() const;
 
-    //! Number of registered VMs, at least one.
+    //! Number of registered VMs, 0 while none is known.
     std::size_t count() const;
 
 private:
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -34,6 +34,7 @@
     //! Maximum time until this VM learns of a change of a runner.
     duration max_update_delay{};
     retry_budget_limits retries;
+    time_point started_at{}; //!< of the process
 };
 
 //! The decision logic of one gateway process: admission, stages, choice of
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -140,7 +140,7 @@
 
 std::size_t member_table::count() const
 {
-    return std::max<std::size_t>(1, members_.size());
+    return members_.size();
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -9,7 +9,8 @@
 reducer::reducer(gateway_settings settings)
     : settings_(std::move(settings)),
       runners_(settings_.drain_timeout, settings_.max_update_delay),
-      members_(settings_.vm_name), retry_budget_(settings_.retries)
+      members_(settings_.vm_name),
+      retry_budget_(settings_.retries, settings_.started_at)
 {
 }
 
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -31,6 +31,7 @@
     : gateway({"vm-0", "north", 2s, 0s, {0.2, 40, 10s}})
 {
     feed(manifest_changed{make_manifest(1)});
+    feed(members_listed{{{"vm-0", "10.0.1.1:80", "north", 1, 1}}});
     runners_listed runners;
     for (auto const* id : {"plain-1", "plain-2", "plain-3"})
         runners.runners.push_back(make_runner(id, "plain"));
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -74,6 +74,7 @@
     settings.retry_budget_ratio = 0.2;
     settings.retry_budget_slack = 40;
     settings.retry_budget_window = 10s;
+    settings.first_start = true;
     callers_port = settings.caller_endpoint.port;
     peer_port = settings.first_peer_port;
     auto const members = used_store.members();
