--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -81,6 +81,13 @@
     std::vector<std::string> handles;
 };
 
+//! Closes the idle connections to the address. The next answer on one of them
+//! could belong to an earlier request.
+struct close_idle_connections
+{
+    std::string address;
+};
+
 struct send_to_peer
 {
     std::string member;
@@ -109,8 +116,8 @@
 
 using effect =
     std::variant<send_attempt, cancel_attempt, deliver_answer, refuse_request,
-                 abort_stream, call_stage, free_results, send_to_peer,
-                 remove_member, log_decision>;
+                 abort_stream, call_stage, free_results, close_idle_connections,
+                 send_to_peer, remove_member, log_decision>;
 
 using effects = std::vector<effect>;
 
--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -68,6 +68,15 @@
     std::string last_event_id;
 };
 
+//! A runner said in an answer that it wants no further requests, for good or
+//! for some time. Follows from the head of the answer, before its end.
+struct runner_notified
+{
+    std::string runner_id;
+    bool leaving = false;
+    std::optional<duration> quiet_time;
+};
+
 //! The first complete event of a stream is being sent to the caller.
 struct stream_started
 {
@@ -87,6 +96,14 @@
     std::string last_event_id;
 };
 
+//! The caller takes the events of a stream too slowly, so that no more are read
+//! from the runner, or has caught up.
+struct delivery_blocked
+{
+    request_ref request = 0;
+    bool blocked = false;
+};
+
 //! Identifier of a call to a stage runner.
 using call_ref = std::uint64_t;
 
@@ -169,8 +186,14 @@
     std::uint64_t incarnation = 0;
 };
 
+//! The process was told to stop.
 struct drain_started
 {
+    //! Time for which it still accepts requests. Callers that come later are
+    //! refused.
+    duration accept_for{};
+    //! Time after which requests in progress are given up.
+    duration finish_in{};
 };
 
 struct timer_fired
@@ -178,11 +201,12 @@
 };
 
 using event =
-    std::variant<request_arrived, caller_left, attempt_ended, stream_started,
-                 stream_advanced, stage_call_ended, stage_results_freed,
-                 manifest_changed, runners_listed, runner_changed,
-                 runner_removed, members_listed, peer_sent, peer_unreachable,
-                 peer_answered, drain_started, timer_fired>;
+    std::variant<request_arrived, caller_left, attempt_ended, runner_notified,
+                 stream_started, stream_advanced, delivery_blocked,
+                 stage_call_ended, stage_results_freed, manifest_changed,
+                 runners_listed, runner_changed, runner_removed, members_listed,
+                 peer_sent, peer_unreachable, peer_answered, drain_started,
+                 timer_fired>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -70,8 +70,10 @@
     void on(request_arrived const& in, time_point now);
     void on(caller_left const& in, time_point now);
     void on(attempt_ended const& in, time_point now);
+    void on(runner_notified const& in, time_point now);
     void on(stream_started const& in, time_point now);
     void on(stream_advanced const& in, time_point now);
+    void on(delivery_blocked const& in, time_point now);
     void on(stage_call_ended const& in, time_point now);
     void on(stage_results_freed const& in, time_point now);
     void on(manifest_changed const& in, time_point now);
@@ -85,6 +87,9 @@
     void on(drain_started const& in, time_point now);
     void on(timer_fired const& in, time_point now);
 
+    void resume_after_pause(duration pause, time_point now);
+    void give_up_requests(time_point now);
+
     // Requests.
     refusal check_request(request_traits const& traits,
                           organisation const*& caller_organisation,
@@ -110,6 +115,7 @@
                        attempt_outcome outcome, time_point now);
     std::optional<duration> retry_after(active_request const& request,
                                         refusal reason, time_point now) const;
+    bool are_runners_quiet(active_request const& request, time_point now) const;
 
     // Stages.
 
@@ -254,6 +260,11 @@
     call_ref next_call_ = 1;
     time_point members_checked_at_{};
     bool draining_ = false;
+    time_point accept_until_{}; //!< while draining
+    time_point finish_at_{};    //!< while draining
+    time_point last_event_at_{};
+    //! Pieces that arrive before may have been sent before a pause.
+    time_point pieces_stale_until_{};
     bool runners_known_ = false;
     bool dispatch_needed_ = false;
     effects out_;
--- a/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
@@ -16,6 +16,7 @@
     cannot_finish_in_time,
     stage_failed,
     crashes_runners,
+    vm_stopping,
     runner_failed,
     no_answer_in_time,
     bad_answer
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -26,6 +26,13 @@
     replaced     //!< another runner now listens at the address
 };
 
+//! What a runner said about further requests. Ends with its incarnation.
+struct runner_notice
+{
+    std::optional<time_point> leaving_since; //!< first told at this time
+    time_point quiet_until{};                //!< receives no requests before
+};
+
 //! A runner with its health and load as seen by this VM.
 struct runner_state
 {
@@ -44,6 +51,7 @@
     std::optional<time_point> expires_at;
     //! Entry removed; used only if no other runner is left.
     bool fallback_only = false;
+    runner_notice notice;
 };
 
 //! The registered runners with their health as seen by this VM. Registrations
@@ -57,6 +65,10 @@
     static constexpr duration max_outage_grace_period =
         std::chrono::milliseconds(2100);
 
+    //! A request to be left alone for longer is obeyed for this time only. A
+    //! runner that says a wrong time must not be lost until its next start.
+    static constexpr duration max_quiet_time = std::chrono::minutes(5);
+
     //! `drain_timeout` is the time after the removal of its entry from which a
     //! runner must not receive requests. `max_update_delay` is the maximum time
     //! until this VM learns of a removal while the store is reachable.
@@ -80,6 +92,22 @@
 
     runner_state* find(std::string_view id);
 
+    //! Records that the runner said that it leaves. It is used only if no other
+    //! runner is left, and not at all from the drain timeout on. Registrations
+    //! of the same incarnation do not end this.
+    void record_leaving(std::string_view id, time_point now);
+
+    //! Records that the runner wants no requests for some time. `spread`, from
+    //! 0 to 1, differs between VMs, so that they return one after the other.
+    //! Returns the time at which this VM returns.
+    time_point record_quiet(std::string_view id, duration quiet_time,
+                            double spread, time_point now);
+
+    //! Time at which the first runner of the service may receive requests, if
+    //! all that are left want none now.
+    std::optional<time_point> quiet_until(std::string_view service,
+                                          time_point now) const;
+
     //! Returns an empty string for an unknown address.
     std::string_view failure_domain_of(std::string_view address) const;
 
@@ -91,13 +119,26 @@
 private:
     using runner_map = std::map<std::string, runner_state, std::less<>>;
 
+    //! An erased registration. The same incarnation may be registered again.
+    struct former_entry
+    {
+        std::string address;
+        std::int64_t started_at_ms = 0;
+        runner_notice notice;
+        std::optional<time_point> erased_at; //!< set by the next `expire`
+    };
+
     void erase_entry(runner_map::iterator it);
+    runner_notice* find_notice(std::string_view id);
+    bool is_gone(runner_state const& state, time_point now) const;
     void back_off(runner_state& state, duration min_backoff, time_point now);
 
     duration outage_grace_period_{}; //!< for entries that expired in an outage
     //! For removed entries without alternatives.
     duration removal_grace_period_{};
+    duration leaving_grace_period_{}; //!< for runners that said they leave
     runner_map runners_;
+    std::map<std::string, former_entry, std::less<>> former_entries_;
     std::map<std::string, std::string, std::less<>> id_by_address_;
 };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/piece_queue.hpp>
 #include <buckthornvale/decision/gateway/rate_meter.hpp>
+#include <buckthornvale/decision/gateway/result_history.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 #include <buckthornvale/decision/gateway/stage_capacity.hpp>
 
@@ -75,11 +76,19 @@
     //! Handles the answer of a runner to a request to free results.
     void results_freed(call_ref call);
 
-    void call_ended(stage_call_ended const& ended, runner_directory& runners,
+    //! Returns false if the answer repeats an earlier one. The right answer may
+    //! follow on the same connection, which must not be used again.
+    bool call_ended(stage_call_ended const& ended, runner_directory& runners,
                     time_point now);
 
     bool owns_call(call_ref call) const { return calls_.count(call) > 0; }
 
+    //! Id of the runner that processes the call. The call must be in progress.
+    std::string const& runner_of(call_ref call) const
+    {
+        return calls_.at(call).runner_id;
+    }
+
     //! Starts calls on free runners and drops pieces that are too late.
     //! `next_call` is the next call identifier of this process.
     void dispatch(runner_directory& runners, call_ref& next_call,
@@ -129,6 +138,8 @@
         std::int64_t started_at_ms = 0;
     };
 
+    bool repeats_earlier_result(stage_call_ended const& ended) const;
+
     struct held_result
     {
         std::string runner_id;
@@ -184,7 +195,8 @@
     void start_call(runner_state& runner, std::vector<queued_piece> pieces,
                     call_ref call, time_point now, effects& out);
     void expire_results(time_point now);
-    void flush_released(call_ref& next_call, effects& out);
+    void flush_released(runner_directory& runners, call_ref& next_call,
+                        time_point now, effects& out);
 
     std::string service_;
     piece_limits limits_;
@@ -201,6 +213,7 @@
     std::map<call_ref, call_state> calls_;
     std::map<std::string, runner_usage, std::less<>> usage_;
     std::map<std::string, held_result, std::less<>> held_;
+    result_history returned_;
     std::map<std::string, released_results> released_; //!< by address
     std::map<call_ref, released_results> freeing_;
     std::vector<addressed_result> results_;
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -46,6 +46,7 @@
     time_point sent_at{};
     time_point last_progress{};
     std::string last_event_id;
+    bool delivery_blocked = false; //!< the caller takes its stream too slowly
     bool caller_gone = false;
     //! It cannot be on time and yields to requests that can.
     bool deferred = false;
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -1,4 +1,6 @@
 #include "active_request.hpp"
+#include "milliseconds_text.hpp"
+#include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/gateway/reducer.hpp>
 
 #include <algorithm>
@@ -6,6 +8,21 @@
 namespace buckthornvale::decision::gateway
 {
 
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! A VM without events for this long was paused. The other VMs have handed its
+//! work as a scheduler over meanwhile: they probe it after 300 ms without an
+//! answer, and the probe times out after 500 ms.
+constexpr duration handover_time = 1s;
+
+//! Time within which messages that were received during a pause are read.
+constexpr duration stale_message_time = 50ms;
+
+} // namespace
+
 reducer::reducer(gateway_settings settings)
     : settings_(std::move(settings)),
       runners_(settings_.drain_timeout, settings_.max_update_delay),
@@ -18,6 +35,9 @@
 
 effects reducer::reduce(event const& input, time_point now)
 {
+    if (last_event_at_ != time_point() && now - last_event_at_ > handover_time)
+        resume_after_pause(now - last_event_at_, now);
+    last_event_at_ = now;
     std::visit([&](auto const& it) { on(it, now); }, input);
     if (dispatch_needed_)
         run_schedulers(now);
@@ -89,6 +109,27 @@
          {"after_outage", in.after_outage ? "true" : "false"}});
 }
 
+void reducer::on(runner_notified const& in, time_point now)
+{
+    if (in.leaving)
+    {
+        runners_.record_leaving(in.runner_id, now);
+        log("runner_leaving", nullptr, {{"runner", in.runner_id}});
+    }
+    if (!in.quiet_time)
+        return;
+    constexpr std::uint64_t steps = 1000;
+    double const spread =
+        double(stable_hash(settings_.vm_name + '\n' + in.runner_id) % steps) /
+        steps;
+    auto const until =
+        runners_.record_quiet(in.runner_id, *in.quiet_time, spread, now);
+    log("runner_quiet", nullptr,
+        {{"runner", in.runner_id},
+         {"asked_ms", milliseconds_text(*in.quiet_time)},
+         {"avoided_ms", milliseconds_text(until - now)}});
+}
+
 void reducer::on(members_listed const& in, time_point now)
 {
     for (auto const& name : members_.assign(in.members))
@@ -97,9 +138,31 @@
         {{"count", std::to_string(in.members.size())}});
 }
 
-void reducer::on(drain_started const&, time_point)
+void reducer::resume_after_pause(duration pause, time_point now)
+{
+    log("resumed_after_pause", nullptr,
+        {{"paused_ms", milliseconds_text(pause)}});
+    pieces_stale_until_ = now + stale_message_time;
+    for (auto const& name : members_.others())
+        for (auto& it : schedulers_)
+            it.second.withdraw_all(name);
+}
+
+void reducer::give_up_requests(time_point now)
+{
+    while (!requests_.empty())
+    {
+        auto& request = *requests_.begin()->second;
+        request.possible_executions += request.in_flight ? 1 : 0;
+        fail_request(request, refusal::vm_stopping, now);
+    }
+}
+
+void reducer::on(drain_started const& in, time_point now)
 {
     draining_ = true;
+    accept_until_ = now + in.accept_for;
+    finish_at_ = now + in.finish_in;
     log("drain_started", nullptr,
         {{"active", std::to_string(requests_.size())}});
 }
@@ -120,6 +183,8 @@
     for (auto const ref : refs)
         if (auto const found = requests_.find(ref); found != requests_.end())
             check_timeouts(*found->second, now);
+    if (draining_ && finish_at_ <= now)
+        give_up_requests(now);
     probe_owners(now);
     remove_unreachable_members(now);
     dispatch_needed_ = true;
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -28,6 +28,11 @@
 constexpr duration min_retry_after = 100ms;
 constexpr duration max_retry_after = 2s;
 
+//! Jitter prevents refused callers from returning in one burst. Those whose
+//! runners want no requests for some time must not return before its end.
+constexpr std::uint64_t jitter_steps = 1000;
+constexpr double max_quiet_jitter = 0.5;
+
 //! Statuses of answers of the gateway itself.
 constexpr int status_unavailable = 503;
 constexpr int status_bad_gateway = 502;
@@ -42,15 +47,17 @@
     if (traits_of(reason).status != status_unavailable ||
         reason == refusal::crashes_runners)
         return std::nullopt;
+    double const jitter =
+        double(stable_hash(request.traits.id) % jitter_steps) / jitter_steps;
+    if (auto const until = runners_.quiet_until(request.service, now))
+        return std::max(min_retry_after,
+                        from_seconds(to_seconds(*until - now) *
+                                     (1 + max_quiet_jitter * jitter)));
     duration wait = min_retry_after;
     if (reason == refusal::cannot_finish_in_time ||
         reason == refusal::stage_failed)
         wait = forecast_stages(request, now).on_schedule;
-    // Jitter prevents refused callers from returning in one burst.
-    constexpr std::uint64_t steps = 1000;
-    double const spread =
-        0.75 + 0.5 * double(stable_hash(request.traits.id) % steps) / steps;
-    wait = from_seconds(to_seconds(wait) * spread);
+    wait = from_seconds(to_seconds(wait) * (0.75 + 0.5 * jitter));
     return std::clamp(wait, min_retry_after, max_retry_after);
 }
 
@@ -127,11 +134,24 @@
     auto* request = find_attempt(in.request, in.attempt);
     if (request == nullptr)
         return;
-    request->last_progress = now;
+    // A runner that stalls may go on sending comments.
+    bool const advanced =
+        in.last_event_id.empty() || in.last_event_id != request->last_event_id;
+    if (advanced)
+        request->last_progress = now;
     if (!in.last_event_id.empty())
         request->last_event_id = in.last_event_id;
 }
 
+void reducer::on(delivery_blocked const& in, time_point now)
+{
+    auto const found = requests_.find(in.request);
+    if (found == requests_.end())
+        return;
+    found->second->delivery_blocked = in.blocked;
+    found->second->last_progress = now;
+}
+
 void reducer::check_timeouts(active_request& request, time_point now)
 {
     if (request.deadline <= now)
@@ -157,7 +177,7 @@
                      now);
         return;
     }
-    if (!request.in_flight || request.caller_gone ||
+    if (!request.in_flight || request.caller_gone || request.delivery_blocked ||
         !request.matched_route->repeatable() ||
         request.possible_executions + 1 >= request.matched_route->max_attempts)
         return;
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -23,6 +23,8 @@
 void reducer::handle_message(std::string const& from, submit_pieces const& in,
                              time_point now)
 {
+    if (now < pieces_stale_until_ && from != members_.self())
+        return;
     std::map<std::string, std::vector<piece>> by_service;
     for (auto const& it : in.pieces)
         by_service[it.service].push_back(it);
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -24,7 +24,7 @@
 //! Minimum time left to start another attempt.
 constexpr duration min_time_for_retry = 30ms;
 
-//! Retry delay that is returned while the VM has no manifest.
+//! Retry delay that is returned while the VM has no manifest or stops.
 constexpr duration unready_retry_after = 100ms;
 
 //! Priorities of engines range from 0 (most urgent) to 9.
@@ -93,7 +93,9 @@
 {
     organisation const* caller_organisation = nullptr;
     route const* found = nullptr;
-    auto const reason = check_request(in.traits, caller_organisation, found);
+    auto reason = check_request(in.traits, caller_organisation, found);
+    if (draining_ && accept_until_ <= now)
+        reason = refusal::vm_stopping;
     auto entry = std::make_unique<active_request>();
     auto& request = *entry;
     request.ref = in.request;
@@ -139,6 +141,11 @@
         fail_request(request, refusal::crashes_runners, now);
         return;
     }
+    if (are_runners_quiet(request, now))
+    {
+        fail_request(request, refusal::no_runner, now);
+        return;
+    }
     if (!request.pipeline.empty() && !admit_stages(request, now))
     {
         fail_request(request, refusal::cannot_finish_in_time, now);
@@ -202,6 +209,18 @@
     return choose_engine_runner(untried, work, now);
 }
 
+bool reducer::are_runners_quiet(active_request const& request,
+                                time_point now) const
+{
+    auto const until = runners_.quiet_until(request.service, now);
+    if (!until)
+        return false;
+    auto const estimate = estimate_stages(request, now);
+    std::vector<duration> const no_waits(estimate.stages.size());
+    return now + request.pipeline.finish_time(estimate.stages, no_waits) <
+           *until;
+}
+
 void reducer::start_attempt(active_request& request, time_point now)
 {
     // On a VM that is short of processor time, results can be handled before
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -437,7 +437,17 @@
     for (auto& it : schedulers_)
         if (it.second.owns_call(in.call))
         {
-            it.second.call_ended(in, runners_, now);
+            auto const* runner = runners_.find(it.second.runner_of(in.call));
+            std::string const address =
+                runner != nullptr ? runner->entry.address : "";
+            if (!it.second.call_ended(in, runners_, now))
+            {
+                log("repeated_stage_answer", nullptr,
+                    {{"service", it.first},
+                     {"call", std::to_string(in.call)},
+                     {"address", address}});
+                out_.push_back(close_idle_connections{address});
+            }
             log("stage_call_ended", nullptr,
                 {{"service", it.first},
                  {"call", std::to_string(in.call)},
--- a/packages/decision/src/gateway/refusal.cpp
+++ b/packages/decision/src/gateway/refusal.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
-constexpr std::array<refusal_traits, 12> refusals = {{
+constexpr std::array<refusal_traits, 13> refusals = {{
     {refusal::none, 500, "none"},
     {refusal::no_manifest, 503, "no_manifest"},
     {refusal::unknown_route, 404, "unknown_route"},
@@ -21,6 +21,7 @@
     {refusal::cannot_finish_in_time, 503, "cannot_finish_in_time"},
     {refusal::stage_failed, 503, "stage_failed"},
     {refusal::crashes_runners, 503, "crashes_runners"},
+    {refusal::vm_stopping, 503, "vm_stopping"},
     {refusal::runner_failed, 502, "runner_failed"},
     {refusal::no_answer_in_time, 504, "no_answer_in_time"},
     {refusal::bad_answer, 502, "bad_answer"},
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -32,6 +32,14 @@
 //! fail some requests, for reasons of their own.
 constexpr double max_failure_share = 0.4;
 
+//! The time until a VM returns to a runner that wanted no requests is longer by
+//! up to this share, within the bound.
+constexpr double max_return_spread_share = 0.5;
+constexpr duration max_return_spread = 5s;
+
+//! Time for which erased registrations are remembered.
+constexpr duration former_entry_lifetime = 10min;
+
 //! Age from which a reported load is ignored.
 constexpr duration load_lifetime = 500ms;
 
@@ -49,7 +57,9 @@
                                                 max_outage_grace_period)),
       removal_grace_period_(
           std::clamp<duration>(drain_timeout - drain_margin - max_update_delay,
-                               duration::zero(), outage_grace_period_ * 3 / 4))
+                               duration::zero(), outage_grace_period_ * 3 / 4)),
+      leaving_grace_period_(
+          std::max<duration>(drain_timeout - drain_margin, duration::zero()))
 {
 }
 
@@ -87,6 +97,14 @@
         state = {};
         state.outstanding = outstanding;
     }
+    auto const former = former_entries_.find(value.id);
+    if (former != former_entries_.end())
+    {
+        if (former->second.address == value.address &&
+            former->second.started_at_ms == value.started_at_ms)
+            state.notice = former->second.notice;
+        former_entries_.erase(former);
+    }
     id_by_address_[value.address] = value.id;
     state.entry = std::move(value);
     state.expires_at.reset();
@@ -120,6 +138,13 @@
             erase_entry(it);
         it = next;
     }
+    for (auto it = former_entries_.begin(); it != former_entries_.end();)
+    {
+        if (!it->second.erased_at)
+            it->second.erased_at = now;
+        bool const old = now - *it->second.erased_at > former_entry_lifetime;
+        it = old ? former_entries_.erase(it) : std::next(it);
+    }
 }
 
 void runner_directory::erase_entry(runner_map::iterator it)
@@ -127,9 +152,23 @@
     auto const address = id_by_address_.find(it->second.entry.address);
     if (address != id_by_address_.end() && address->second == it->first)
         id_by_address_.erase(address);
+    former_entries_[it->first] = {it->second.entry.address,
+                                  it->second.entry.started_at_ms,
+                                  it->second.notice,
+                                  {}};
     runners_.erase(it);
 }
 
+bool runner_directory::is_gone(runner_state const& state, time_point now) const
+{
+    auto const& leaving = state.notice.leaving_since;
+    // Checked here too, because a process that was paused may choose a runner
+    // before it erases entries that expired meanwhile.
+    return state.entry.draining ||
+           (state.expires_at && *state.expires_at <= now) ||
+           (leaving && now - *leaving >= leaving_grace_period_);
+}
+
 void runner_directory::usable(std::string_view service, time_point now,
                               std::vector<runner_state*>& out)
 {
@@ -138,9 +177,11 @@
     for (auto& it : runners_)
     {
         auto& state = it.second;
-        if (state.entry.service != service || state.entry.draining)
+        if (state.entry.service != service || is_gone(state, now) ||
+            state.notice.quiet_until > now)
             continue;
-        bool const fallback = state.backoff_until > now || state.fallback_only;
+        bool const fallback = state.backoff_until > now ||
+                              state.fallback_only || state.notice.leaving_since;
         (fallback ? fallbacks : out).push_back(&state);
     }
     if (out.empty())
@@ -153,6 +194,54 @@
     return found == runners_.end() ? nullptr : &found->second;
 }
 
+runner_notice* runner_directory::find_notice(std::string_view id)
+{
+    if (auto* state = find(id))
+        return &state->notice;
+    auto const former = former_entries_.find(id);
+    return former == former_entries_.end() ? nullptr : &former->second.notice;
+}
+
+void runner_directory::record_leaving(std::string_view id, time_point now)
+{
+    auto* notice = find_notice(id);
+    if (notice != nullptr && !notice->leaving_since)
+        notice->leaving_since = now;
+}
+
+time_point runner_directory::record_quiet(std::string_view id,
+                                          duration quiet_time, double spread,
+                                          time_point now)
+{
+    auto const quiet = std::min(quiet_time, max_quiet_time);
+    auto const longest =
+        std::min(max_return_spread,
+                 from_seconds(max_return_spread_share * to_seconds(quiet)));
+    auto const until = now + quiet + from_seconds(spread * to_seconds(longest));
+    auto* notice = find_notice(id);
+    if (notice == nullptr)
+        return now;
+    notice->quiet_until = std::max(notice->quiet_until, until);
+    return notice->quiet_until;
+}
+
+std::optional<time_point>
+runner_directory::quiet_until(std::string_view service, time_point now) const
+{
+    std::optional<time_point> out;
+    for (auto const& it : runners_)
+    {
+        auto const& state = it.second;
+        if (state.entry.service != service || is_gone(state, now))
+            continue;
+        if (state.notice.quiet_until <= now)
+            return std::nullopt;
+        out = std::min(out.value_or(state.notice.quiet_until),
+                       state.notice.quiet_until);
+    }
+    return out;
+}
+
 std::string_view
 runner_directory::failure_domain_of(std::string_view address) const
 {
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -128,6 +128,7 @@
 {
     if (!result.handle.empty())
     {
+        returned_.add(result.handle, now);
         held_[result.handle] = {runner_id, it.work.result_bytes,
                                 now + limits_.result_lifetime};
         finish_piece(it, piece_outcome::done, result.handle);
@@ -148,24 +149,34 @@
     requeue(std::move(it), !result.no_room, now);
 }
 
-void stage_scheduler::call_ended(stage_call_ended const& ended,
+bool stage_scheduler::repeats_earlier_result(
+    stage_call_ended const& ended) const
+{
+    return std::any_of(ended.pieces.begin(), ended.pieces.end(),
+                       [&](piece_call_result const& it)
+                       { return returned_.contains(it.handle); });
+}
+
+bool stage_scheduler::call_ended(stage_call_ended const& ended,
                                  runner_directory& runners, time_point now)
 {
     auto const found = calls_.find(ended.call);
     if (found == calls_.end())
-        return;
+        return true;
     call_state call = std::move(found->second);
     calls_.erase(found);
     auto& usage = usage_[call.runner_id];
     usage.calls -= usage.calls > 0 ? 1 : 0;
+    bool const repeated = repeats_earlier_result(ended);
     bool const answered = ended.outcome == call_outcome::answered &&
-                          ended.pieces.size() == call.pieces.size();
+                          ended.pieces.size() == call.pieces.size() &&
+                          !repeated;
     record_runner_signal(call, ended, answered, runners, now);
     if (!answered)
     {
-        requeue_call_pieces(call, ended.outcome == call_outcome::no_answer,
-                            now);
-        return;
+        requeue_call_pieces(
+            call, repeated || ended.outcome == call_outcome::no_answer, now);
+        return !repeated;
     }
     record_call_time(call, now);
     if (call.hedged)
@@ -173,6 +184,7 @@
     for (std::size_t i = 0; i < call.pieces.size(); ++i)
         handle_piece_outcome(call.pieces[i], ended.pieces[i], call.runner_id,
                              now);
+    return true;
 }
 
 void stage_scheduler::hedge_slow_calls(time_point now)
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -312,25 +312,33 @@
     }
 }
 
-void stage_scheduler::flush_released(call_ref& next_call, effects& out)
+void stage_scheduler::flush_released(runner_directory& runners,
+                                     call_ref& next_call, time_point now,
+                                     effects& out)
 {
-    for (auto& it : released_)
+    for (auto it = released_.begin(); it != released_.end();)
     {
+        auto const* runner = runners.find(it->second.runner_id);
+        if (runner != nullptr && runner->notice.quiet_until > now)
+        {
+            ++it;
+            continue;
+        }
         free_results freed;
         freed.call = next_call++;
-        freed.address = it.first;
-        freed.runner_id = it.second.runner_id;
-        freed.handles = it.second.handles;
-        freeing_.emplace(freed.call, std::move(it.second));
+        freed.address = it->first;
+        freed.runner_id = it->second.runner_id;
+        freed.handles = it->second.handles;
+        freeing_.emplace(freed.call, std::move(it->second));
         out.push_back(std::move(freed));
+        it = released_.erase(it);
     }
-    released_.clear();
 }
 
 void stage_scheduler::dispatch(runner_directory& runners, call_ref& next_call,
                                time_point now, effects& out)
 {
-    flush_released(next_call, out);
+    flush_released(runners, next_call, now, out);
     if (now - last_check_ >= check_interval)
         check_timeouts(now);
     if (queue_.empty())
@@ -357,6 +365,7 @@
 void stage_scheduler::check_timeouts(time_point now)
 {
     last_check_ = now;
+    returned_.expire(now);
     expire_results(now);
     report_inputs_read(now);
     hedge_slow_calls(now);
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -180,7 +180,7 @@
 TEST_F(gateway_requests, are_accepted_while_draining_without_readiness)
 {
     EXPECT_TRUE(gateway.ready());
-    feed(drain_started{});
+    feed(drain_started{2500ms, 7400ms});
     EXPECT_FALSE(gateway.ready());
     EXPECT_EQ(all<send_attempt>(arrive("/book/x")).size(), 1U);
 }
@@ -256,5 +256,118 @@
     EXPECT_TRUE(feed(late).empty());
 }
 
+// Callers waited in vain, or their requests ran against the runners' wish, when
+// all runners of a service had asked for quiet.
+TEST_F(gateway_requests, are_refused_at_once_while_all_runners_want_none)
+{
+    for (auto const* id : {"plain-1", "plain-2", "plain-3"})
+        feed(runner_notified{id, false, 10s});
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const out = arrive("/read/x");
+        EXPECT_TRUE(all<send_attempt>(out).empty());
+        auto const refused = only<refuse_request>(out);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_GE(refused.retry_after.value_or(0s), 10s);
+        EXPECT_LE(refused.retry_after.value_or(0s), 23s);
+    }
+    advance(16s);
+    EXPECT_EQ(all<send_attempt>(arrive("/read/x")).size(), 1U);
+}
+
+// Stages were computed for requests whose last runner would not take them.
+TEST_F(gateway_requests, start_no_stage_while_all_model_runners_want_none)
+{
+    for (auto const* id : {"engine-1", "engine-2", "engine-3"})
+        feed(runner_notified{id, false, 10s});
+    auto const out = arrive("/staged/x", 5s);
+    EXPECT_TRUE(all<call_stage>(out).empty());
+    EXPECT_EQ(only<refuse_request>(out).status, 503);
+}
+
+TEST_F(gateway_requests, are_not_sent_to_a_runner_that_leaves)
+{
+    feed(runner_notified{"plain-1", true, {}});
+    for (int n = 0; n < 50; ++n)
+    {
+        auto const sent = only<send_attempt>(arrive("/read/x"));
+        EXPECT_NE(sent.runner_id, "plain-1");
+    }
+}
+
+// Requests that came late in the grace period were sent to runners and cut off
+// with the process.
+TEST_F(gateway_requests, are_refused_late_in_a_drain)
+{
+    feed(drain_started{2500ms, 7400ms});
+    advance(2400ms);
+    EXPECT_EQ(all<send_attempt>(arrive("/book/x")).size(), 1U);
+    advance(200ms);
+    for (auto const* path : {"/book/x", "/read/x", "/stream/x"})
+    {
+        auto const out = arrive(path);
+        EXPECT_TRUE(all<send_attempt>(out).empty());
+        auto const refused = only<refuse_request>(out);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_TRUE(refused.retry_after);
+    }
+}
+
+// Whatever is in progress when the process ends gets an answer, which promises
+// nothing if a runner may have run the request.
+TEST_F(gateway_requests, are_answered_before_the_end_of_a_drain)
+{
+    feed(drain_started{2500ms, 7400ms});
+    advance(2400ms);
+    arrive("/book/x", 20s);
+    advance(4900ms);
+    EXPECT_EQ(gateway.active_requests(), 1U);
+    auto const out = advance(200ms);
+    EXPECT_EQ(only<refuse_request>(out).status, 502);
+    EXPECT_EQ(all<cancel_attempt>(out).size(), 1U);
+    EXPECT_EQ(gateway.active_requests(), 0U);
+}
+
+// A stream whose caller took its events slowly was moved to another runner,
+// since nothing more was read from the first.
+TEST_F(gateway_streams, are_not_moved_while_their_caller_is_slow)
+{
+    arrive("/resume/x", 20s);
+    feed(stream_started{last_request, 1, {}, "1"});
+    feed(delivery_blocked{last_request, true});
+    EXPECT_TRUE(all<send_attempt>(advance(3s)).empty());
+    feed(delivery_blocked{last_request, false});
+    EXPECT_TRUE(all<send_attempt>(advance(900ms)).empty());
+    EXPECT_EQ(all<send_attempt>(advance(300ms)).size(), 1U);
+}
+
+// A runner that stalled and sent a comment now and then kept its stream for
+// ever.
+TEST_F(gateway_streams, are_moved_from_a_runner_that_sends_comments_only)
+{
+    arrive("/resume/x", 20s);
+    feed(stream_started{last_request, 1, {}, "1"});
+    std::vector<send_attempt> sent;
+    for (int n = 0; n < 6 && sent.empty(); ++n)
+    {
+        feed(stream_advanced{last_request, 1, "1"});
+        sent = all<send_attempt>(advance(300ms));
+    }
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent.front().last_event_id, "1");
+}
+
+// A slow stream is sound as long as each pause is shorter than the limit.
+TEST_F(gateway_streams, are_not_moved_while_events_arrive_slowly)
+{
+    arrive("/resume/x", 60s);
+    feed(stream_started{last_request, 1, {}, "0"});
+    for (int n = 1; n < 40; ++n)
+    {
+        EXPECT_TRUE(all<send_attempt>(advance(900ms)).empty());
+        feed(stream_advanced{last_request, 1, std::to_string(n)});
+    }
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -290,5 +290,37 @@
     EXPECT_EQ(results.backlogs.size(), 1U);
 }
 
+// A scheduler that was paused went on with pieces that the other VMs had given
+// to its successor meanwhile, so that they were made twice.
+TEST_F(gateway_stages, of_other_vms_are_dropped_after_a_pause)
+{
+    submit_pieces message;
+    for (request_ref n = 1; n <= 5; ++n)
+    {
+        piece work;
+        work.request = n;
+        work.request_id = "other-" + std::to_string(n);
+        work.service = "stage";
+        work.key = "k";
+        work.result_bytes = 1000;
+        work.due_in = 9s;
+        work.latest_start_in = 9s;
+        work.time_left = 10s;
+        message.pieces.push_back(work);
+    }
+    feed(members_listed{{{"vm-0", "10.0.1.1:7740", "north", 1, 1},
+                         {"vm-1", "10.0.1.2:7740", "north", 1, 1}}});
+    // No runner takes the pieces before the pause.
+    for (auto const* id : {"stage-1", "stage-2"})
+        feed(runner_notified{id, false, 1s});
+    EXPECT_TRUE(all<call_stage>(feed(peer_sent{"vm-1", {message}})).empty());
+    now += 1600ms;
+    EXPECT_TRUE(all<call_stage>(feed(timer_fired{})).empty());
+    // Sent before the pause and read after it.
+    feed(peer_sent{"vm-1", {message}});
+    EXPECT_TRUE(all<call_stage>(advance(100ms)).empty());
+    EXPECT_EQ(all<call_stage>(feed(peer_sent{"vm-1", {message}})).size(), 1U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/runner_directory_test.cpp
+++ b/packages/decision/tests/gateway/runner_directory_test.cpp
@@ -168,5 +168,99 @@
     EXPECT_EQ(it.runners.failure_domain_of("10.0.0.3:80"), "");
 }
 
+// A runner that says in its answers that it leaves got requests for longer than
+// the drain timeout, because the registrations still showed it as sound.
+TEST(runner_directory, keeps_to_a_leaving_notice_whatever_is_registered)
+{
+    two_runners it;
+    it.runners.record_leaving("a", start);
+    EXPECT_EQ(usable(it.runners, start), ids{"b"});
+    it.runners.upsert(make_runner("a", "10.0.0.1:80"));
+    EXPECT_EQ(usable(it.runners, start + 1s), ids{"b"});
+    // A list without it, as after an outage, and one that shows it again.
+    it.runners.assign({make_runner("b", "10.0.0.2:80")}, true, start + 1s);
+    it.runners.expire(start + 4s);
+    it.runners.upsert(make_runner("a", "10.0.0.1:80"));
+    EXPECT_EQ(usable(it.runners, start + 5s), ids{"b"});
+}
+
+// Shortly before it stops, a leaving runner is better than none.
+TEST(runner_directory, uses_a_leaving_runner_only_if_no_other_is_left)
+{
+    two_runners it;
+    it.runners.record_leaving("a", start);
+    it.runners.record_leaving("b", start + 1s);
+    EXPECT_EQ(usable(it.runners, start + 1s), (ids{"a", "b"}));
+    // Further answers with the notice do not extend the time.
+    it.runners.record_leaving("a", start + 1500ms);
+    EXPECT_EQ(usable(it.runners, start + drain_timeout - 300ms), ids{"b"});
+    EXPECT_EQ(usable(it.runners, start + 1s + drain_timeout), ids{});
+}
+
+TEST(runner_directory, uses_the_next_incarnation_of_a_leaving_runner)
+{
+    two_runners it;
+    it.runners.record_leaving("a", start);
+    auto next = make_runner("a", "10.0.0.1:80");
+    next.started_at_ms = 2;
+    it.runners.upsert(next);
+    EXPECT_EQ(usable(it.runners, start + 10s), (ids{"a", "b"}));
+}
+
+// A runner that asked for quiet got requests again after a back-off of 40 ms,
+// or at once when all others were in back-off too.
+TEST(runner_directory, leaves_a_runner_alone_for_as_long_as_it_asks)
+{
+    two_runners it;
+    constexpr double no_spread = 0;
+    it.runners.record_quiet("a", 3s, no_spread, start);
+    it.runners.record(*it.runners.find("b"), runner_signal::unreachable, 0s,
+                      start);
+    EXPECT_EQ(usable(it.runners, start + 2900ms), ids{"b"});
+    EXPECT_EQ(it.runners.quiet_until("s", start), std::nullopt);
+    it.runners.record_quiet("b", 2s, no_spread, start);
+    EXPECT_EQ(usable(it.runners, start), ids{});
+    EXPECT_EQ(it.runners.quiet_until("s", start), start + 2s);
+    EXPECT_EQ(usable(it.runners, start + 3s), (ids{"a", "b"}));
+}
+
+// A runner that asks for a day of silence by mistake must not be lost.
+TEST(runner_directory, bounds_the_time_for_which_a_runner_is_left_alone)
+{
+    two_runners it;
+    constexpr double longest_spread = 1;
+    it.runners.record_quiet("a", 24h, longest_spread, start);
+    EXPECT_EQ(usable(it.runners, start + runner_directory::max_quiet_time),
+              ids{"b"});
+    EXPECT_EQ(
+        usable(it.runners, start + runner_directory::max_quiet_time + 10s),
+        (ids{"a", "b"}));
+}
+
+// If all VMs came back at the same moment, the runner would refuse again.
+TEST(runner_directory, spreads_the_return_of_vms_to_a_runner)
+{
+    constexpr int vm_count = 195;
+    int returned_early = 0;
+    for (int n = 0; n < vm_count; ++n)
+    {
+        two_runners it;
+        auto const until =
+            it.runners.record_quiet("a", 4s, double(n) / vm_count, start);
+        EXPECT_GE(until, start + 4s);
+        returned_early += until < start + 4200ms ? 1 : 0;
+    }
+    EXPECT_LT(returned_early, vm_count / 5);
+}
+
+// A process that was paused while the time of a removed runner ran out handled
+// the next request before it noticed.
+TEST(runner_directory, does_not_use_an_expired_entry_that_is_not_erased_yet)
+{
+    two_runners it;
+    it.runners.remove("a", true, start);
+    EXPECT_EQ(usable(it.runners, start + 10s), ids{"b"});
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -248,5 +248,31 @@
     EXPECT_EQ(scheduler.waiting(), 2U);
 }
 
+// A late copy of an earlier answer was taken for the answer to the next call,
+// so that a request got the results of another.
+TEST(stage_scheduler, does_not_use_an_answer_that_repeats_an_earlier_one)
+{
+    fake_pool pool(1);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    effects out;
+    stage_call_ended first;
+    first.call = 1;
+    first.outcome = call_outcome::answered;
+    first.pieces.push_back({piece_outcome::done, false, "10.0.0.1:80/a"});
+    scheduler.submit("vm", {make_piece(1)}, start);
+    scheduler.dispatch(pool.runners, pool.next_call, start, out);
+    EXPECT_TRUE(scheduler.call_ended(first, pool.runners, start + 208ms));
+    EXPECT_EQ(scheduler.take_results().size(), 1U);
+
+    scheduler.submit("vm", {make_piece(2)}, start + 300ms);
+    scheduler.dispatch(pool.runners, pool.next_call, start + 300ms, out);
+    auto copy = first;
+    copy.call = 2;
+    EXPECT_FALSE(scheduler.call_ended(copy, pool.runners, start + 310ms));
+    EXPECT_TRUE(scheduler.take_results().empty());
+    EXPECT_EQ(scheduler.waiting(), 1U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -86,6 +86,8 @@
 
     // runner_attempt::listener
     void on_sse_events(runner_attempt& from, std::string_view events) override;
+    void on_runner_notice(runner_attempt& from,
+                          platform::runner_response const& response) override;
     void
     on_attempt_ended(runner_attempt& from,
                      decision::gateway::attempt_ended const& outcome) override;
@@ -98,6 +100,7 @@
     void execute(decision::gateway::abort_stream const& it);
     void execute(decision::gateway::call_stage const& it);
     void execute(decision::gateway::free_results const& it);
+    void execute(decision::gateway::close_idle_connections const& it);
     void execute(decision::gateway::send_to_peer const& it);
     void execute(decision::gateway::remove_member const& it);
     void execute(decision::gateway::log_decision const& it);
@@ -113,6 +116,10 @@
     void start_store_watchers();
     void apply_runners(std::vector<platform::stored_object> const& objects,
                        bool listed, bool after_outage);
+    void handle_notice(std::string const& runner_id,
+                       platform::runner_response const& response);
+    void read_stage_notice(std::string const& runner_id,
+                           http::response_head const& head);
     void finish_stage_call(decision::gateway::call_ref call, std::size_t pieces,
                            net::call_result const& result);
     void apply_members(std::vector<platform::stored_object> const& objects,
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -26,6 +26,12 @@
         //! Receives complete server-sent events, in order.
         virtual void on_sse_events(runner_attempt& from,
                                    std::string_view events) = 0;
+
+        //! The head of an answer says that the runner wants no further
+        //! requests, for good or for some time.
+        virtual void
+        on_runner_notice(runner_attempt& from,
+                         platform::runner_response const& response) = 0;
         virtual void
         on_attempt_ended(runner_attempt& from,
                          decision::gateway::attempt_ended const& outcome) = 0;
@@ -35,11 +41,12 @@
     //! for a stream that begins.
     runner_attempt(listener& attempt_listener,
                    decision::gateway::request_ref request, std::uint32_t number,
-                   std::string request_id, bool expects_stream,
-                   std::string resumed_after);
+                   std::string runner_id, std::string request_id,
+                   bool expects_stream, std::string resumed_after);
 
     decision::gateway::request_ref request() const { return request_; }
     std::uint32_t number() const { return number_; }
+    std::string const& runner_id() const { return runner_id_; }
     http::response_head const& head() const { return head_; }
     platform::runner_response const& response() const { return response_; }
 
@@ -70,6 +77,7 @@
     listener& listener_;
     decision::gateway::request_ref const request_;
     std::uint32_t const number_;
+    std::string const runner_id_;
     std::string const request_id_;
     bool const expects_stream_;
     std::string const resumed_after_;
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -50,8 +50,8 @@
     options.keep_connection = !effect.new_connection;
     destroy_later(std::move(it->attempt));
     it->attempt = std::make_unique<runner_attempt>(
-        *this, effect.request, effect.attempt, it->request_id, effect.stream,
-        effect.last_event_id);
+        *this, effect.request, effect.attempt, effect.runner_id, it->request_id,
+        effect.stream, effect.last_event_id);
     it->attempt->call = http_client_.call(
         effect.address,
         platform::encode_runner_request(it->head, it->body->size(), headers),
@@ -112,6 +112,7 @@
     {
         it->reading_paused = true;
         http_client_.pause(from.call);
+        reduce(model::delivery_blocked{from.request(), true});
     }
     if (first)
         reduce(model::stream_started{from.request(), from.number(),
@@ -122,6 +123,22 @@
                                       from.last_event_id()});
 }
 
+void gateway_process::on_runner_notice(
+    runner_attempt& from, platform::runner_response const& response)
+{
+    handle_notice(from.runner_id(), response);
+}
+
+void gateway_process::handle_notice(std::string const& runner_id,
+                                    platform::runner_response const& response)
+{
+    if (response.invalid_retry_after)
+        log("retry_after_ignored", {{"runner", runner_id}});
+    if (response.leaving || response.quiet_time)
+        reduce(model::runner_notified{runner_id, response.leaving,
+                                      response.quiet_time});
+}
+
 void gateway_process::on_attempt_ended(runner_attempt& from,
                                        model::attempt_ended const& outcome)
 {
@@ -193,6 +210,11 @@
     log_writer_.write(effect, now());
 }
 
+void gateway_process::execute(model::close_idle_connections const& effect)
+{
+    http_client_.forget(effect.address);
+}
+
 void gateway_process::execute(model::send_to_peer const& effect)
 {
     peer_sender_.send(effect.member, effect.address, effect.message);
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -39,9 +39,14 @@
 //! is less likely to schedule for the fleet.
 constexpr double full_capacity_link_mbps = 100;
 
-//! The process exits this long before the end of the grace period.
+//! Requests in progress are given up this long before the end of the grace
+//! period.
 constexpr duration grace_margin = 600ms;
 
+//! The process exits this long before the end of the grace period. The time in
+//! between is for sending the last answers.
+constexpr duration exit_margin = 300ms;
+
 net::server_limits to_server_limits(model::caller_limits const& from)
 {
     net::server_limits out;
@@ -166,7 +171,8 @@
     draining_ = true;
     drain_started_at_ = now();
     caller_server_.announce_end();
-    reduce(model::drain_started{});
+    reduce(model::drain_started{drain_accept_time,
+                                settings_.grace_period - grace_margin});
 }
 
 void gateway_process::stop_when_drained(time_point at)
@@ -183,7 +189,7 @@
     bool const done = !listening_ && requests_.empty() &&
                       caller_server_.serving() == 0 && !reducer_.busy() &&
                       caller_server_.connections() == 0;
-    if (!done && since < settings_.grace_period - grace_margin)
+    if (!done && since < settings_.grace_period - exit_margin)
         return;
     log("stopped", {{"active", std::to_string(requests_.size())}});
     log_writer_.flush();
@@ -331,6 +337,7 @@
     {
         it.reading_paused = false;
         http_client_.resume(it.attempt->call);
+        reduce(model::delivery_blocked{found->second, false});
     }
 }
 
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -56,9 +56,20 @@
               {"POST", std::string(platform::stage_run_target),
                platform::encode_stage_items(items), effect.runner_id},
               options,
-              [this, call = effect.call,
+              [this, call = effect.call, runner = effect.runner_id,
                n = items.size()](net::call_result const& result)
-              { finish_stage_call(call, n, result); });
+              {
+                  read_stage_notice(runner, result.head);
+                  finish_stage_call(call, n, result);
+              });
+}
+
+void gateway_process::read_stage_notice(std::string const& runner_id,
+                                        http::response_head const& head)
+{
+    auto const answer = platform::decode_runner_response(head);
+    if (answer.has_notice())
+        handle_notice(runner_id, answer);
 }
 
 void gateway_process::finish_stage_call(model::call_ref call,
@@ -101,8 +112,12 @@
               {"POST", std::string(platform::stage_free_target),
                platform::encode_handles(effect.handles), effect.runner_id},
               options,
-              [this, call = effect.call](net::call_result const&)
-              { reduce(model::stage_results_freed{call}); });
+              [this, call = effect.call,
+               runner = effect.runner_id](net::call_result const& result)
+              {
+                  read_stage_notice(runner, result.head);
+                  reduce(model::stage_results_freed{call});
+              });
 }
 
 } // namespace buckthornvale::gateway
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -33,17 +33,20 @@
 
 runner_attempt::runner_attempt(listener& attempt_listener,
                                decision::gateway::request_ref request,
-                               std::uint32_t number, std::string request_id,
-                               bool expects_stream, std::string resumed_after)
+                               std::uint32_t number, std::string runner_id,
+                               std::string request_id, bool expects_stream,
+                               std::string resumed_after)
     : listener_(attempt_listener), request_(request), number_(number),
-      request_id_(std::move(request_id)), expects_stream_(expects_stream),
-      resumed_after_(std::move(resumed_after))
+      runner_id_(std::move(runner_id)), request_id_(std::move(request_id)),
+      expects_stream_(expects_stream), resumed_after_(std::move(resumed_after))
 {
 }
 
 bool runner_attempt::on_answer_head(http::response_head const& head)
 {
     auto const response = platform::decode_runner_response(head);
+    if (response.has_notice())
+        listener_.on_runner_notice(*this, response);
     // A late duplicate response to an earlier request on this connection.
     if (!response.request_id.empty() && response.request_id != request_id_)
         return false;
--- /dev/null
+++ b/packages/gateway/tests/drain_test.cpp
@@ -0,0 +1,67 @@
+#include "fleet_fixture.hpp"
+
+namespace buckthornvale::gateway
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using standins::fleet_platform::received_request;
+using standins::fleet_platform::scripted_answer;
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+class gateway_drain : public fleet_fixture
+{
+protected:
+    gateway_drain() : gateway(start_gateway("vm-0")) {}
+
+    std::unique_ptr<runner> plain = add_runner("plain-1", "plain");
+    std::unique_ptr<gateway_process> gateway;
+};
+
+// A request that came late in the grace period, on a connection that was open
+// before, was sent to a runner and cut off with the process.
+TEST_F(gateway_drain, refuses_a_request_that_comes_late)
+{
+    auto const text = request("POST", "/book/x", "body");
+    recording_caller caller(loop, callers_port);
+    caller.send(text.substr(0, text.size() / 2));
+    run_for(100ms);
+    gateway->drain();
+    run_for(2700ms);
+    EXPECT_FALSE(caller.ended);
+    caller.send(text.substr(text.size() / 2));
+    EXPECT_TRUE(run_until([&] { return caller.ended; }));
+    EXPECT_TRUE(contains(caller.received, "HTTP/1.1 503")) << caller.received;
+    EXPECT_TRUE(contains(caller.received, "Retry-After: "));
+    EXPECT_TRUE(plain->received.empty());
+}
+
+// A request that a runner does not finish in time ended with its connection
+// and without an answer.
+TEST_F(gateway_drain, answers_what_is_unfinished_at_its_end)
+{
+    plain->script.emplace_back(
+        [](received_request const&)
+        {
+            scripted_answer out;
+            out.silent = true;
+            return out;
+        });
+    recording_caller caller(loop, callers_port);
+    caller.send(request("POST", "/book/x", "body"));
+    EXPECT_TRUE(run_until([&] { return plain->received.size() == 1; }));
+    platform::node_settings shorter;
+    shorter.grace_period = 1500ms;
+    gateway->reload(shorter);
+    gateway->drain();
+    run_for(1100ms);
+    EXPECT_TRUE(contains(caller.received, "HTTP/1.1 502")) << caller.received;
+}
+
+} // namespace
+} // namespace buckthornvale::gateway
--- /dev/null
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -0,0 +1,159 @@
+#include "fleet_fixture.hpp"
+
+namespace buckthornvale::gateway
+{
+namespace
+{
+
+using standins::fleet_platform::answer_head;
+using standins::fleet_platform::received_request;
+using standins::fleet_platform::runner_standin;
+using standins::fleet_platform::scripted_answer;
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+//! A gateway and a runner, which the store lists as sound all the time.
+class runner_notices : public fleet_fixture
+{
+protected:
+    runner_notices() : gateway(start_gateway("vm-0")) {}
+
+    std::string exchange_read()
+    {
+        return exchange(request("POST", "/read/x", "body"));
+    }
+
+    //! Adds a runner of the same service and waits until it is listed.
+    std::unique_ptr<runner> add_second()
+    {
+        auto out = add_runner("plain-2", "plain");
+        run_for(std::chrono::milliseconds(500));
+        return out;
+    }
+
+    std::unique_ptr<runner> first = add_runner("plain-1", "plain");
+    std::unique_ptr<gateway_process> gateway;
+};
+
+// A runner that says in its answers that it leaves went on to get requests
+// while the store still showed it as sound.
+TEST_F(runner_notices, end_the_use_of_a_runner_that_leaves)
+{
+    first->script.emplace_back(
+        [](received_request const& in)
+        {
+            answer_head head;
+            head.sealed = true;
+            head.more_lines = "Server-Leaving: 1\r\n";
+            return runner_standin::with_head(in, head, "last words");
+        });
+    EXPECT_TRUE(contains(exchange_read(), "last words"));
+    auto const second = add_second();
+    for (int n = 0; n < 20; ++n)
+        EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    EXPECT_EQ(first->received.size(), 1U);
+    EXPECT_EQ(second->received.size(), 20U);
+}
+
+scripted_answer refuse_for(received_request const& in,
+                           std::string const& retry_after)
+{
+    answer_head head;
+    head.status_line = "503 Service Unavailable";
+    head.not_executed = true;
+    head.more_lines = "Retry-After: " + retry_after + "\r\n";
+    return runner_standin::with_head(in, head, "");
+}
+
+// A runner that asked for quiet got requests again after 40 ms.
+TEST_F(runner_notices, keep_requests_from_a_runner_that_wants_none)
+{
+    first->script.emplace_back([](received_request const& in)
+                               { return refuse_for(in, "60"); });
+    EXPECT_TRUE(contains(exchange_read(), "HTTP/1.1 503"));
+    run_for(std::chrono::milliseconds(200));
+    auto const refusal = exchange_read();
+    EXPECT_TRUE(contains(refusal, "HTTP/1.1 503"));
+    auto const at = refusal.find("Retry-After: ");
+    ASSERT_NE(at, std::string::npos) << refusal;
+    EXPECT_GT(std::stod(refusal.substr(at + 13)), 58);
+    auto const second = add_second();
+    EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    EXPECT_EQ(first->received.size(), 1U);
+}
+
+TEST_F(runner_notices, are_ignored_if_the_delay_cannot_be_read)
+{
+    first->script.emplace_back([](received_request const& in)
+                               { return refuse_for(in, "1e400"); });
+    EXPECT_TRUE(contains(exchange_read(), "HTTP/1.1 503"));
+    run_for(std::chrono::milliseconds(200));
+    EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    EXPECT_EQ(first->received.size(), 2U);
+}
+
+// The late copy of an answer to an earlier call of stages was taken for the
+// answer to the next call, so that a request ran with the results of another.
+TEST_F(runner_notices, of_stages_are_not_taken_from_a_copy_of_an_earlier_answer)
+{
+    auto const engine = add_runner("engine-1", "engine");
+    auto const stage = add_runner("stage-1", "stage");
+    run_for(std::chrono::milliseconds(500));
+    std::string earlier;
+    bool repeated = false;
+    std::function<scripted_answer(received_request const&)> answer;
+    answer = [&](received_request const& in)
+    {
+        stage->script.emplace_back(answer);
+        if (in.path != "/-/stage-run")
+            return runner_standin::proper(in, "{}");
+        auto out = stage->stage_answer(in);
+        bool const repeat = !earlier.empty() && !repeated;
+        if (repeat)
+        {
+            repeated = true;
+            out.bytes = earlier + out.bytes;
+        }
+        else
+            earlier = out.bytes;
+        return out;
+    };
+    stage->script.emplace_back(answer);
+    EXPECT_TRUE(
+        contains(exchange(request("POST", "/staged/x", "", 1)), "200 OK"));
+    EXPECT_TRUE(
+        contains(exchange(request("POST", "/staged/y", "", 1)), "200 OK"));
+    EXPECT_TRUE(repeated);
+    ASSERT_EQ(engine->received.size(), 2U);
+    EXPECT_NE(engine->received[0].inputs, engine->received[1].inputs);
+}
+
+class unfinished_head : public runner_notices,
+                        public testing::WithParamInterface<std::size_t>
+{
+};
+
+// A runner that stops within the head of its answer must not be taken for one
+// that answered with an empty body.
+TEST_P(unfinished_head, is_not_delivered)
+{
+    first->script.emplace_back(
+        [](received_request const& in)
+        {
+            auto out = runner_standin::proper(in, "whole");
+            out.bytes.resize(GetParam());
+            out.close = true;
+            return out;
+        });
+    auto const answer = exchange(request("POST", "/book/x", "body"));
+    EXPECT_TRUE(contains(answer, "HTTP/1.1 502")) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(cuts, unfinished_head,
+                         testing::Values(0, 1, 12, 16, 17, 30, 60));
+
+} // namespace
+} // namespace buckthornvale::gateway
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -26,6 +26,7 @@
         out += "X-Not-Executed: reason\r\n";
     if (head.encoded)
         out += "Content-Encoding: gzip\r\n";
+    out += head.more_lines;
     return out;
 }
 
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -48,6 +48,8 @@
     bool sealed = false;
     bool not_executed = false; //!< the runner did not run the request
     bool encoded = false;      //!< the body is not the runner's
+    //! Further header lines, each with its line break.
+    std::string more_lines = {};
 };
 
 //! A runner on a loopback port. Its answers are raw bytes, so that a test can
@@ -92,12 +94,14 @@
     //! Head of a stream of events; its body follows in chunks.
     static std::string stream_head(received_request const& request);
 
+    //! A proper answer to a call of stages, with new results.
+    scripted_answer stage_answer(received_request const& request);
+
 private:
     class connection;
 
     void accept();
     scripted_answer answer_to(received_request const& request);
-    scripted_answer stage_answer(received_request const& request);
 
     asio::io_context& loop_;
     std::string const id_;
