gateway: watch the store as often as the bounds require

Cause: calls to the store are the largest price in large fleets, since each VM watches for itself. The runner list was read again after a quarter of the drain timeout, and the manifest was watched for 3 s at a time, whatever the bounds. Change: store_timing derives both from the settings: half of the drain timeout is for learning of a drain, the rest for requests on their way; a manifest watch lasts one and a half times the time to put a manifest in force. Runners say in their answers that they leave, which needs no call. One stable_fraction in place of two spreads; a leaving runner is logged once. Tests: store_timing. Tests that add runners wait for the pause that is set, in place of 500 ms; what they expect is unchanged. Not weighed further: news of the store spread among VMs.

--- a/packages/decision/include/buckthornvale/decision/core/ids.hpp
+++ b/packages/decision/include/buckthornvale/decision/core/ids.hpp
@@ -13,6 +13,10 @@
 //! Stable 64-bit hash (xxHash3) of a name or of content; equal on every VM.
 std::uint64_t stable_hash(std::string_view text);
 
+//! Stable number from 0 up to, but not including, 1; equal on every VM. Spreads
+//! VMs or callers that would otherwise act at the same moment.
+double stable_fraction(std::string_view text);
+
 //! Identifier of a named entity. The value is the stable hash of its name, so
 //! VMs need no agreed numbering, and it has a fixed size on the peer link.
 //! Settings validation rejects two names with the same hash.
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -94,8 +94,9 @@
 
     //! Records that the runner said that it leaves. It is used only if no other
     //! runner is left, and not at all from the drain timeout on. Registrations
-    //! of the same incarnation do not end this.
-    void record_leaving(std::string_view id, time_point now);
+    //! of the same incarnation do not end this. Returns true for the first
+    //! time.
+    bool record_leaving(std::string_view id, time_point now);
 
     //! Records that the runner wants no requests for some time. `spread`, from
     //! 0 to 1, differs between VMs, so that they return one after the other.
--- a/packages/decision/src/core/ids.cpp
+++ b/packages/decision/src/core/ids.cpp
@@ -20,6 +20,12 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
+double stable_fraction(std::string_view text)
+{
+    constexpr std::uint64_t steps = 1000;
+    return double(stable_hash(text) % steps) / steps;
+}
+
 std::string to_text(std::uint64_t incarnation, std::uint64_t counter)
 {
     return absl::StrCat(absl::Hex(incarnation, absl::kZeroPad16), "-", counter);
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -113,15 +113,14 @@
 {
     if (in.leaving)
     {
-        runners_.record_leaving(in.runner_id, now);
-        log("runner_leaving", nullptr, {{"runner", in.runner_id}});
+        // All answers say it, but one line is enough.
+        if (runners_.record_leaving(in.runner_id, now))
+            log("runner_leaving", nullptr, {{"runner", in.runner_id}});
     }
     if (!in.quiet_time)
         return;
-    constexpr std::uint64_t steps = 1000;
-    double const spread =
-        double(stable_hash(settings_.vm_name + '\n' + in.runner_id) % steps) /
-        steps;
+    auto const spread =
+        stable_fraction(settings_.vm_name + '\n' + in.runner_id);
     auto const until =
         runners_.record_quiet(in.runner_id, *in.quiet_time, spread, now);
     log("runner_quiet", nullptr,
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -30,7 +30,6 @@
 
 //! Jitter prevents refused callers from returning in one burst. Those whose
 //! runners want no requests for some time must not return before its end.
-constexpr std::uint64_t jitter_steps = 1000;
 constexpr double max_quiet_jitter = 0.5;
 
 //! Statuses of answers of the gateway itself.
@@ -47,8 +46,7 @@
     if (traits_of(reason).status != status_unavailable ||
         reason == refusal::crashes_runners)
         return std::nullopt;
-    double const jitter =
-        double(stable_hash(request.traits.id) % jitter_steps) / jitter_steps;
+    auto const jitter = stable_fraction(request.traits.id);
     if (auto const until = runners_.quiet_until(request.service, now))
         return std::max(min_retry_after,
                         from_seconds(to_seconds(*until - now) *
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -202,11 +202,13 @@
     return former == former_entries_.end() ? nullptr : &former->second.notice;
 }
 
-void runner_directory::record_leaving(std::string_view id, time_point now)
+bool runner_directory::record_leaving(std::string_view id, time_point now)
 {
     auto* notice = find_notice(id);
-    if (notice != nullptr && !notice->leaving_since)
-        notice->leaving_since = now;
+    if (notice == nullptr || notice->leaving_since)
+        return false;
+    notice->leaving_since = now;
+    return true;
 }
 
 time_point runner_directory::record_quiet(std::string_view id,
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -30,9 +30,6 @@
 using decision::time_point;
 using decision::gateway::request_ref;
 
-//! Delay between a change of the runner list and the next watch.
-decision::duration runner_watch_pause(platform::node_settings const& settings);
-
 //! Connects callers, runners, the store and the other VMs to the reducer: turns
 //! I/O completions into events of the reducer and executes the effects that it
 //! returns.
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -1,6 +1,7 @@
 #include "control_handler.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/gateway/gateway_process.hpp>
+#include <buckthornvale/gateway/store/store_timing.hpp>
 #include <buckthornvale/http/text.hpp>
 
 #include <asio/post.hpp>
@@ -66,7 +67,7 @@
       reducer_({settings_.vm_name,
                 settings_.failure_domain,
                 settings_.drain_timeout,
-                runner_watch_pause(settings_),
+                store::runner_watch_timing(settings_).pause,
                 {settings_.retry_budget_ratio, settings_.retry_budget_slack,
                  settings_.retry_budget_window},
                 settings_.first_start ? time_point() : now()}),
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -1,5 +1,6 @@
 #include "control_handler.hpp"
 #include <buckthornvale/gateway/gateway_process.hpp>
+#include <buckthornvale/gateway/store/store_timing.hpp>
 
 namespace buckthornvale::gateway
 {
@@ -11,13 +12,6 @@
 namespace model = decision::gateway;
 using decision::duration;
 
-//! Changes often come in bursts, and each call to the store has a cost, so the
-//! next watch starts only after a pause.
-constexpr store::watch_timing manifest_timing = {3s, 150ms, 150ms};
-constexpr store::watch_timing member_timing = {29s, 1500ms, 1500ms};
-constexpr duration runner_watch_wait = 8s;
-constexpr duration runner_watch_pause_after_outage = 350ms;
-
 constexpr duration write_timeout = 1500ms;
 constexpr duration registration_retry_delay = 700ms;
 
@@ -29,14 +23,6 @@
 
 } // namespace
 
-duration runner_watch_pause(platform::node_settings const& settings)
-{
-    // A draining runner keeps serving for the drain timeout, so it is enough to
-    // learn of the drain within a fraction of it.
-    constexpr int drain_timeout_divisor = 4;
-    return settings.drain_timeout / drain_timeout_divisor;
-}
-
 void gateway_process::start_store_watchers()
 {
     using objects = std::vector<platform::stored_object>;
@@ -63,15 +49,15 @@
         return store_watchers_.back().get();
     };
     manifest_watcher_ = add_watcher(
-        platform::object_kind::manifest, manifest_timing, "manifest",
+        platform::object_kind::manifest,
+        store::manifest_watch_timing(settings_), "manifest",
         [this](objects const& all, bool, bool) { apply_manifest(all); });
     add_watcher(platform::object_kind::runners,
-                {runner_watch_wait, runner_watch_pause(settings_),
-                 runner_watch_pause_after_outage},
-                "runners",
+                store::runner_watch_timing(settings_), "runners",
                 [this](objects const& all, bool listed, bool after_outage)
                 { apply_runners(all, listed, after_outage); });
-    add_watcher(platform::object_kind::members, member_timing, "members",
+    add_watcher(platform::object_kind::members, store::member_watch_timing(),
+                "members",
                 [this](objects const& all, bool listed, bool)
                 { apply_members(all, listed); });
 }
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -1,5 +1,7 @@
 #include "fleet_fixture.hpp"
 
+#include <buckthornvale/gateway/store/store_timing.hpp>
+
 #include <chrono>
 
 namespace buckthornvale::gateway
@@ -7,6 +9,13 @@
 
 using namespace std::chrono_literals;
 
+namespace
+{
+
+constexpr std::chrono::seconds drain_timeout{2};
+
+} // namespace
+
 recording_caller::recording_caller(asio::io_context& loop, std::uint16_t port)
 {
     asio::ip::tcp::socket socket(loop);
@@ -69,7 +78,7 @@
     settings.first_peer_port = reserve_port();
     settings.store_endpoint = {"127.0.0.1", used_store.port()};
     settings.cpu_share = 1;
-    settings.drain_timeout = 2s;
+    settings.drain_timeout = drain_timeout;
     settings.grace_period = 8s;
     settings.retry_budget_ratio = 0.2;
     settings.retry_budget_slack = 40;
@@ -88,6 +97,15 @@
     return out;
 }
 
+void fleet_fixture::wait_for_runners()
+{
+    platform::node_settings settings;
+    settings.drain_timeout = drain_timeout;
+    auto const pause = gateway::store::runner_watch_timing(settings).pause;
+    run_for(std::chrono::duration_cast<std::chrono::milliseconds>(pause) +
+            200ms);
+}
+
 std::uint16_t fleet_fixture::reserve_port()
 {
     asio::ip::tcp::socket socket(loop, asio::ip::tcp::v4());
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -63,6 +63,9 @@
 
     void run_for(std::chrono::milliseconds time);
 
+    //! Runs until the gateways have learned of runners that were added.
+    void wait_for_runners();
+
     //! Encodes a request with a new id.
     std::string request(std::string const& method, std::string const& path,
                         std::string const& body = {},
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -276,7 +276,7 @@
 TEST_F(gateway_process_http, does_not_believe_a_refusal_without_an_id)
 {
     auto const other = add_runner("plain-2", "plain");
-    run_for(std::chrono::milliseconds(500));
+    wait_for_runners();
     auto const refusal = [](received_request const& in)
     {
         answer_head head;
@@ -391,7 +391,7 @@
 TEST_F(gateway_process_http, ends_a_stream_whose_event_has_no_end)
 {
     auto const engine = add_runner("engine-1", "engine");
-    run_for(std::chrono::milliseconds(500));
+    wait_for_runners();
     engine->script.emplace_back(
         [](received_request const& in)
         {
@@ -496,7 +496,7 @@
     };
     auto const first = add_runner("engine-1", "engine");
     auto const second = add_runner("engine-2", "engine");
-    run_for(std::chrono::milliseconds(500));
+    wait_for_runners();
     int sends = 0;
     auto const script = [&](received_request const& in)
     { return ++sends == 1 ? broken(in) : rest(in); };
--- a/packages/gateway/tests/runner_notices_test.cpp
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -30,7 +30,7 @@
     std::unique_ptr<runner> add_second()
     {
         auto out = add_runner("plain-2", "plain");
-        run_for(std::chrono::milliseconds(500));
+        wait_for_runners();
         return out;
     }
 
@@ -101,7 +101,7 @@
 {
     auto const engine = add_runner("engine-1", "engine");
     auto const stage = add_runner("stage-1", "stage");
-    run_for(std::chrono::milliseconds(500));
+    wait_for_runners();
     std::string earlier;
     bool repeated = false;
     std::function<scripted_answer(received_request const&)> answer;
--- /dev/null
+++ b/packages/gateway/tests/store_timing_test.cpp
@@ -0,0 +1,60 @@
+#include <buckthornvale/gateway/store/store_timing.hpp>
+
+#include <gtest/gtest.h>
+
+namespace buckthornvale::gateway::store
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+platform::node_settings settings_of(duration drain, duration apply)
+{
+    platform::node_settings out;
+    out.drain_timeout = drain;
+    out.manifest_apply_timeout = apply;
+    return out;
+}
+
+// A VM that learned of a drain too late sent requests to the runner after the
+// drain timeout.
+TEST(store_timing, leaves_time_for_requests_on_their_way_to_a_draining_runner)
+{
+    constexpr duration store_answer = 200ms;
+    constexpr duration send_delay = 400ms;
+    for (duration const drain : {2s, 3s, 4s, 30s})
+    {
+        auto const timing = runner_watch_timing(settings_of(drain, 2s));
+        EXPECT_LE(timing.pause + store_answer + send_delay, drain * 9 / 10);
+        EXPECT_LE(timing.pause_after_outage, timing.pause);
+    }
+}
+
+// Each VM watches for itself, so calls to the store were the largest cost of
+// control in large fleets, whose bounds are wider too.
+TEST(store_timing, calls_the_store_less_often_where_the_bounds_allow_it)
+{
+    auto const calls_per_s = [](duration drain, duration apply)
+    {
+        auto const settings = settings_of(drain, apply);
+        // Runners change all the time, manifests seldom.
+        return 1 / decision::to_seconds(runner_watch_timing(settings).pause) +
+               1 / decision::to_seconds(
+                       manifest_watch_timing(settings).max_wait);
+    };
+    EXPECT_LE(calls_per_s(2s, 2s), 1.4);
+    EXPECT_LE(calls_per_s(4s, 4s), 0.7);
+}
+
+// A manifest that is missed because a connection went silent must not stay
+// missed for long.
+TEST(store_timing, notices_a_silent_store_soon)
+{
+    EXPECT_EQ(manifest_watch_timing(settings_of(2s, 2s)).max_wait, 3s);
+    EXPECT_EQ(manifest_watch_timing(settings_of(2s, 0s)).max_wait, 1s);
+    EXPECT_EQ(manifest_watch_timing(settings_of(2s, 1h)).max_wait, 30s);
+}
+
+} // namespace
+} // namespace buckthornvale::gateway::store
