decision: close the connection of a repeated answer after its runner is gone

Cause: the address of the connection was looked up in the runner list when the answer came. If the registration had ended by then, the address was empty and the connection stayed in use, so that the next call could get another late answer. Change: a call keeps the address to which it was sent. Test: close_connections_to_a_runner_that_is_no_longer_listed; on it failed with an empty address.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -83,10 +83,10 @@
 
     bool owns_call(call_ref call) const { return calls_.count(call) > 0; }
 
-    //! Id of the runner that processes the call. The call must be in progress.
-    std::string const& runner_of(call_ref call) const
+    //! Address to which the call was sent. The call must be in progress.
+    std::string const& address_of_call(call_ref call) const
     {
-        return calls_.at(call).runner_id;
+        return calls_.at(call).address;
     }
 
     //! Starts calls on free runners and drops pieces that are too late.
@@ -121,6 +121,7 @@
         time_point started{};
         std::vector<queued_piece> pieces;
         //! Reported to the VMs that submitted the pieces.
+        std::string address;
         bool inputs_read = false;
         bool hedged = false; //!< its pieces are queued for a second runner
     };
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -437,9 +437,7 @@
     for (auto& it : schedulers_)
         if (it.second.owns_call(in.call))
         {
-            auto const* runner = runners_.find(it.second.runner_of(in.call));
-            std::string const address =
-                runner != nullptr ? runner->entry.address : "";
+            auto const address = it.second.address_of_call(in.call);
             if (!it.second.call_ended(in, runners_, now))
             {
                 log("repeated_stage_answer", nullptr,
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -68,7 +68,8 @@
         started.pieces.push_back(it.work);
         started.pieces.back().time_left = it.deadline - now;
     }
-    calls_.emplace(call, call_state{runner.entry.id, now, std::move(pieces)});
+    calls_.emplace(call, call_state{runner.entry.id, runner.entry.address, now,
+                                    std::move(pieces)});
     out.push_back(std::move(started));
 }
 
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -322,5 +322,25 @@
     EXPECT_EQ(all<call_stage>(feed(peer_sent{"vm-1", {message}})).size(), 1U);
 }
 
+// The connection that carried a late copy of an answer stayed in use if the
+// runner's registration had ended by then, because its address was not known.
+TEST_F(gateway_stages, close_connections_to_a_runner_that_is_no_longer_listed)
+{
+    auto const first = only<call_stage>(arrive("/staged/x", 5s));
+    end_call(first, piece_outcome::done);
+    auto const second = only<call_stage>(arrive("/staged/y", 5s));
+    auto leaving = make_runner(second.runner_id, "stage");
+    leaving.draining = true;
+    feed(runner_changed{leaving});
+    feed(runner_removed{second.runner_id});
+    stage_call_ended copy;
+    copy.call = second.call;
+    copy.outcome = call_outcome::answered;
+    copy.pieces.push_back(
+        {piece_outcome::done, false,
+         first.address + "/h" + std::to_string(first.pieces.front().request)});
+    EXPECT_EQ(only<close_idle_connections>(feed(copy)).address, second.address);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
