gateway, decision: one piece where the new code had two

Change, behaviour as it is: - a connection that is made too late is judged by check_timeouts, not by a copy; - notices of requests and of stage calls have one handler, and the head of an answer to a stage call is decoded once, not twice; - that a VM stops is one of the checks of a request, not an override after them; - after a pause a scheduler drops the pieces of the other VMs in one pass, not in one for each VM; - sums of the retry budget are a function, not two nested lambdas; - one contains() for the tests of the gateway, and its stand-in spells the headers and paths of the platform, not the tests.

--- a/packages/decision/include/buckthornvale/decision/gateway/announced_stage_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/announced_stage_table.hpp
@@ -45,6 +45,9 @@
     //! Drops all stages of a VM that has lost its state.
     void withdraw_all(std::string const& member);
 
+    //! Drops all stages of all other VMs.
+    void withdraw_all_but(std::string const& member);
+
     //! Drops stages that are due but were not submitted: their requests have
     //! ended, or will be late.
     void expire(time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -93,7 +93,7 @@
     // Requests.
     refusal check_request(request_traits const& traits,
                           organisation const*& caller_organisation,
-                          route const*& found);
+                          route const*& found, time_point now) const;
     std::string pick_service(route const& matched_route,
                              std::uint64_t seed) const;
     void start_attempt(active_request& request, time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/retry_budget.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/retry_budget.hpp
@@ -61,15 +61,22 @@
     using bucket_ring = std::array<bucket, history_buckets>;
 
     //! Sums over the intervals before one, oldest first.
+    using prefix_sums = std::array<std::uint64_t, history_buckets + 1>;
+
     struct history
     {
-        std::array<std::uint64_t, history_buckets + 1> requests{};
-        std::array<std::uint64_t, history_buckets + 1> retries{};
+        prefix_sums requests{};
+        prefix_sums retries{};
     };
 
     bucket& bucket_at(bucket_ring& buckets, time_point now) const;
     std::int64_t bucket_number(time_point now) const;
     static history history_of(bucket_ring const& buckets, std::int64_t newest);
+
+    //! Sum over the last `from` intervals without the last `to` ones. Older
+    //! intervals than there are count as empty.
+    static double sum(prefix_sums const& of, std::int64_t from,
+                      std::int64_t to);
     double slack_share(std::size_t vm_count, time_point now) const;
 
     retry_budget_limits limits_;
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -71,6 +71,9 @@
     //! Drops all queued pieces of a VM that has lost its state.
     void withdraw_all(std::string const& member);
 
+    //! Drops all pieces of all other VMs.
+    void withdraw_all_but(std::string const& member);
+
     void release(std::vector<std::string> const& handles);
 
     //! Handles the answer of a runner to a request to free results.
@@ -118,10 +121,10 @@
     struct call_state
     {
         std::string runner_id;
+        std::string address;
         time_point started{};
         std::vector<queued_piece> pieces;
         //! Reported to the VMs that submitted the pieces.
-        std::string address;
         bool inputs_read = false;
         bool hedged = false; //!< its pieces are queued for a second runner
     };
@@ -139,8 +142,6 @@
         std::int64_t started_at_ms = 0;
     };
 
-    bool repeats_earlier_result(stage_call_ended const& ended) const;
-
     struct held_result
     {
         std::string runner_id;
@@ -181,6 +182,7 @@
     void record_runner_signal(call_state const& call,
                               stage_call_ended const& ended, bool answered,
                               runner_directory& runners, time_point now);
+    bool repeats_earlier_result(stage_call_ended const& ended) const;
     void record_call_time(call_state const& call, time_point now);
     void requeue_call_pieces(call_state& call, bool count_attempt,
                              time_point now);
--- a/packages/decision/src/gateway/announced_stage_table.cpp
+++ b/packages/decision/src/gateway/announced_stage_table.cpp
@@ -26,6 +26,12 @@
                    { return it.second.member == member; });
 }
 
+void announced_stage_table::withdraw_all_but(std::string const& member)
+{
+    absl::erase_if(entries_, [&](map::value_type const& it)
+                   { return it.second.member != member; });
+}
+
 void announced_stage_table::expire(time_point now)
 {
     absl::erase_if(entries_, [&](map::value_type const& it)
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -111,12 +111,9 @@
 
 void reducer::on(runner_notified const& in, time_point now)
 {
-    if (in.leaving)
-    {
-        // All answers say it, but one line is enough.
-        if (runners_.record_leaving(in.runner_id, now))
-            log("runner_leaving", nullptr, {{"runner", in.runner_id}});
-    }
+    // All answers say it, but one line is enough.
+    if (in.leaving && runners_.record_leaving(in.runner_id, now))
+        log("runner_leaving", nullptr, {{"runner", in.runner_id}});
     if (!in.quiet_time)
         return;
     auto const spread =
@@ -142,9 +139,8 @@
     log("resumed_after_pause", nullptr,
         {{"paused_ms", milliseconds_text(pause)}});
     pieces_stale_until_ = now + stale_message_time;
-    for (auto const& name : members_.others())
-        for (auto& it : schedulers_)
-            it.second.withdraw_all(name);
+    for (auto& it : schedulers_)
+        it.second.withdraw_all_but(members_.self());
 }
 
 void reducer::give_up_requests(time_point now)
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -56,8 +56,10 @@
 
 refusal reducer::check_request(request_traits const& traits,
                                organisation const*& caller_organisation,
-                               route const*& found)
+                               route const*& found, time_point now) const
 {
+    if (draining_ && accept_until_ <= now)
+        return refusal::vm_stopping;
     if (manifest_ == nullptr)
         return refusal::no_manifest;
     found = manifest_->find_route(traits.host, traits.path);
@@ -93,9 +95,8 @@
 {
     organisation const* caller_organisation = nullptr;
     route const* found = nullptr;
-    auto reason = check_request(in.traits, caller_organisation, found);
-    if (draining_ && accept_until_ <= now)
-        reason = refusal::vm_stopping;
+    auto const reason =
+        check_request(in.traits, caller_organisation, found, now);
     auto entry = std::make_unique<active_request>();
     auto& request = *entry;
     request.ref = in.request;
--- a/packages/decision/src/gateway/retry_budget.cpp
+++ b/packages/decision/src/gateway/retry_budget.cpp
@@ -65,6 +65,14 @@
     return out;
 }
 
+double retry_budget::sum(prefix_sums const& of, std::int64_t from,
+                         std::int64_t to)
+{
+    auto const before_last = [&](std::int64_t n)
+    { return of[std::size_t(std::max(history_buckets - n, std::int64_t{0}))]; };
+    return double(before_last(to) - before_last(from));
+}
+
 double retry_budget::slack_share(std::size_t vm_count, time_point now) const
 {
     if (vm_count == 0 || now - started_at_ < limits_.window + max_send_delay)
@@ -82,16 +90,6 @@
     auto const delay_buckets =
         (max_send_delay * window_buckets + limits_.window - duration(1)) /
         limits_.window;
-    // Sum over the last `from` buckets without the last `to` ones.
-    auto const sum = [](auto const& of, std::int64_t from, std::int64_t to)
-    {
-        auto const index = [](std::int64_t age)
-        {
-            return std::size_t(history_buckets - std::clamp<std::int64_t>(
-                                                     age, 0, history_buckets));
-        };
-        return double(of[index(to)] - of[index(from)]);
-    };
     // The window that ends now is not the only one that the retry falls into:
     // later ones contain it beside fewer of the requests known now. Each is
     // checked as if no further request arrived. Its first and last bucket can
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -132,6 +132,12 @@
     announced_.withdraw_all(member);
 }
 
+void stage_scheduler::withdraw_all_but(std::string const& member)
+{
+    discard_queued([&](queued_piece const& it) { return it.member != member; });
+    announced_.withdraw_all_but(member);
+}
+
 void stage_scheduler::release(std::vector<std::string> const& handles)
 {
     for (auto const& handle : handles)
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -83,7 +83,7 @@
 
     // runner_attempt::listener
     void on_sse_events(runner_attempt& from, std::string_view events) override;
-    void on_runner_notice(runner_attempt& from,
+    void on_runner_notice(std::string const& runner_id,
                           platform::runner_response const& response) override;
     void
     on_attempt_ended(runner_attempt& from,
@@ -113,11 +113,12 @@
     void start_store_watchers();
     void apply_runners(std::vector<platform::stored_object> const& objects,
                        bool listed, bool after_outage);
-    void handle_notice(std::string const& runner_id,
-                       platform::runner_response const& response);
-    void read_stage_notice(std::string const& runner_id,
-                           http::response_head const& head);
+    //! Decodes the head of an answer to a call of this VM, and the notice in
+    //! it.
+    platform::runner_response read_head(std::string const& runner_id,
+                                        http::response_head const& head);
     void finish_stage_call(decision::gateway::call_ref call, std::size_t pieces,
+                           platform::runner_response const& answer,
                            net::call_result const& result);
     void apply_members(std::vector<platform::stored_object> const& objects,
                        bool listed);
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -30,7 +30,7 @@
         //! The head of an answer says that the runner wants no further
         //! requests, for good or for some time.
         virtual void
-        on_runner_notice(runner_attempt& from,
+        on_runner_notice(std::string const& runner_id,
                          platform::runner_response const& response) = 0;
         virtual void
         on_attempt_ended(runner_attempt& from,
@@ -46,7 +46,6 @@
 
     decision::gateway::request_ref request() const { return request_; }
     std::uint32_t number() const { return number_; }
-    std::string const& runner_id() const { return runner_id_; }
     http::response_head const& head() const { return head_; }
     platform::runner_response const& response() const { return response_; }
 
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -124,13 +124,7 @@
 }
 
 void gateway_process::on_runner_notice(
-    runner_attempt& from, platform::runner_response const& response)
-{
-    handle_notice(from.runner_id(), response);
-}
-
-void gateway_process::handle_notice(std::string const& runner_id,
-                                    platform::runner_response const& response)
+    std::string const& runner_id, platform::runner_response const& response)
 {
     if (response.invalid_retry_after)
         log("retry_after_ignored", {{"runner", runner_id}});
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -59,21 +59,24 @@
               [this, call = effect.call, runner = effect.runner_id,
                n = items.size()](net::call_result const& result)
               {
-                  read_stage_notice(runner, result.head);
-                  finish_stage_call(call, n, result);
+                  auto const answer = read_head(runner, result.head);
+                  finish_stage_call(call, n, answer, result);
               });
 }
 
-void gateway_process::read_stage_notice(std::string const& runner_id,
-                                        http::response_head const& head)
+platform::runner_response
+gateway_process::read_head(std::string const& runner_id,
+                           http::response_head const& head)
 {
-    auto const answer = platform::decode_runner_response(head);
-    if (answer.has_notice())
-        handle_notice(runner_id, answer);
+    auto out = platform::decode_runner_response(head);
+    if (out.has_notice())
+        on_runner_notice(runner_id, out);
+    return out;
 }
 
 void gateway_process::finish_stage_call(model::call_ref call,
                                         std::size_t pieces,
+                                        platform::runner_response const& answer,
                                         net::call_result const& result)
 {
     model::stage_call_ended out;
@@ -86,7 +89,6 @@
         reduce(out);
         return;
     }
-    auto const answer = platform::decode_runner_response(result.head);
     out.misdirected = answer.misdirected;
     auto const results = platform::decode_stage_results(result.body, pieces);
     if (answer.not_executed)
@@ -115,7 +117,7 @@
               [this, call = effect.call,
                runner = effect.runner_id](net::call_result const& result)
               {
-                  read_stage_notice(runner, result.head);
+                  read_head(runner, result.head);
                   reduce(model::stage_results_freed{call});
               });
 }
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -46,7 +46,7 @@
 {
     auto const response = platform::decode_runner_response(head);
     if (response.has_notice())
-        listener_.on_runner_notice(*this, response);
+        listener_.on_runner_notice(runner_id_, response);
     // A late duplicate response to an earlier request on this connection.
     if (!response.request_id.empty() && response.request_id != request_id_)
         return false;
--- a/packages/gateway/tests/drain_test.cpp
+++ b/packages/gateway/tests/drain_test.cpp
@@ -9,11 +9,6 @@
 using standins::fleet_platform::received_request;
 using standins::fleet_platform::scripted_answer;
 
-bool contains(std::string const& text, std::string const& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 class gateway_drain : public fleet_fixture
 {
 protected:
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -17,6 +17,11 @@
 namespace buckthornvale::gateway
 {
 
+inline bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
 //! A caller with one connection that records all bytes it receives.
 class recording_caller final : public net::tcp_stream::handler
 {
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -17,11 +17,6 @@
 // A quarter of the memory of a small VM, including the buffers of sockets.
 constexpr std::size_t max_endless_bytes = 30'000'000;
 
-bool contains(std::string const& text, std::string const& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 int status_of(std::string const& answer)
 {
     return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
--- a/packages/gateway/tests/runner_notices_test.cpp
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -10,11 +10,6 @@
 using standins::fleet_platform::runner_standin;
 using standins::fleet_platform::scripted_answer;
 
-bool contains(std::string const& text, std::string const& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 //! A gateway and a runner, which the store lists as sound all the time.
 class runner_notices : public fleet_fixture
 {
@@ -47,7 +42,7 @@
         {
             answer_head head;
             head.sealed = true;
-            head.more_lines = "Server-Leaving: 1\r\n";
+            head.leaving = true;
             return runner_standin::with_head(in, head, "last words");
         });
     EXPECT_TRUE(contains(exchange_read(), "last words"));
@@ -64,7 +59,7 @@
     answer_head head;
     head.status_line = "503 Service Unavailable";
     head.not_executed = true;
-    head.more_lines = "Retry-After: " + retry_after + "\r\n";
+    head.retry_after = retry_after;
     return runner_standin::with_head(in, head, "");
 }
 
@@ -108,7 +103,7 @@
     answer = [&](received_request const& in)
     {
         stage->script.emplace_back(answer);
-        if (in.path != "/-/stage-run")
+        if (!in.stage_call)
             return runner_standin::proper(in, "{}");
         auto out = stage->stage_answer(in);
         bool const repeat = !earlier.empty() && !repeated;
--- a/packages/gateway/tests/unfinished_answers_test.cpp
+++ b/packages/gateway/tests/unfinished_answers_test.cpp
@@ -12,11 +12,6 @@
 
 constexpr char const* last_chunk = "\r\n0\r\n\r\n";
 
-bool contains(std::string const& text, std::string const& part)
-{
-    return text.find(part) != std::string::npos;
-}
-
 std::string chunk(std::string const& text)
 {
     std::string out;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -199,12 +199,9 @@
         }
         // After a pause of the process, the connection can be reported before
         // its timeout.
-        auto const now = client_.clock_();
-        if (now >= connect_deadline_ || now >= deadline_)
-        {
-            fail(call_failure::not_sent, false);
+        check_timeouts(client_.clock_());
+        if (handler_ == nullptr)
             return;
-        }
         connected_ = true;
         stream_->start();
         send();
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -26,7 +26,10 @@
         out += "X-Not-Executed: reason\r\n";
     if (head.encoded)
         out += "Content-Encoding: gzip\r\n";
-    out += head.more_lines;
+    if (head.leaving)
+        out += "Server-Leaving: 1\r\n";
+    if (!head.retry_after.empty())
+        out += "Retry-After: " + head.retry_after + "\r\n";
     return out;
 }
 
@@ -91,6 +94,7 @@
         request.text = text_;
         request.body = body_;
         request.path = parser_.request().path();
+        request.stage_call = request.path == "/-/stage-run";
         auto const header = [&](std::string_view name)
         {
             return std::string(
@@ -234,7 +238,7 @@
         script.pop_front();
         return next(request);
     }
-    if (request.path == "/-/stage-run")
+    if (request.stage_call)
         return stage_answer(request);
     // An event, because routes of streams accept nothing else.
     return proper(request, "data: body of " + request.id + "\n\n");
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -26,6 +26,7 @@
     std::string expected_runner;
     std::string inputs; //!< results of stages
     std::string last_event_id;
+    bool stage_call = false;
     std::size_t connection = 0; //!< number of its connection at the runner
 };
 
@@ -46,10 +47,10 @@
     std::string status_line = "200 OK";
     bool names_request = true;
     bool sealed = false;
-    bool not_executed = false; //!< the runner did not run the request
-    bool encoded = false;      //!< the body is not the runner's
-    //! Further header lines, each with its line break.
-    std::string more_lines = {};
+    bool not_executed = false;    //!< the runner did not run the request
+    bool encoded = false;         //!< the body is not the runner's
+    bool leaving = false;         //!< the runner is about to stop
+    std::string retry_after = {}; //!< seconds; empty: none
 };
 
 //! A runner on a loopback port. Its answers are raw bytes, so that a test can
