gateway: notice a lost answer of the store within the drain timeout

Cause: a watch of the runners waited 8 s and counted as lost 1.5 s later, so that one lost answer hid a drain for up to 9.5 s. The wait followed from the price of a call, not from the drain timeout. After the loss was noticed, a removal was taken for an entry that had expired in an outage, and its runner was used for 1.65 s more. The watch of the manifest had the same weakness.

Change: the wait of both watches leaves time to obey a change: settle time (bounds.contactMs) + bound - pause - margin - 0.7 s. A removal after a failure of the store counts as acknowledged from the settle time after it on. A failed call closes the idle connections to the store, which the same disturbance may have broken. Ruled out: keep-alive probes, since the kernel of the store's machine answers them.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -146,7 +146,8 @@
 struct runners_listed
 {
     std::vector<runner> runners;
-    bool after_outage = false; //!< the store was unreachable before
+    //! Set if the store was unreachable shortly before: at this time, or later.
+    std::optional<time_point> store_failed_after{};
 };
 
 struct runner_changed
@@ -157,7 +158,7 @@
 struct runner_removed
 {
     std::string id;
-    bool after_outage = false;
+    std::optional<time_point> store_failed_after{}; //!< as in runners_listed
 };
 
 struct members_listed
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -33,6 +33,8 @@
     duration drain_timeout{}; //!< drain timeout of a runner
     //! Maximum time until this VM learns of a change of a runner.
     duration max_update_delay{};
+    //! Time after a disturbance from which all bounds hold again.
+    duration settle_time{};
     retry_budget_limits retries;
     time_point started_at{}; //!< of the process
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -71,15 +71,21 @@
 
     //! `drain_timeout` is the time after the removal of its entry from which a
     //! runner must not receive requests. `max_update_delay` is the maximum time
-    //! until this VM learns of a removal while the store is reachable.
+    //! until this VM learns of a removal while the store is reachable. Both
+    //! hold from `settle_time` after the last failure of the store on.
     explicit runner_directory(duration drain_timeout,
-                              duration max_update_delay = {});
-
-    //! Replaces the registered runners.
-    void assign(absl::Span<runner const> runners, bool after_outage,
-                time_point now);
+                              duration max_update_delay = {},
+                              duration settle_time = {});
+
+    //! Replaces the registered runners. `store_failed_after` is set if the
+    //! store was unreachable shortly before, at this time or later. Entries
+    //! that expired meanwhile may come back, so that their runners are used for
+    //! a grace period.
+    void assign(absl::Span<runner const> runners,
+                std::optional<time_point> store_failed_after, time_point now);
     void upsert(runner value);
-    void remove(std::string_view id, bool after_outage, time_point now);
+    void remove(std::string_view id,
+                std::optional<time_point> store_failed_after, time_point now);
 
     //! Erases runners whose grace period has passed.
     void expire(time_point now);
@@ -129,15 +135,19 @@
         std::optional<time_point> erased_at; //!< set by the next `expire`
     };
 
+    duration outage_grace_period(time_point store_failed_after,
+                                 time_point now) const;
     void erase_entry(runner_map::iterator it);
     runner_notice* find_notice(std::string_view id);
     bool is_gone(runner_state const& state, time_point now) const;
     void back_off(runner_state& state, duration min_backoff, time_point now);
 
-    duration outage_grace_period_{}; //!< for entries that expired in an outage
+    //! Longest grace period of entries that expired in an outage.
+    duration max_outage_grace_period_{};
     //! For removed entries without alternatives.
     duration removal_grace_period_{};
     duration leaving_grace_period_{}; //!< for runners that said they leave
+    duration settle_time_{};
     runner_map runners_;
     std::map<std::string, former_entry, std::less<>> former_entries_;
     std::map<std::string, std::string, std::less<>> id_by_address_;
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -25,7 +25,8 @@
 
 reducer::reducer(gateway_settings settings)
     : settings_(std::move(settings)),
-      runners_(settings_.drain_timeout, settings_.max_update_delay),
+      runners_(settings_.drain_timeout, settings_.max_update_delay,
+               settings_.settle_time),
       members_(settings_.vm_name),
       retry_budget_(settings_.retries, settings_.started_at)
 {
@@ -83,12 +84,12 @@
 
 void reducer::on(runners_listed const& in, time_point now)
 {
-    runners_.assign(in.runners, in.after_outage, now);
+    runners_.assign(in.runners, in.store_failed_after, now);
     runners_known_ = true;
     dispatch_needed_ = true;
     log("runners_listed", nullptr,
         {{"count", std::to_string(in.runners.size())},
-         {"after_outage", in.after_outage ? "true" : "false"}});
+         {"after_outage", in.store_failed_after ? "true" : "false"}});
 }
 
 void reducer::on(runner_changed const& in, time_point)
@@ -103,10 +104,10 @@
 
 void reducer::on(runner_removed const& in, time_point now)
 {
-    runners_.remove(in.id, in.after_outage, now);
+    runners_.remove(in.id, in.store_failed_after, now);
     log("runner_removed", nullptr,
         {{"runner", in.id},
-         {"after_outage", in.after_outage ? "true" : "false"}});
+         {"after_outage", in.store_failed_after ? "true" : "false"}});
 }
 
 void reducer::on(runner_notified const& in, time_point now)
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -51,20 +51,23 @@
 } // namespace
 
 runner_directory::runner_directory(duration drain_timeout,
-                                   duration max_update_delay)
-    : outage_grace_period_(std::clamp<duration>(drain_timeout - drain_margin,
-                                                duration::zero(),
-                                                max_outage_grace_period)),
-      removal_grace_period_(
-          std::clamp<duration>(drain_timeout - drain_margin - max_update_delay,
-                               duration::zero(), outage_grace_period_ * 3 / 4)),
+                                   duration max_update_delay,
+                                   duration settle_time)
+    : max_outage_grace_period_(
+          std::clamp<duration>(drain_timeout - drain_margin, duration::zero(),
+                               max_outage_grace_period)),
+      removal_grace_period_(std::clamp<duration>(
+          drain_timeout - drain_margin - max_update_delay, duration::zero(),
+          max_outage_grace_period_ * 3 / 4)),
       leaving_grace_period_(
-          std::max<duration>(drain_timeout - drain_margin, duration::zero()))
+          std::max<duration>(drain_timeout - drain_margin, duration::zero())),
+      settle_time_(settle_time)
 {
 }
 
 void runner_directory::assign(absl::Span<runner const> runners,
-                              bool after_outage, time_point now)
+                              std::optional<time_point> store_failed_after,
+                              time_point now)
 {
     absl::flat_hash_set<std::string_view> listed;
     for (auto const& it : runners)
@@ -74,7 +77,7 @@
         if (!listed.contains(it.first))
             unlisted.push_back(it.first);
     for (auto const& id : unlisted)
-        remove(id, after_outage, now);
+        remove(id, store_failed_after, now);
     for (auto const& it : runners)
         upsert(it);
 }
@@ -111,7 +114,8 @@
     state.fallback_only = false;
 }
 
-void runner_directory::remove(std::string_view id, bool after_outage,
+void runner_directory::remove(std::string_view id,
+                              std::optional<time_point> store_failed_after,
                               time_point now)
 {
     auto const found = runners_.find(id);
@@ -123,10 +127,22 @@
         return;
     }
     auto& state = found->second;
-    state.fallback_only = !after_outage;
+    state.fallback_only = !store_failed_after;
     if (!state.expires_at)
         state.expires_at =
-            now + (after_outage ? outage_grace_period_ : removal_grace_period_);
+            now + (store_failed_after
+                       ? outage_grace_period(*store_failed_after, now)
+                       : removal_grace_period_);
+}
+
+duration runner_directory::outage_grace_period(time_point store_failed_after,
+                                               time_point now) const
+{
+    // A removal counts as acknowledged only from the settle time after the
+    // failure on, but may have been acknowledged then.
+    auto const acknowledged_at = store_failed_after + settle_time_;
+    return std::clamp<duration>(acknowledged_at + leaving_grace_period_ - now,
+                                duration::zero(), max_outage_grace_period_);
 }
 
 void runner_directory::expire(time_point now)
@@ -299,7 +315,7 @@
         break;
     case runner_signal::replaced:
         state.expires_at =
-            state.expires_at.value_or(now + outage_grace_period_);
+            state.expires_at.value_or(now + max_outage_grace_period_);
         state.backoff_until = now + max_backoff;
         break;
     }
--- a/packages/decision/tests/gateway/crash_simulation.cpp
+++ b/packages/decision/tests/gateway/crash_simulation.cpp
@@ -87,13 +87,13 @@
 std::unique_ptr<reducer> crash_simulation::make_reducer(std::size_t vm)
 {
     return std::make_unique<reducer>(
-        gateway_settings{name_of_vm(vm), "north", 2s, 0s, {0.2, 56, 10s}});
+        gateway_settings{name_of_vm(vm), "north", 2s, 0s, 3s, {0.2, 56, 10s}});
 }
 
 void crash_simulation::introduce(std::size_t vm)
 {
     feed(vm, manifest_changed{manifest_});
-    feed(vm, runners_listed{runner_entries_, false});
+    feed(vm, runners_listed{runner_entries_, {}});
     feed(vm, members_listed{members_});
 }
 
--- a/packages/decision/tests/gateway/load_simulation.cpp
+++ b/packages/decision/tests/gateway/load_simulation.cpp
@@ -45,7 +45,7 @@
 load_simulation::load_simulation(
     std::shared_ptr<manifest const> routes,
     std::map<std::string, std::size_t> const& runner_counts)
-    : gateway_({"vm-0", "north", 2s, 0s, {0.2, 40, 10s}}),
+    : gateway_({"vm-0", "north", 2s, 0s, 3s, {0.2, 40, 10s}}),
       manifest_(std::move(routes))
 {
     feed(manifest_changed{manifest_});
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 reducer_fixture::reducer_fixture()
-    : gateway({"vm-0", "north", 2s, 0s, {0.2, 40, 10s}})
+    : gateway({"vm-0", "north", 2s, 0s, 3s, {0.2, 40, 10s}})
 {
     feed(manifest_changed{make_manifest(1)});
     feed(members_listed{{{"vm-0", "10.0.1.1:80", "north", 1, 1}}});
--- a/packages/decision/tests/gateway/runner_directory_test.cpp
+++ b/packages/decision/tests/gateway/runner_directory_test.cpp
@@ -64,7 +64,7 @@
 TEST(runner_directory, stops_using_a_lapsed_entry_before_the_drain_timeout)
 {
     two_runners it;
-    it.runners.remove("a", true, start);
+    it.runners.remove("a", start, start);
     EXPECT_EQ(usable(it.runners, start + 1s), (ids{"a", "b"}));
     it.runners.expire(start + drain_timeout - 300ms);
     EXPECT_EQ(usable(it.runners, start + drain_timeout - 300ms), ids{"b"});
@@ -75,9 +75,9 @@
 TEST(runner_directory, uses_removed_runners_when_no_others_are_left)
 {
     two_runners it;
-    it.runners.remove("a", false, start);
+    it.runners.remove("a", std::nullopt, start);
     EXPECT_EQ(usable(it.runners, start), ids{"b"});
-    it.runners.remove("b", false, start);
+    it.runners.remove("b", std::nullopt, start);
     EXPECT_EQ(usable(it.runners, start + 1s), (ids{"a", "b"}));
     it.runners.expire(start + drain_timeout);
     EXPECT_TRUE(usable(it.runners, start + drain_timeout).empty());
@@ -90,16 +90,32 @@
 {
     runner_directory runners(drain_timeout, 800ms);
     runners.upsert(make_runner("a", "10.0.0.1:80"));
-    runners.remove("a", false, start);
+    runners.remove("a", std::nullopt, start);
     EXPECT_EQ(usable(runners, start + 500ms), ids{"a"});
     runners.expire(start + drain_timeout - 800ms - 300ms);
     EXPECT_TRUE(usable(runners, start + drain_timeout).empty());
 }
 
+// The answer with the removal may be lost, and the loss noticed only after the
+// settle time. The removal may have been acknowledged as soon as that was over.
+TEST(runner_directory, subtracts_the_time_since_a_failure_of_the_store)
+{
+    constexpr duration settle_time = 3s;
+    constexpr duration noticed_after = settle_time + 500ms;
+    runner_directory runners(drain_timeout, 800ms, settle_time);
+    runners.upsert(make_runner("a", "10.0.0.1:80"));
+    auto const noticed_at = start + noticed_after;
+    runners.remove("a", start, noticed_at);
+    EXPECT_EQ(usable(runners, noticed_at + 1s), ids{"a"});
+    auto const bound = start + settle_time + drain_timeout;
+    runners.expire(bound - 300ms);
+    EXPECT_TRUE(usable(runners, bound - 300ms).empty());
+}
+
 TEST(runner_directory, restores_an_entry_that_returns)
 {
     two_runners it;
-    it.runners.remove("a", true, start);
+    it.runners.remove("a", start, start);
     it.runners.upsert(make_runner("a", "10.0.0.1:80"));
     it.runners.expire(start + 10s);
     EXPECT_EQ(usable(it.runners, start + 10s), (ids{"a", "b"}));
@@ -178,7 +194,8 @@
     it.runners.upsert(make_runner("a", "10.0.0.1:80"));
     EXPECT_EQ(usable(it.runners, start + 1s), ids{"b"});
     // A list without it, as after an outage, and one that shows it again.
-    it.runners.assign({make_runner("b", "10.0.0.2:80")}, true, start + 1s);
+    it.runners.assign({make_runner("b", "10.0.0.2:80")}, start + 1s,
+                      start + 1s);
     it.runners.expire(start + 4s);
     it.runners.upsert(make_runner("a", "10.0.0.1:80"));
     EXPECT_EQ(usable(it.runners, start + 5s), ids{"b"});
@@ -258,7 +275,7 @@
 TEST(runner_directory, does_not_use_an_expired_entry_that_is_not_erased_yet)
 {
     two_runners it;
-    it.runners.remove("a", true, start);
+    it.runners.remove("a", start, start);
     EXPECT_EQ(usable(it.runners, start + 10s), ids{"b"});
 }
 
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -114,7 +114,7 @@
 
     void start_store_watchers();
     void apply_runners(std::vector<platform::stored_object> const& objects,
-                       bool listed, bool after_outage);
+                       bool listed, std::optional<time_point> failed_after);
     //! Decodes the head of an answer to a call of this VM, and the notice in
     //! it.
     platform::runner_response read_head(std::string const& runner_id,
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,11 +20,15 @@
 using decision::time_point;
 using net::clock_function;
 
+//! Time after the wait of a watch until it counts as lost.
+constexpr duration watch_timeout_margin = std::chrono::seconds(1);
+
 //! Timing of successive watches.
 struct watch_timing
 {
-    duration max_wait{}; //!< of one watch; a silent store is noticed after it
-    duration pause{};    //!< between a change and the next watch
+    //! Of one watch. A lost answer is noticed `watch_timeout_margin` later.
+    duration max_wait{};
+    duration pause{};              //!< between a change and the next watch
     duration pause_after_outage{}; //!< same, shortly after an outage
 };
 
@@ -35,13 +40,13 @@
 public:
     struct callback_set
     {
-        //! Receives all objects. `after_outage` is true shortly after the store
-        //! became reachable again.
+        //! Receives all objects. `failed_after` is set shortly after the store
+        //! became reachable again: its last failure came later.
         std::function<void(std::vector<platform::stored_object> const&,
-                           bool after_outage)>
+                           std::optional<time_point> failed_after)>
             listed;
         std::function<void(std::vector<platform::stored_object> const&,
-                           bool after_outage)>
+                           std::optional<time_point> failed_after)>
             changed;
         //! Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable, std::string const& reason)>
@@ -67,7 +72,7 @@
     void handle_list(std::string const& body);
     void handle_changes(std::string const& body);
     void mark_reachable();
-    bool after_outage(time_point now) const;
+    std::optional<time_point> failed_shortly_before(time_point now) const;
 
     net::http_client& client_;
     std::string const address_;
@@ -80,6 +85,9 @@
     bool reachable_ = true;
     bool list_completed_ = false;
     time_point reachable_since_{};
+    time_point answered_at_{};     //!< last answer of the store
+    time_point call_started_at_{}; //!< of the last call
+    time_point failed_after_{};    //!< the last failure came later
     std::uint32_t failed_calls_ = 0;
     std::uint64_t revision_ = 0;
     std::string list_cursor_; //!< last name of the previous page
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -29,13 +29,16 @@
     auto const add_watcher =
         [this](platform::object_kind kind, store::watch_timing timing,
                char const* name,
-               std::function<void(objects const&, bool, bool)> const& apply)
+               std::function<void(objects const&, bool,
+                                  std::optional<time_point>)> const& apply)
     {
         store::store_watcher::callback_set callbacks;
-        callbacks.listed = [apply](objects const& all, bool after_outage)
-        { apply(all, true, after_outage); };
-        callbacks.changed = [apply](objects const& changes, bool after_outage)
-        { apply(changes, false, after_outage); };
+        callbacks.listed =
+            [apply](objects const& all, std::optional<time_point> failed_after)
+        { apply(all, true, failed_after); };
+        callbacks.changed = [apply](objects const& changes,
+                                    std::optional<time_point> failed_after)
+        { apply(changes, false, failed_after); };
         callbacks.reachable =
             [this, name](bool reachable, std::string const& reason)
         {
@@ -48,18 +51,20 @@
         store_watchers_.back()->start();
         return store_watchers_.back().get();
     };
-    manifest_watcher_ = add_watcher(
-        platform::object_kind::manifest,
-        store::manifest_watch_timing(settings_), "manifest",
-        [this](objects const& all, bool, bool) { apply_manifest(all); });
+    manifest_watcher_ =
+        add_watcher(platform::object_kind::manifest,
+                    store::manifest_watch_timing(settings_), "manifest",
+                    [this](objects const& all, bool, std::optional<time_point>)
+                    { apply_manifest(all); });
     add_watcher(platform::object_kind::runners,
                 store::runner_watch_timing(settings_), "runners",
-                [this](objects const& all, bool listed, bool after_outage)
-                { apply_runners(all, listed, after_outage); });
-    add_watcher(platform::object_kind::members, store::member_watch_timing(),
-                "members",
-                [this](objects const& all, bool listed, bool)
-                { apply_members(all, listed); });
+                [this](objects const& all, bool listed,
+                       std::optional<time_point> failed_after)
+                { apply_runners(all, listed, failed_after); });
+    add_watcher(
+        platform::object_kind::members, store::member_watch_timing(), "members",
+        [this](objects const& all, bool listed, std::optional<time_point>)
+        { apply_members(all, listed); });
 }
 
 void gateway_process::apply_manifest(
@@ -86,10 +91,10 @@
 
 void gateway_process::apply_runners(
     std::vector<platform::stored_object> const& objects, bool listed,
-    bool after_outage)
+    std::optional<time_point> failed_after)
 {
     model::runners_listed all;
-    all.after_outage = after_outage;
+    all.store_failed_after = failed_after;
     for (auto const& it : objects)
     {
         auto entry = it.deleted ? std::nullopt : platform::decode_runner(it);
@@ -100,7 +105,7 @@
         else if (!listed && entry)
             reduce(model::runner_changed{std::move(*entry)});
         else if (!listed)
-            reduce(model::runner_removed{it.name, after_outage});
+            reduce(model::runner_removed{it.name, failed_after});
     }
     if (listed)
         reduce(all);
--- a/packages/gateway/src/store/store_timing.cpp
+++ b/packages/gateway/src/store/store_timing.cpp
@@ -10,8 +10,8 @@
 
 using namespace std::chrono_literals;
 
-//! A watch whose connection went silent is noticed after this multiple of the
-//! time within which a manifest has to be in force.
+//! A watch of the manifest waits for this multiple of the time within which a
+//! manifest has to be in force.
 constexpr double manifest_wait_factor = 1.5;
 constexpr duration min_manifest_wait = 1s;
 constexpr duration max_manifest_wait = 30s;
@@ -24,12 +24,29 @@
 //! learning of the drain, the rest for requests on their way.
 constexpr int drain_timeout_divisor = 2;
 
-constexpr duration runner_wait = 8s;
+constexpr duration min_wait = 500ms;
+constexpr duration max_runner_wait = 8s;
 constexpr duration member_wait = 29s;
 
 //! Registrations that expired in an outage are renewed soon after it.
 constexpr duration runner_pause_after_outage = 350ms;
 
+//! Time from the notice of a lost answer until the change in it is obeyed:
+//! another watch on a new connection, and requests on their way.
+constexpr duration catch_up_time = 700ms;
+
+//! Longest wait with which a change is obeyed within the bound after it was
+//! written, although the answer before it was lost. The bound counts only from
+//! the settle time after the loss. A connection can be lost unnoticed while it
+//! is idle, during the pause before a watch.
+duration longest_wait(platform::node_settings const& settings, duration bound,
+                      duration pause)
+{
+    auto const wait = settings.settle_time + bound - pause -
+                      watch_timeout_margin - catch_up_time;
+    return std::max(wait, min_wait);
+}
+
 } // namespace
 
 watch_timing manifest_watch_timing(platform::node_settings const& settings)
@@ -37,14 +54,19 @@
     auto const wait = decision::from_seconds(
         manifest_wait_factor *
         decision::to_seconds(settings.manifest_apply_timeout));
-    return {std::clamp(wait, min_manifest_wait, max_manifest_wait),
+    auto const longest =
+        longest_wait(settings, settings.manifest_apply_timeout, manifest_pause);
+    return {std::min(std::clamp(wait, min_manifest_wait, max_manifest_wait),
+                     longest),
             manifest_pause, manifest_pause};
 }
 
 watch_timing runner_watch_timing(platform::node_settings const& settings)
 {
     auto const pause = settings.drain_timeout / drain_timeout_divisor;
-    return {runner_wait, pause, std::min(pause, runner_pause_after_outage)};
+    auto const longest = longest_wait(settings, settings.drain_timeout, pause);
+    return {std::min(longest, max_runner_wait), pause,
+            std::min(pause, runner_pause_after_outage)};
 }
 
 watch_timing member_watch_timing()
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -11,7 +11,6 @@
 using namespace std::chrono_literals;
 
 constexpr duration list_timeout = 1500ms;
-constexpr duration watch_timeout_margin = 1500ms;
 constexpr duration connect_timeout = 500ms;
 
 //! Wait and timeout margin of a watch while the store is unreachable.
@@ -40,6 +39,7 @@
 
 void store_watcher::start()
 {
+    answered_at_ = clock_();
     request_list();
 }
 
@@ -65,6 +65,7 @@
 
 void store_watcher::send(platform::store_request const& call, duration timeout)
 {
+    call_started_at_ = clock_();
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
@@ -77,6 +78,8 @@
 {
     if (result.failure)
     {
+        // What broke this connection may have broken the idle ones too.
+        client_.forget(address_);
         constexpr char const* failure_texts[] = {
             "connection failed", "no response", "response interrupted",
             "timed out"};
@@ -103,6 +106,9 @@
 
 void store_watcher::retry_later(std::string const& reason)
 {
+    // The connection of the first call that fails may have been broken while it
+    // was idle.
+    failed_after_ = failed_calls_ == 0 ? answered_at_ : call_started_at_;
     if (reachable_)
     {
         reachable_ = false;
@@ -129,17 +135,21 @@
 void store_watcher::mark_reachable()
 {
     failed_calls_ = 0;
+    answered_at_ = clock_();
     if (reachable_)
         return;
     reachable_ = true;
-    reachable_since_ = clock_();
+    reachable_since_ = answered_at_;
     callbacks_.reachable(true, {});
 }
 
-bool store_watcher::after_outage(time_point now) const
+std::optional<time_point>
+store_watcher::failed_shortly_before(time_point now) const
 {
-    return reachable_since_ != time_point() &&
-           now - reachable_since_ < recovery_period;
+    if (reachable_since_ == time_point() ||
+        now - reachable_since_ >= recovery_period)
+        return std::nullopt;
+    return failed_after_;
 }
 
 void store_watcher::handle_list(std::string const& body)
@@ -165,7 +175,7 @@
     }
     list_cursor_.clear();
     list_completed_ = true;
-    callbacks_.listed(listed_objects_, after_outage(clock_()));
+    callbacks_.listed(listed_objects_, failed_shortly_before(clock_()));
     listed_objects_.clear();
     request_watch();
 }
@@ -185,9 +195,9 @@
         request_watch();
         return;
     }
-    bool const recovering = after_outage(clock_());
-    callbacks_.changed(page->objects, recovering);
-    continue_after(recovering ? timing_.pause_after_outage : timing_.pause);
+    auto const failed_after = failed_shortly_before(clock_());
+    callbacks_.changed(page->objects, failed_after);
+    continue_after(failed_after ? timing_.pause_after_outage : timing_.pause);
 }
 
 } // namespace buckthornvale::gateway::store
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -9,13 +9,6 @@
 
 using namespace std::chrono_literals;
 
-namespace
-{
-
-constexpr std::chrono::seconds drain_timeout{2};
-
-} // namespace
-
 recording_caller::recording_caller(asio::io_context& loop, std::uint16_t port)
 {
     asio::ip::tcp::socket socket(loop);
@@ -78,6 +71,7 @@
     settings.first_peer_port = reserve_port();
     settings.store_endpoint = {"127.0.0.1", used_store.port()};
     settings.cpu_share = 1;
+    settings.settle_time = settle_time;
     settings.drain_timeout = drain_timeout;
     settings.grace_period = 8s;
     settings.retry_budget_ratio = 0.2;
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -50,6 +50,10 @@
 protected:
     fleet_fixture();
 
+    //! Bounds in the settings of the gateways.
+    static constexpr std::chrono::seconds settle_time{3};
+    static constexpr std::chrono::seconds drain_timeout{2};
+
     using runner = standins::fleet_platform::runner_standin;
     using store = standins::fleet_platform::store_standin;
 
--- a/packages/gateway/tests/store_timing_test.cpp
+++ b/packages/gateway/tests/store_timing_test.cpp
@@ -12,6 +12,7 @@
 platform::node_settings settings_of(duration drain, duration apply)
 {
     platform::node_settings out;
+    out.settle_time = 3s;
     out.drain_timeout = drain;
     out.manifest_apply_timeout = apply;
     return out;
@@ -47,6 +48,24 @@
     EXPECT_LE(calls_per_s(4s, 4s), 0.7);
 }
 
+// One lost answer of the store was noticed after up to 9.5 s. Meanwhile the VM
+// obeyed no drain and no manifest, although it was in step with the store by
+// all that its operators could see.
+TEST(store_timing, notices_a_lost_answer_within_the_bounds)
+{
+    constexpr duration retry = 200ms;
+    constexpr duration send_delay = 400ms;
+    for (duration const bound : {1s, 2s, 3s, 4s, 30s})
+    {
+        auto const settings = settings_of(bound, bound);
+        for (auto const& timing :
+             {runner_watch_timing(settings), manifest_watch_timing(settings)})
+            EXPECT_LE(timing.pause + timing.max_wait + watch_timeout_margin +
+                          retry + send_delay,
+                      settings.settle_time + bound);
+    }
+}
+
 // A manifest that is missed because a connection went silent must not stay
 // missed for long.
 TEST(store_timing, notices_a_silent_store_soon)
--- a/standins/fleet_platform/settings.cpp
+++ b/standins/fleet_platform/settings.cpp
@@ -19,7 +19,8 @@
            "\nlimits.cpuShare=0.25\nlimits.linkMbps=1000"
            "\nlimits.memoryMb=260\nlimits.fileDescriptors=4100"
            "\nplatform.valueBytes=1048576\nheartbeatMs=1200"
-           "\nbounds.drainTimeoutMs=2000\nbounds.gracePeriodS=8"
+           "\nbounds.contactMs=3000\nbounds.drainTimeoutMs=2000"
+           "\nbounds.gracePeriodS=8"
            "\nbounds.configApplyMs=2000\nbounds.retryBudgetRatio=0.2"
            "\nbounds.retryBudgetSlack=56\nbounds.budgetWindowS=10\n";
 }
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -82,6 +82,12 @@
     watches_.clear();
 }
 
+void store_standin::lose_watches(std::string const& kind)
+{
+    for (auto it = watches_.begin(); it != watches_.end();)
+        it = it->second.kind == kind ? watches_.erase(it) : std::next(it);
+}
+
 void store_standin::compact()
 {
     first_kept_ = revision_ + 1;
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -47,6 +47,10 @@
     //! While silent, calls are taken and never answered, also not later.
     void set_silent(bool silent) { silent_ = silent; }
 
+    //! Loses the answers to all watches of the kind that are waiting. Their
+    //! connections stay open and return nothing further.
+    void lose_watches(std::string const& kind);
+
     //! Forgets the history, so that a watch has to list again.
     void compact();
 
