decision: tell VMs that start again of the content that crashes runners

Cause: crashes by content are counted in the memory of each VM. The others hear of each crash as it happens, and never again, so that a VM that has started anew begins at zero. It was told of blocked suspects only, which do not help where other requests of the same path and caller are answered.

Change: VMs tell each other of content with two crashes or more, at once when one joins or has restarted, and every 500 ms to one other in turn. The larger count and the later crash hold; content that was cleared stays cleared. VMs that start together begin their turns with different receivers. Ruled out: counts in the store, which cost a call for each crash.

Remains: if all VMs lose their memory at once, the counts begin anew.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -220,8 +220,8 @@
     void record_answered(absl::Span<crash_suspect const> suspects,
                          time_point now);
     void judge_crashes(time_point now);
-    void repeat_verdicts(time_point now);
-    void send_verdicts(std::string const& member, time_point now);
+    void repeat_crash_state(time_point now);
+    void send_crash_state(std::string const& member, time_point now);
     void log_suspect(char const* what, active_request const* request,
                      crash_suspect const& suspect);
 
@@ -250,6 +250,8 @@
                         time_point now);
     void handle_message(std::string const& from, block_suspects const& in,
                         time_point now);
+    void handle_message(std::string const& from, share_crash_records const& in,
+                        time_point now);
     void probe_owners(time_point input_until, time_point now);
     void remove_unreachable_members(time_point now);
     void update_crash_record(active_request const& request, bool cleared,
@@ -272,8 +274,8 @@
     crash_registry crashes_;
     crash_judge judge_;
     suspect_table suspects_;
-    time_point verdicts_repeated_at_{};
-    std::size_t next_verdict_receiver_ = 0;
+    time_point crash_state_repeated_at_{};
+    std::size_t crash_state_repeats_ = 0;
     std::map<std::string, stage_scheduler> schedulers_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
     //! Moving average of the time from a send to the first event, by service.
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_message.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_DECISION_GATEWAY_STAGE_MESSAGE_HPP
 
 #include <buckthornvale/decision/core/time.hpp>
+#include <buckthornvale/decision/gateway/crash_registry.hpp>
 #include <buckthornvale/decision/gateway/crash_suspect.hpp>
 #include <buckthornvale/decision/gateway/dispatch_priority.hpp>
 #include <buckthornvale/decision/gateway/queue_forecast.hpp>
@@ -137,6 +138,13 @@
     bool cleared = false;
 };
 
+//! Content with repeated crashes, for a VM that may have missed the reports: it
+//! has started anew, or was cut off.
+struct share_crash_records
+{
+    std::vector<crash_record> records;
+};
+
 //! A run was lost with its connection to the runner. Sent to the VM that judges
 //! crashes of the service.
 struct report_lost_run
@@ -177,7 +185,7 @@
     std::variant<submit_pieces, return_results, release_results, cancel_pieces,
                  report_crash, announce_stages, report_lost_run,
                  report_unreachable_runner, accuse_suspects, report_answered,
-                 block_suspects>;
+                 block_suspects, share_crash_records>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -130,7 +130,7 @@
 void reducer::on(members_listed const& in, time_point now)
 {
     for (auto const& name : members_.assign(in.members))
-        send_verdicts(name, now);
+        send_crash_state(name, now);
     log("members_listed", nullptr,
         {{"count", std::to_string(in.members.size())}});
 }
@@ -171,7 +171,7 @@
     suspects_.expire(now);
     if (judge_.has_accused())
         judge_crashes(now);
-    repeat_verdicts(now);
+    repeat_crash_state(now);
     std::vector<request_ref> refs;
     refs.reserve(requests_.size());
     for (auto const& it : requests_)
--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -3,6 +3,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace buckthornvale::decision::gateway
 {
 
@@ -14,9 +16,10 @@
 //! Time in which the other VMs answer an accusation.
 constexpr duration hearing_time = 400ms;
 
-//! Interval in which a VM repeats its verdicts to one other VM, in turn. VMs
-//! that were cut off or frozen learn of them in this way.
-constexpr duration verdict_interval = 500ms;
+//! Interval in which a VM tells one other VM, in turn, of blocked suspects and
+//! of content with repeated crashes. VMs that were cut off or frozen learn of
+//! them in this way.
+constexpr duration crash_state_interval = 500ms;
 
 //! An unreachable runner is reported once per interval.
 constexpr duration unreachable_report_interval = 1s;
@@ -170,21 +173,39 @@
         send_message(name, verdict, now);
 }
 
-void reducer::repeat_verdicts(time_point now)
+void reducer::handle_message(std::string const& from,
+                             share_crash_records const& in, time_point now)
 {
-    if (now - verdicts_repeated_at_ < verdict_interval)
+    for (auto const& it : in.records)
+        if (!crashes_.merge(it, now))
+            send_message(from, report_crash{it.fingerprint, true}, now);
+}
+
+void reducer::repeat_crash_state(time_point now)
+{
+    if (now - crash_state_repeated_at_ < crash_state_interval)
         return;
-    verdicts_repeated_at_ = now;
+    crash_state_repeated_at_ = now;
     auto const others = members_.others();
-    if (!others.empty())
-        send_verdicts(others[next_verdict_receiver_++ % others.size()], now);
+    if (others.empty())
+        return;
+    // Each VM begins with the next one in the order of names, so that VMs that
+    // started together do not all tell the same one at once.
+    auto const next =
+        std::upper_bound(others.begin(), others.end(), members_.self());
+    auto const first = static_cast<std::size_t>(next - others.begin());
+    send_crash_state(others[(first + crash_state_repeats_++) % others.size()],
+                     now);
 }
 
-void reducer::send_verdicts(std::string const& member, time_point now)
+void reducer::send_crash_state(std::string const& member, time_point now)
 {
-    block_suspects message{suspects_.verdicts(now)};
-    if (!message.verdicts.empty())
-        send_message(member, std::move(message), now);
+    block_suspects verdicts{suspects_.verdicts(now)};
+    if (!verdicts.verdicts.empty())
+        send_message(member, std::move(verdicts), now);
+    share_crash_records records{crashes_.repeated_crashes(now)};
+    if (!records.records.empty())
+        send_message(member, std::move(records), now);
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -67,7 +67,7 @@
                              time_point now)
 {
     if (in.cleared)
-        crashes_.clear(in.fingerprint);
+        crashes_.clear(in.fingerprint, now);
     else
         crashes_.record_crash(in.fingerprint, now);
 }
@@ -76,7 +76,7 @@
                                   time_point now)
 {
     report_crash const message{request.fingerprint, cleared};
-    if (cleared && !crashes_.clear(request.fingerprint))
+    if (cleared && !crashes_.clear(request.fingerprint, now))
         return;
     if (!cleared)
     {
@@ -131,7 +131,7 @@
     if (!members_.record_answer(in.member, in.incarnation, now))
         return;
     log("peer_restarted", nullptr, {{"member", in.member}});
-    send_verdicts(in.member, now);
+    send_crash_state(in.member, now);
     for (auto& it : schedulers_)
         it.second.withdraw_all(in.member);
     resubmit_from(in.member, now);
--- a/packages/decision/tests/gateway/crash_blame_test.cpp
+++ b/packages/decision/tests/gateway/crash_blame_test.cpp
@@ -127,6 +127,37 @@
     }
 }
 
+//! One request that crashes runners and comes to each VM again and again. Its
+//! path and its caller have sound requests too, so that only its content is to
+//! blame.
+void add_deadly_content(crash_simulation& fleet)
+{
+    crash_load load;
+    load.per_second = 4;
+    load.deadly_content = true;
+    fleet.add_load(load, 4s, day);
+}
+
+// Guards against VMs that forget what crashes runners when they start again: a
+// planned restart of all VMs allowed three more crashes at each.
+TEST(crash_blame, of_repeated_content_outlives_restarts_in_turn)
+{
+    for (auto const seed : seeds)
+    {
+        SCOPED_TRACE(seed);
+        crash_simulation fleet(4, 18, seed);
+        add_sound_load(fleet);
+        add_deadly_content(fleet);
+        for (std::size_t n = 0; n < 4; ++n)
+            fleet.restart_at(n, 12s + std::int64_t(n) * 3s);
+        fleet.run_until(day);
+        EXPECT_GE(fleet.crashes().size(), 3U);
+        EXPECT_LE(fleet.deadly_sends_since(fleet.crashes()[2] + contact_time),
+                  max_late_sends);
+        expect_sound_requests_pass(fleet);
+    }
+}
+
 // Guards against blame for runners that end for other reasons: many at a time,
 // one after the other, or not at all while they break off answers.
 TEST(crash_blame, falls_on_no_part_without_a_deadly_one)
--- a/packages/decision/tests/gateway/crash_simulation.cpp
+++ b/packages/decision/tests/gateway/crash_simulation.cpp
@@ -22,6 +22,9 @@
 constexpr duration stream_time = 300ms;
 constexpr duration restart_time = 3s;
 
+//! Above the numbers of requests, which are the hashes of other bodies.
+constexpr std::uint64_t deadly_body = 1'000'000'000;
+
 std::string name_of_vm(std::size_t vm)
 {
     return "vm-" + std::to_string(vm);
@@ -123,14 +126,16 @@
         traits.path = load.path;
         traits.key = load.key;
         traits.time_left = 6s;
-        traits.body_hash = ref;
+        traits.body_hash = load.deadly_content ? deadly_body : ref;
         for (auto const part : load.parts)
             traits.prompt.push_back({part, 500});
         if (load.subjects > 0)
             traits.prompt.back().id += random_() % load.subjects;
         constexpr std::uint64_t own_parts = 1'000'000;
-        traits.prompt.push_back({own_parts + ref, 300});
-        record.deadly = std::any_of(load.parts.begin(), load.parts.end(),
+        if (!load.deadly_content)
+            traits.prompt.push_back({own_parts + ref, 300});
+        record.deadly = load.deadly_content ||
+                        std::any_of(load.parts.begin(), load.parts.end(),
                                     [&](std::uint64_t part)
                                     { return deadly_.count(part) > 0; });
         auto const jitter =
--- a/packages/decision/tests/gateway/crash_simulation.hpp
+++ b/packages/decision/tests/gateway/crash_simulation.hpp
@@ -26,6 +26,9 @@
     std::vector<std::uint64_t> parts;
     //! Each request has one of so many parts in place of the last shared one.
     std::uint64_t subjects = 0;
+    //! One request that crashes runners and comes again and again; it has no
+    //! prompt.
+    bool deadly_content = false;
 };
 
 //! A fleet of reducers and model runners in virtual time. A runner that begins
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -29,7 +29,7 @@
 // the request may be valid.
 TEST(gateway_start, answers_unavailable_before_the_first_manifest)
 {
-    reducer it({"vm-0", "north", 2s, 0s, {}});
+    reducer it({"vm-0", "north", 2s, 0s, 3s, {}});
     request_arrived in;
     in.request = 1;
     auto const out = it.reduce(in, time_point(1s));
--- a/packages/decision/tests/gateway/tables_test.cpp
+++ b/packages/decision/tests/gateway/tables_test.cpp
@@ -91,10 +91,46 @@
     EXPECT_FALSE(crashes.is_blocked(8, start));
     EXPECT_FALSE(
         crashes.is_blocked(7, start + crash_registry::entry_lifetime + 1s));
-    EXPECT_TRUE(crashes.clear(7));
+    EXPECT_TRUE(crashes.clear(7, start));
     EXPECT_FALSE(crashes.is_blocked(7, start));
 }
 
+// A VM that starts anew takes over what the others know, without counting the
+// same crash twice, and does not bring back what was cleared meanwhile.
+TEST(crash_registry, takes_over_the_crashes_that_other_vms_know)
+{
+    crash_registry known;
+    crash_registry started;
+    for (std::uint32_t n = 0; n < crash_registry::crash_limit; ++n)
+        known.record_crash(7, start);
+    known.record_crash(8, start);
+    auto const records = known.repeated_crashes(start + 1s);
+    ASSERT_EQ(records.size(), 1U);
+    EXPECT_EQ(records[0].last_crash_age, 1s);
+    EXPECT_TRUE(started.merge(records[0], start + 1s));
+    EXPECT_TRUE(started.merge(records[0], start + 1s));
+    EXPECT_TRUE(started.is_blocked(7, start + 1s));
+    EXPECT_EQ(started.repeated_crashes(start + 1s)[0].crashes,
+              crash_registry::crash_limit);
+    EXPECT_FALSE(
+        started.is_blocked(7, start + crash_registry::entry_lifetime + 1s));
+    EXPECT_TRUE(started.clear(7, start + 1s));
+    EXPECT_FALSE(started.merge(records[0], start + 1s));
+    EXPECT_FALSE(started.is_blocked(7, start + 1s));
+}
+
+TEST(crash_registry, shares_blocked_content_first)
+{
+    crash_registry crashes;
+    for (std::uint64_t n = 0; n < 2 * crash_registry::max_shared_records; ++n)
+        for (int i = 0; i < (n % 2 == 0 ? 2 : 3); ++i)
+            crashes.record_crash(n, start);
+    auto const records = crashes.repeated_crashes(start);
+    EXPECT_EQ(records.size(), crash_registry::max_shared_records);
+    for (auto const& it : records)
+        EXPECT_EQ(it.crashes, 3U);
+}
+
 TEST(crash_registry, is_bounded)
 {
     crash_registry crashes;
--- a/packages/gateway/src/peer/peer_codec.cpp
+++ b/packages/gateway/src/peer/peer_codec.cpp
@@ -40,7 +40,8 @@
     report_unreachable_runner,
     accuse_suspects,
     report_answered,
-    block_suspects
+    block_suspects,
+    share_crash_records
 };
 
 json encode(model::dispatch_priority const& it)
@@ -162,6 +163,15 @@
     return {message_tag::block_suspects, encode(it.verdicts)};
 }
 
+json encode(model::share_crash_records const& it)
+{
+    auto list = json::array();
+    for (auto const& record : it.records)
+        list.push_back({record.fingerprint, record.crashes,
+                        record.last_crash_age.count()});
+    return {message_tag::share_crash_records, std::move(list)};
+}
+
 decision::duration decode_duration(json const& value)
 {
     return decision::duration(value.get<std::int64_t>());
@@ -327,6 +337,16 @@
     return out;
 }
 
+model::share_crash_records decode_crash_records(json const& value)
+{
+    model::share_crash_records out;
+    for (auto const& it : value.at(1))
+        out.records.push_back({it.at(0).get<std::uint64_t>(),
+                               it.at(1).get<std::uint32_t>(),
+                               decode_age(it.at(2))});
+    return out;
+}
+
 peer_message decode_message(json const& value)
 {
     switch (static_cast<message_tag>(value.at(0).get<int>()))
@@ -358,6 +378,8 @@
         return model::report_answered{decode_suspects(value.at(1))};
     case message_tag::block_suspects:
         return model::block_suspects{decode_verdicts(value.at(1))};
+    case message_tag::share_crash_records:
+        return decode_crash_records(value);
     }
     // An unknown message type decodes to an empty message that has no effect.
     return model::submit_pieces{};
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -56,6 +56,7 @@
         model::accuse_suspects{{{key_suspect, 3s, 1s}}},
         model::report_answered{{part_suspect, key_suspect}},
         model::block_suspects{{{part_suspect, 2s, 0s}}},
+        model::share_crash_records{{{18446744073709551615U, 3, 4s}}},
     };
     return out;
 }
@@ -66,7 +67,7 @@
     ASSERT_TRUE(out);
     EXPECT_EQ(out->member, "vm-1");
     EXPECT_EQ(out->incarnation, 18446744073709551615U);
-    ASSERT_EQ(out->messages.size(), 10U);
+    ASSERT_EQ(out->messages.size(), 11U);
     auto const& piece =
         std::get<model::submit_pieces>(out->messages[0]).pieces.at(0);
     EXPECT_EQ(piece.inputs.size(), 2U);
@@ -85,7 +86,7 @@
 {
     auto const out = decode_envelope(encode_envelope(full_envelope()));
     ASSERT_TRUE(out);
-    ASSERT_EQ(out->messages.size(), 10U);
+    ASSERT_EQ(out->messages.size(), 11U);
     auto const& lost = std::get<model::report_lost_run>(out->messages[5]);
     EXPECT_EQ(lost.runner_id, "r");
     EXPECT_TRUE(lost.answer_begun);
@@ -100,6 +101,11 @@
     EXPECT_EQ(answered.suspects.size(), 2U);
     auto const& blocked = std::get<model::block_suspects>(out->messages[9]);
     EXPECT_TRUE(blocked.verdicts.at(0).suspect == part_suspect);
+    auto const& shared =
+        std::get<model::share_crash_records>(out->messages[10]).records.at(0);
+    EXPECT_EQ(shared.fingerprint, 18446744073709551615U);
+    EXPECT_EQ(shared.crashes, 3U);
+    EXPECT_EQ(shared.last_crash_age, 4s);
 }
 
 // Guards against a crash on truncated or corrupted bytes.
