gateway: bound what is held of all answers of runners together

What callers saw (report of other operators): a faulty runner sent bytes without end, the VM that had called it ran out of memory, and the requests of its other callers ended with it.

An event is bounded at 1 MB, the answer to a call of stages at 16 KB and 1 KB a piece. answer_too_large is logged. The soak has runners that send bytes without end, watches whose answers are lost, callers that send a request in two parts, and a bound on the memory of each process.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_GATEWAY_GATEWAY_PROCESS_HPP
 
 #include <buckthornvale/decision/gateway/reducer.hpp>
+#include <buckthornvale/gateway/answer_memory.hpp>
 #include <buckthornvale/gateway/gateway_request.hpp>
 #include <buckthornvale/gateway/observe/gateway_metrics.hpp>
 #include <buckthornvale/gateway/observe/log_writer.hpp>
@@ -87,6 +88,8 @@
     void on_sse_events(runner_attempt& from, std::string_view events) override;
     void on_runner_notice(std::string const& runner_id,
                           platform::runner_response const& response) override;
+    void on_answer_too_large(runner_attempt const& from,
+                             std::size_t bytes) override;
     void
     on_attempt_ended(runner_attempt& from,
                      decision::gateway::attempt_ended const& outcome) override;
@@ -148,6 +151,7 @@
     decision::gateway::reducer reducer_;
     observe::log_writer log_writer_;
     observe::gateway_metrics metrics_;
+    answer_memory answer_memory_;
     net::http_client http_client_;
     peer::peer_sender peer_sender_;
     net::http_server caller_server_;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_request.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_request.hpp
@@ -3,6 +3,9 @@
 
 #include <buckthornvale/net/short_call.hpp>
 
+#include <cstddef>
+#include <string>
+
 namespace buckthornvale::gateway
 {
 
@@ -14,6 +17,8 @@
     std::string target;
     std::string body;
     std::string expected_runner; //!< empty for calls to the store or a VM
+    //! A larger answer fails the call.
+    std::size_t max_answer_bytes = 4'194'304;
 };
 
 //! Sends the request with the headers that the platform requires.
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_GATEWAY_RUNNER_ATTEMPT_HPP
 
 #include <buckthornvale/decision/gateway/event.hpp>
+#include <buckthornvale/gateway/answer_memory.hpp>
 #include <buckthornvale/gateway/sse_splitter.hpp>
 #include <buckthornvale/net/http_client.hpp>
 #include <buckthornvale/platform/headers.hpp>
@@ -32,6 +33,10 @@
         virtual void
         on_runner_notice(std::string const& runner_id,
                          platform::runner_response const& response) = 0;
+
+        //! The answer has more bytes than may be held of it; the attempt ends.
+        virtual void on_answer_too_large(runner_attempt const& from,
+                                         std::size_t bytes) = 0;
         virtual void
         on_attempt_ended(runner_attempt& from,
                          decision::gateway::attempt_ended const& outcome) = 0;
@@ -39,13 +44,15 @@
 
     //! `resumed_after` is the id of the last event that the caller has; empty
     //! for a stream that begins.
-    runner_attempt(listener& attempt_listener,
+    runner_attempt(listener& attempt_listener, answer_memory& memory,
                    decision::gateway::request_ref request, std::uint32_t number,
                    std::string runner_id, std::string request_id,
                    bool expects_stream, std::string resumed_after);
 
     decision::gateway::request_ref request() const { return request_; }
     std::uint32_t number() const { return number_; }
+    std::string const& runner_id() const { return runner_id_; }
+    std::string const& request_id() const { return request_id_; }
     http::response_head const& head() const { return head_; }
     platform::runner_response const& response() const { return response_; }
 
@@ -87,6 +94,7 @@
     platform::runner_response response_;
     std::string body_;
     sse_splitter splitter_;
+    answer_memory::reservation memory_; //!< of what is buffered
 };
 
 } // namespace buckthornvale::gateway
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -51,8 +51,8 @@
     it->reading_paused = false;
     destroy_later(std::move(it->attempt));
     it->attempt = std::make_unique<runner_attempt>(
-        *this, effect.request, effect.attempt, effect.runner_id, it->request_id,
-        effect.stream, effect.last_event_id);
+        *this, answer_memory_, effect.request, effect.attempt, effect.runner_id,
+        it->request_id, effect.stream, effect.last_event_id);
     it->attempt->call = http_client_.call(
         effect.address,
         platform::encode_runner_request(it->head, it->body->size(), headers),
@@ -134,6 +134,18 @@
                                       response.quiet_time});
 }
 
+void gateway_process::on_answer_too_large(runner_attempt const& from,
+                                          std::size_t bytes)
+{
+    log_writer_.write(
+        {"answer_too_large",
+         from.request_id(),
+         {{"runner", from.runner_id()},
+          {"bytes", std::to_string(bytes)},
+          {"held_bytes", std::to_string(answer_memory_.reserved())}}},
+        now());
+}
+
 void gateway_process::on_attempt_ended(runner_attempt& from,
                                        model::attempt_ended const& outcome)
 {
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -48,6 +48,10 @@
 //! between is for sending the last answers.
 constexpr duration exit_margin = 300ms;
 
+//! Part of the memory of the VM that large answers may take together. What is
+//! held of an answer takes up to twice its size, and again when it is sent.
+constexpr std::size_t answer_memory_divisor = 8;
+
 net::server_limits to_server_limits(model::caller_limits const& from)
 {
     net::server_limits out;
@@ -73,6 +77,7 @@
                  settings_.retry_budget_window},
                 settings_.first_start ? time_point() : now()}),
       log_writer_(log_descriptor, settings_.vm_name),
+      answer_memory_(settings_.memory_bytes / answer_memory_divisor),
       http_client_(loop, [this] { return now(); }),
       peer_sender_(
           http_client_, settings_.vm_name, incarnation,
--- a/packages/gateway/src/gateway_request.cpp
+++ b/packages/gateway/src/gateway_request.cpp
@@ -13,6 +13,7 @@
                                                     address, call.body.size(),
                                                     call.expected_runner);
     request.body = std::move(call.body);
+    request.max_answer_bytes = call.max_answer_bytes;
     return net::make_call(client, address, std::move(request), options,
                           std::move(done));
 }
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -12,6 +12,11 @@
 namespace model = decision::gateway;
 
 constexpr decision::duration connect_timeout = 300ms;
+
+//! Bounds on an answer to a call of stages. A result is a handle or a reason,
+//! of some dozen bytes.
+constexpr std::size_t max_answer_bytes = 16'384;
+constexpr std::size_t max_result_bytes = 1024;
 constexpr decision::duration free_results_timeout = 2s;
 
 model::piece_outcome to_piece_outcome(platform::piece_failure failure)
@@ -54,7 +59,8 @@
     metrics_.count_stage_call(items.size());
     make_call(http_client_, effect.address,
               {"POST", std::string(platform::stage_run_target),
-               platform::encode_stage_items(items), effect.runner_id},
+               platform::encode_stage_items(items), effect.runner_id,
+               max_answer_bytes + items.size() * max_result_bytes},
               options,
               [this, call = effect.call, runner = effect.runner_id,
                n = items.size()](net::call_result const& result)
@@ -112,7 +118,8 @@
     // The runner expires results that could not be freed.
     make_call(http_client_, effect.address,
               {"POST", std::string(platform::stage_free_target),
-               platform::encode_handles(effect.handles), effect.runner_id},
+               platform::encode_handles(effect.handles), effect.runner_id,
+               max_answer_bytes},
               options,
               [this, call = effect.call,
                runner = effect.runner_id](net::call_result const& result)
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -8,9 +8,10 @@
 
 namespace model = decision::gateway;
 
-//! Maximum size of an answer that is not a stream, and of an event. A runner
-//! that fails can send bytes without end, and small VMs have about 100 MB.
-constexpr std::size_t max_buffered_bytes = 8'388'608;
+//! Maximum size of an answer that is not a stream.
+constexpr std::size_t max_body_bytes = 8'388'608;
+
+constexpr std::size_t max_event_bytes = 1'048'576;
 
 model::body_framing framing_of(http::response_head const& head)
 {
@@ -32,13 +33,15 @@
 } // namespace
 
 runner_attempt::runner_attempt(listener& attempt_listener,
+                               answer_memory& memory,
                                decision::gateway::request_ref request,
                                std::uint32_t number, std::string runner_id,
                                std::string request_id, bool expects_stream,
                                std::string resumed_after)
     : listener_(attempt_listener), request_(request), number_(number),
       runner_id_(std::move(runner_id)), request_id_(std::move(request_id)),
-      expects_stream_(expects_stream), resumed_after_(std::move(resumed_after))
+      expects_stream_(expects_stream), resumed_after_(std::move(resumed_after)),
+      memory_(memory)
 {
 }
 
@@ -63,14 +66,20 @@
 {
     auto const buffered =
         streaming_ ? splitter_.incomplete_event().size() : body_.size();
-    if (buffered + bytes.size() > max_buffered_bytes)
+    auto const size = buffered + bytes.size();
+    auto const max_size = streaming_ ? max_event_bytes : max_body_bytes;
+    if (size > max_size || !memory_.resize(size))
+    {
+        listener_.on_answer_too_large(*this, size);
         return false;
+    }
     if (!streaming_)
     {
         body_.append(bytes);
         return true;
     }
     auto const events = splitter_.feed(bytes);
+    memory_.resize(splitter_.incomplete_event().size());
     // The runner began anew instead of resuming the stream.
     if (is_repeated_event(splitter_.first_event_id(), resumed_after_))
         return false;
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -23,6 +23,9 @@
 //! that expired while the store was unreachable are written again.
 constexpr duration recovery_period = 2200ms;
 
+//! A page of a list has about 1 MB; a watch may return many changes at once.
+constexpr std::size_t max_answer_bytes = 16'777'216;
+
 constexpr int status_gone = 410;
 
 } // namespace
@@ -70,7 +73,8 @@
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
     make_call(
-        client_, address_, {call.method, call.target, call.body, {}}, options,
+        client_, address_,
+        {call.method, call.target, call.body, {}, max_answer_bytes}, options,
         [this](net::call_result const& result) { handle_response(result); });
 }
 
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -71,6 +71,7 @@
     settings.first_peer_port = reserve_port();
     settings.store_endpoint = {"127.0.0.1", used_store.port()};
     settings.cpu_share = 1;
+    settings.memory_bytes = 125'829'120;
     settings.settle_time = settle_time;
     settings.drain_timeout = drain_timeout;
     settings.grace_period = 8s;
--- a/standins/fleet_platform/settings.cpp
+++ b/standins/fleet_platform/settings.cpp
@@ -17,7 +17,9 @@
            "\nplatform.address=" + endpoint(vm.store_port) +
            "\nbootstrap=" + (vm.first_start ? "true" : "false") +
            "\nlimits.cpuShare=0.25\nlimits.linkMbps=1000"
-           "\nlimits.memoryMb=260\nlimits.fileDescriptors=4100"
+           "\nlimits.memoryMb=" +
+           std::to_string(vm.memory_mb) +
+           "\nlimits.fileDescriptors=4100"
            "\nplatform.valueBytes=1048576\nheartbeatMs=1200"
            "\nbounds.contactMs=3000\nbounds.drainTimeoutMs=2000"
            "\nbounds.gracePeriodS=8"
--- a/tests/soak/gateway_vm.cpp
+++ b/tests/soak/gateway_vm.cpp
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -91,6 +92,18 @@
     return pid_ >= 0;
 }
 
+bool gateway_vm::exceeds_memory() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    std::string line;
+    while (std::getline(status, line))
+        if (line.compare(0, field.size(), field) == 0)
+            return std::stol(line.substr(field.size())) >
+                   settings_.memory_mb * 1024L;
+    return false;
+}
+
 void gateway_vm::reap(int options)
 {
     int status = 0;
--- a/tests/soak/gateway_vm.hpp
+++ b/tests/soak/gateway_vm.hpp
@@ -46,6 +46,9 @@
     //! True when a process ended that was neither killed nor stopped.
     bool has_crashed() const { return crashed_; }
 
+    //! True if the process that runs has used more memory than the VM has.
+    bool exceeds_memory() const;
+
     std::uint16_t caller_port() const { return settings_.caller_port; }
     std::string const& name() const { return settings_.name; }
 
--- a/tests/soak/request_ledger.cpp
+++ b/tests/soak/request_ledger.cpp
@@ -30,6 +30,11 @@
     it.at_most_once = at_most_once;
 }
 
+void request_ledger::sent_whole(std::string const& id, time_point now)
+{
+    entries_[id].sent_at = now;
+}
+
 void request_ledger::executed(std::string const& id)
 {
     auto& it = entries_[id];
--- a/tests/soak/request_ledger.hpp
+++ b/tests/soak/request_ledger.hpp
@@ -23,6 +23,9 @@
 public:
     void sent(std::string const& id, bool at_most_once, time_point now);
 
+    //! Its last byte was sent.
+    void sent_whole(std::string const& id, time_point now);
+
     //! A runner received the request and runs it.
     void executed(std::string const& id);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -38,10 +38,12 @@
     {"silence_runner", &soak::silence_runner},
     {"silence_runner", &soak::silence_runner},
     {"fill_runner", &soak::fill_runner},
+    {"spoil_runners", &soak::spoil_runners},
     {"silence_runner_under_load", &soak::silence_runner_under_load},
     {"stop_store", &soak::stop_store},
     {"silence_store", &soak::silence_store},
-    {"compact_store", &soak::compact_store}};
+    {"compact_store", &soak::compact_store},
+    {"lose_watches", &soak::lose_watches}};
 
 soak::soak(soak_options options)
     : options_(std::move(options)), random_(options_.seed),
@@ -113,6 +115,7 @@
         auto const now = net::steady_now();
         if (now < next_fault_at)
             continue;
+        check_memory();
         plan_series(now);
         next_fault_at = now + random_time(200, 1500);
     }
@@ -182,6 +185,16 @@
     }
 }
 
+void soak::check_memory()
+{
+    for (auto const& it : vms_)
+        if (it->running() && it->exceeds_memory())
+        {
+            ledger_.add_violation(it->name() + " exceeded its memory");
+            it->signal(SIGTERM);
+        }
+}
+
 void soak::restart_ended_vms(time_point now)
 {
     for (auto& it : vms_)
@@ -250,6 +263,14 @@
     random_runner().refuse(now + random_time(200, 800));
 }
 
+void soak::spoil_runners(time_point now)
+{
+    auto const until = now + random_time(300, 1200);
+    for (auto& it : runners_)
+        if (random_() % 4 != 0)
+            it->spoil(until);
+}
+
 void soak::silence_runner_under_load(time_point now)
 {
     auto const until = now + random_time(500, 1400);
@@ -279,4 +300,9 @@
     store_.compact();
 }
 
+void soak::lose_watches(time_point)
+{
+    store_.lose_watches(random_() % 2 == 0 ? "servers" : "config");
+}
+
 } // namespace buckthornvale::soak
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -59,17 +59,21 @@
     void pause_vm(time_point now);
     void silence_runner(time_point now);
     void fill_runner(time_point now);
+    //! Most runners answer with bytes without end.
+    void spoil_runners(time_point now);
     //! One runner is silent while all others are full.
     void silence_runner_under_load(time_point now);
     void stop_store(time_point now);
     void silence_store(time_point now);
     void compact_store(time_point now);
+    void lose_watches(time_point now);
 
     void start_fleet();
     void put_manifest();
     void plan_series(time_point now);
     void at(time_point when, std::function<void(time_point)> action);
     void run_due_actions(time_point now);
+    void check_memory();
     void restart_ended_vms(time_point now);
     void step(bool may_send);
     bool any_caller_waits() const;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -19,6 +19,9 @@
 
 constexpr duration reconnect_delay = 50ms;
 
+//! Longest pause between the two parts of a request.
+constexpr std::uint64_t max_part_pause_ms = 800;
+
 //! Time beyond the deadline after which a request counts as not answered. VMs
 //! are paused for less.
 constexpr duration answer_tolerance = 2s;
@@ -42,6 +45,8 @@
 void soak_caller::tick(time_point now, bool may_send)
 {
     now_ = now;
+    if (!unsent_.empty() && now >= unsent_due_)
+        send_rest(now);
     if (waiting())
     {
         if (now - sent_at_ <= caller_deadline + answer_tolerance)
@@ -98,7 +103,24 @@
     ledger_.sent(request_id_, is_booking, now);
     sent_at_ = now;
     body_.clear();
-    stream_->write(standins::fleet_platform::text_of(out));
+    unsent_ = standins::fleet_platform::text_of(out);
+    bool const in_two_parts = random_() % 6 == 0;
+    if (!in_two_parts)
+    {
+        send_rest(now);
+        return;
+    }
+    auto const n = random_() % unsent_.size();
+    stream_->write(std::string_view(unsent_).substr(0, n));
+    unsent_.erase(0, n);
+    unsent_due_ =
+        now + std::chrono::milliseconds(random_() % max_part_pause_ms);
+}
+
+void soak_caller::send_rest(time_point now)
+{
+    ledger_.sent_whole(request_id_, now);
+    stream_->write(std::exchange(unsent_, {}));
 }
 
 void soak_caller::on_bytes(std::string_view bytes)
@@ -141,13 +163,14 @@
         long_pause ? max_idle_share * idle_timeout_ : duration(100ms);
     next_at_ =
         now_ + std::chrono::duration_cast<duration>(share(random_) * max_pause);
-    if (!keep_alive)
+    // A request that was refused before it was whole cannot be followed.
+    if (!keep_alive || !unsent_.empty())
         close();
 }
 
 void soak_caller::on_end(asio::error_code)
 {
-    if (waiting())
+    if (waiting() && unsent_.empty())
         ledger_.connection_ended(request_id_, vm_->killed_at() >= sent_at_,
                                  now_);
     request_id_.clear();
@@ -162,6 +185,7 @@
     stream_->detach();
     stream_->close();
     stream_.reset();
+    unsent_.clear();
 }
 
 } // namespace buckthornvale::soak
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -47,6 +47,7 @@
 private:
     void connect();
     void send_request(time_point now);
+    void send_rest(time_point now);
     void finish_answer();
     void close();
 
@@ -62,6 +63,8 @@
     std::string body_;
     std::string request_id_; //!< of the request without an answer, or empty
     std::string expected_body_;
+    std::string unsent_; //!< second part of the request
+    time_point unsent_due_{};
     time_point now_{};
     time_point sent_at_{};
     time_point next_at_{}; //!< when to send or connect next
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -15,6 +15,8 @@
 
 constexpr int event_count = 5;
 
+constexpr std::size_t endless_part_bytes = 65'536;
+
 constexpr std::chrono::seconds min_time_between_silences{2};
 
 bool is_stream(std::string const& path)
@@ -63,8 +65,36 @@
     return std::chrono::milliseconds(time_ms(random_));
 }
 
+soak_runner::scripted_answer
+soak_runner::spoiled_answer(received_request const& in)
+{
+    scripted_answer out;
+    switch (random_() % 3)
+    {
+    case 0:
+        out.bytes = "HTTP/1.1 200 OK\r\n";
+        out.endless = "X-Pad: 0123456789\r\n";
+        break;
+    case 1:
+        out = runner_standin::without_length(in, {});
+        out.close = false;
+        out.endless = std::string(endless_part_bytes, ' ');
+        break;
+    default:
+        out.bytes = runner_standin::stream_head(in);
+        http::append_chunk(out.endless, std::string(endless_part_bytes, 'x'));
+    }
+    return out;
+}
+
 soak_runner::scripted_answer soak_runner::answer(received_request const& in)
 {
+    if (now_ < spoiled_until_ && in.last_event_id.empty())
+    {
+        if (!in.stage_call)
+            ledger_.executed(in.id);
+        return spoiled_answer(in);
+    }
     scripted_answer later;
     later.silent = true;
     if (in.stage_call)
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -16,8 +16,8 @@
 std::vector<std::string> events_after(std::string const& request_id,
                                       int event_number);
 
-//! A runner that takes its time, refuses for a while, and falls silent for a
-//! while and goes on.
+//! A runner that takes its time, refuses or sends bytes without end for a
+//! while, and falls silent for a while and goes on.
 class soak_runner
 {
 public:
@@ -32,6 +32,9 @@
     void fall_silent(time_point until);
     void refuse(time_point until) { refuses_until_ = until; }
 
+    //! Answers with bytes without end.
+    void spoil(time_point until) { spoiled_until_ = until; }
+
     standins::fleet_platform::runner_standin& standin() { return standin_; }
 
 private:
@@ -46,6 +49,7 @@
     };
 
     void expect_next();
+    scripted_answer spoiled_answer(received_request const& in);
     scripted_answer answer(received_request const& in);
     void write_later(std::size_t connection, std::string bytes, duration after);
     duration random_time(int min_ms, int max_ms);
@@ -57,6 +61,7 @@
     time_point now_{};
     time_point silent_until_{};
     time_point refuses_until_{};
+    time_point spoiled_until_{};
 };
 
 } // namespace buckthornvale::soak
