net: parse all bytes of a client in the order of their arrival

Cause: a connection that held bytes read on when the response was sent, and parsed what it read before what it held, because the parsing of the held bytes was posted.

Change: while a connection holds bytes, later ones are added behind them, and it is not idle. Ruled out: refusing what is sent ahead, which HTTP/1.1 allows.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -165,6 +165,8 @@
     };
 
     void parse(std::string_view bytes);
+    void parse_held_input();
+    bool is_idle() const;
     void finish_response();
     void close_gracefully();
     void close_idle();
@@ -180,7 +182,9 @@
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     std::string body_;
-    std::string pipelined_bytes_; //!< received ahead, of following requests
+    //! Received and not parsed yet. While there are any, later bytes are added
+    //! here, so that all are parsed in the order of their arrival.
+    std::string held_input_;
     state state_ = state::reading;
     bool keep_alive_ = true;
     bool chunked_ = false;
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -13,9 +13,8 @@
 
 using namespace std::chrono_literals;
 
-//! Bytes of pipelined requests buffered while a request is in progress. Reading
-//! pauses once there are more.
-constexpr std::size_t max_pipelined_bytes = 65'536;
+//! Reading pauses once more bytes of following requests are held.
+constexpr std::size_t max_held_bytes = 65'536;
 
 //! Time that a client has to read its response and close the connection before
 //! the server closes it, which can reset it and discard unread bytes.
@@ -74,21 +73,36 @@
 
 void server_connection::on_bytes(std::string_view bytes)
 {
-    switch (state_)
+    if (state_ == state::lingering)
     {
-    case state::reading:
-        parse(bytes);
-        break;
-    case state::serving:
-        pipelined_bytes_.append(bytes);
-        if (pipelined_bytes_.size() > max_pipelined_bytes)
-            stream_->pause_reading();
-        break;
-    case state::lingering:
         server_.handler_.on_discarded(*this, bytes.size(),
                                       server_.clock_() - phase_start_);
-        break;
+        return;
+    }
+    if (state_ == state::reading && held_input_.empty())
+    {
+        parse(bytes);
+        return;
     }
+    held_input_.append(bytes);
+    if (held_input_.size() > max_held_bytes)
+        stream_->pause_reading();
+}
+
+void server_connection::parse_held_input()
+{
+    if (state_ != state::reading || held_input_.empty())
+        return;
+    auto const input = std::exchange(held_input_, {});
+    // What was read since the response may have paused it again.
+    stream_->resume_reading();
+    parse(input);
+}
+
+bool server_connection::is_idle() const
+{
+    return state_ == state::reading && !parser_.started() &&
+           held_input_.empty();
 }
 
 void server_connection::parse(std::string_view bytes)
@@ -115,7 +129,7 @@
     }
     if (!parser_.complete())
         return;
-    pipelined_bytes_.assign(bytes.substr(n));
+    held_input_.assign(bytes.substr(n));
     state_ = state::serving;
     phase_start_ = server_.clock_();
     keep_alive_ = parser_.request().keep_alive;
@@ -215,7 +229,7 @@
     parser_.next();
     idle_timeout_ = server_.limits_().idle_timeout;
     stream_->resume_reading();
-    if (pipelined_bytes_.empty())
+    if (held_input_.empty())
         return;
     // Posted, because parsing here would recurse once per pipelined request.
     asio::post(server_.loop_,
@@ -224,9 +238,8 @@
                {
                    if (lifetime.expired())
                        return;
-                   auto* it = server.find(id);
-                   if (it != nullptr && it->state_ == state::reading)
-                       it->parse(std::exchange(it->pipelined_bytes_, {}));
+                   if (auto* it = server.find(id))
+                       it->parse_held_input();
                });
 }
 
@@ -265,10 +278,9 @@
 {
     state_ = state::lingering;
     phase_start_ = server_.clock_();
-    if (!pipelined_bytes_.empty())
+    if (!held_input_.empty())
         server_.handler_.on_discarded(
-            *this, std::exchange(pipelined_bytes_, {}).size(),
-            duration::zero());
+            *this, std::exchange(held_input_, {}).size(), duration::zero());
     stream_->shutdown_after_write();
 }
 
@@ -302,8 +314,7 @@
 void server_connection::close_after_response()
 {
     close_after_response_ = true;
-    bool const idle = state_ == state::reading && !parser_.started();
-    if (!idle)
+    if (!is_idle())
         return;
     // The first request of a new connection is probably on its way.
     if (requests_received_ == 0)
@@ -324,7 +335,7 @@
     else if (state_ == state::lingering &&
              now - phase_start_ > linger_timeout && stream_->queued() == 0)
         close_now();
-    else if (state_ == state::reading)
+    else if (state_ == state::reading && held_input_.empty())
         check_receive_timeouts(limits, now);
 }
 
@@ -375,7 +386,7 @@
         server_.handler_.on_drained(*this);
     // The connection is idle from now on, and not since the response was
     // queued.
-    if (state_ == state::reading && !parser_.started())
+    if (is_idle())
         phase_start_ = server_.clock_();
 }
 
