decision: keep no connection after a stage answer that nothing ties to its call

Cause: only a handle tells an answer from the copy of an earlier one. A copy with reasons only passed as the answer to the next call; the connection stayed in use, and each later answer was taken for the answer to the next call.

Change: after an answer without a new handle, the idle connections to the runner are closed. call_ended returns where the answer comes from. Ruled out: an id of our own in the calls, which a runner need not return.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -30,6 +30,15 @@
     piece_result result;
 };
 
+//! What is known of the call to which the answer of a stage runner belongs.
+//! Only the handles of results tell an answer from the copy of an earlier one.
+enum class answer_origin
+{
+    own,      //!< has a new handle
+    unknown,  //!< has no handle
+    repeated, //!< has the handle of an earlier answer
+};
+
 //! Batches the pieces of one stage service from all VMs into calls to its
 //! runners. A call has a fixed cost and a runner executes one call at a time,
 //! so that VMs that batched separately would fill the few slots with small
@@ -79,10 +88,10 @@
     //! Handles the answer of a runner to a request to free results.
     void results_freed(call_ref call);
 
-    //! Returns false if the answer repeats an earlier one. The right answer may
-    //! follow on the same connection, which must not be used again.
-    bool call_ended(stage_call_ended const& ended, runner_directory& runners,
-                    time_point now);
+    //! Unless the answer is `own`, another answer may follow on the same
+    //! connection, which must not be used again.
+    answer_origin call_ended(stage_call_ended const& ended,
+                             runner_directory& runners, time_point now);
 
     bool owns_call(call_ref call) const { return calls_.count(call) > 0; }
 
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -444,14 +444,14 @@
         if (it.second.owns_call(in.call))
         {
             auto const address = it.second.address_of_call(in.call);
-            if (!it.second.call_ended(in, runners_, now))
-            {
+            auto const origin = it.second.call_ended(in, runners_, now);
+            if (origin == answer_origin::repeated)
                 log("repeated_stage_answer", nullptr,
                     {{"service", it.first},
                      {"call", std::to_string(in.call)},
                      {"address", address}});
+            if (origin != answer_origin::own)
                 out_.push_back(close_idle_connections{address});
-            }
             log("stage_call_ended", nullptr,
                 {{"service", it.first},
                  {"call", std::to_string(in.call)},
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -158,12 +158,13 @@
                        { return returned_.contains(it.handle); });
 }
 
-bool stage_scheduler::call_ended(stage_call_ended const& ended,
-                                 runner_directory& runners, time_point now)
+answer_origin stage_scheduler::call_ended(stage_call_ended const& ended,
+                                          runner_directory& runners,
+                                          time_point now)
 {
     auto const found = calls_.find(ended.call);
     if (found == calls_.end())
-        return true;
+        return answer_origin::unknown;
     call_state call = std::move(found->second);
     calls_.erase(found);
     auto& usage = usage_[call.runner_id];
@@ -177,7 +178,7 @@
     {
         requeue_call_pieces(
             call, repeated || ended.outcome == call_outcome::no_answer, now);
-        return !repeated;
+        return repeated ? answer_origin::repeated : answer_origin::unknown;
     }
     record_call_time(call, now);
     if (call.hedged)
@@ -185,7 +186,10 @@
     for (std::size_t i = 0; i < call.pieces.size(); ++i)
         handle_piece_outcome(call.pieces[i], ended.pieces[i], call.runner_id,
                              now);
-    return true;
+    bool const has_handle = std::any_of(
+        ended.pieces.begin(), ended.pieces.end(),
+        [](piece_call_result const& it) { return !it.handle.empty(); });
+    return has_handle ? answer_origin::own : answer_origin::unknown;
 }
 
 void stage_scheduler::hedge_slow_calls(time_point now)
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -262,14 +262,16 @@
     first.pieces.push_back({piece_outcome::done, false, "10.0.0.1:80/a"});
     scheduler.submit("vm", {make_piece(1)}, start);
     scheduler.dispatch(pool.runners, pool.next_call, start, out);
-    EXPECT_TRUE(scheduler.call_ended(first, pool.runners, start + 208ms));
+    EXPECT_EQ(scheduler.call_ended(first, pool.runners, start + 208ms),
+              answer_origin::own);
     EXPECT_EQ(scheduler.take_results().size(), 1U);
 
     scheduler.submit("vm", {make_piece(2)}, start + 300ms);
     scheduler.dispatch(pool.runners, pool.next_call, start + 300ms, out);
     auto copy = first;
     copy.call = 2;
-    EXPECT_FALSE(scheduler.call_ended(copy, pool.runners, start + 310ms));
+    EXPECT_EQ(scheduler.call_ended(copy, pool.runners, start + 310ms),
+              answer_origin::repeated);
     EXPECT_TRUE(scheduler.take_results().empty());
     EXPECT_EQ(scheduler.waiting(), 1U);
 }
--- a/packages/gateway/tests/runner_notices_test.cpp
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -1,5 +1,11 @@
 #include "fleet_fixture.hpp"
 
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+
 namespace buckthornvale::gateway
 {
 namespace
@@ -126,6 +132,68 @@
     EXPECT_NE(engine->received[0].inputs, engine->received[1].inputs);
 }
 
+// The late copy of an answer that has only reasons was taken for the answer to
+// the next call: nothing in it tells its call. All later answers of the
+// connection were then taken for those to the next calls.
+TEST_F(runner_notices, of_stages_are_not_taken_from_a_copy_without_results)
+{
+    auto const engine = add_runner("engine-1", "engine");
+    auto const stage = add_runner("stage-1", "stage");
+    wait_for_runners();
+    constexpr char const* reasons = R"({"items":[{"reason":"error"}]})";
+    std::map<std::string, std::string> request_by_result;
+    std::deque<std::pair<std::size_t, std::string>> late_answers;
+    int calls = 0;
+    std::function<scripted_answer(received_request const&)> answer;
+    answer = [&](received_request const& in)
+    {
+        stage->script.emplace_back(answer);
+        if (!in.stage_call)
+            return runner_standin::proper(in, "{}");
+        ++calls;
+        if (calls == 1)
+            return runner_standin::proper(in, reasons);
+        auto const result = stage->address() + "/" + std::to_string(calls);
+        request_by_result[result] = nlohmann::json::parse(in.body)
+                                        .at("items")
+                                        .at(0)
+                                        .at("id")
+                                        .get<std::string>();
+        auto const body = R"({"items":[{"handle":")" + result + R"("}]})";
+        late_answers.emplace_back(in.connection,
+                                  runner_standin::proper(in, body).bytes);
+        scripted_answer out;
+        if (calls == 2)
+            out = runner_standin::proper(in, reasons);
+        else
+            out.silent = true;
+        return out;
+    };
+    stage->script.emplace_back(answer);
+    recording_caller first_caller(loop, callers_port);
+    first_caller.send(request("POST", "/staged/x", "", 1));
+    EXPECT_TRUE(run_until([&] { return calls == 3; }));
+    // Waits for the call in progress.
+    recording_caller second_caller(loop, callers_port);
+    second_caller.send(request("POST", "/staged/y", "", 1));
+    run_until(
+        [&]
+        {
+            run_for(std::chrono::milliseconds(60));
+            if (!late_answers.empty())
+            {
+                auto const& next = late_answers.front();
+                stage->write(next.first, next.second);
+                late_answers.pop_front();
+            }
+            return contains(second_caller.received, "body of") ||
+                   second_caller.ended;
+        });
+    ASSERT_EQ(engine->received.size(), 2U);
+    for (auto const& it : engine->received)
+        EXPECT_EQ(request_by_result[it.inputs], it.id);
+}
+
 class unfinished_head : public runner_notices,
                         public testing::WithParamInterface<std::size_t>
 {
