gateway: release a request whose caller has left when its attempt is cancelled

Cause: a booking whose caller has left is left to finish. If its answer is lost, the reducer cancels the attempt at the deadline and forgets the request; the process dropped the attempt only, and kept the request with its body.

Change: the cancelled attempt releases the request if its caller has left.

--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -68,6 +68,9 @@
         return;
     http_client_.cancel(it->attempt->call);
     destroy_later(std::move(it->attempt));
+    // Nothing else follows for a request whose caller has left.
+    if (!it->caller_present)
+        erase_request(effect.request, "caller_left");
 }
 
 std::string
--- a/packages/gateway/tests/drain_test.cpp
+++ b/packages/gateway/tests/drain_test.cpp
@@ -86,5 +86,31 @@
     EXPECT_TRUE(contains(caller.received, "HTTP/1.1 502")) << caller.received;
 }
 
+// A request whose caller had left and whose runner never answered was kept with
+// its body for ever, until the VM had no memory left. It also held up the
+// drain.
+TEST_F(gateway_drain, waits_for_no_caller_that_has_left)
+{
+    plain->script.emplace_back(
+        [](received_request const&)
+        {
+            scripted_answer out;
+            out.silent = true;
+            return out;
+        });
+    {
+        recording_caller caller(loop, callers_port);
+        caller.send(request("POST", "/book/x", "body"));
+        ASSERT_TRUE(run_until([&] { return plain->received.size() == 1; }));
+    }
+    // The deadline of the request.
+    run_for(3200ms);
+    gateway->drain();
+    auto const start = std::chrono::steady_clock::now();
+    loop.restart();
+    loop.run_for(6s);
+    EXPECT_LT(std::chrono::steady_clock::now() - start, 4s);
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
