--- a/packages/decision/src/gateway/crash_registry.cpp
+++ b/packages/decision/src/gateway/crash_registry.cpp
@@ -1,6 +1,7 @@
 #include <buckthornvale/decision/gateway/crash_registry.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornvale::decision::gateway
 {
