gateway: attempts that outlive their process keep the memory account alive

Cause: an attempt is destroyed by a handler that is posted to the loop. When the gateway goes first, the reservation of the attempt gave its bytes back to an account that was gone. In production this is at the end of the process only.

Change: reservations share the account.

--- a/packages/gateway/include/buckthornvale/gateway/answer_memory.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/answer_memory.hpp
@@ -2,6 +2,8 @@
 #define BUCKTHORNVALE_GATEWAY_ANSWER_MEMORY_HPP
 
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace buckthornvale::gateway
 {
@@ -18,11 +20,15 @@
 
     explicit answer_memory(std::size_t max_bytes) : max_bytes_(max_bytes) {}
 
-    //! The memory of one answer. Returns it when destroyed.
+    //! The memory of one answer. Returns it when destroyed, which may be after
+    //! the process that it belongs to.
     class reservation
     {
     public:
-        explicit reservation(answer_memory& memory) : memory_(memory) {}
+        explicit reservation(std::shared_ptr<answer_memory> memory)
+            : memory_(std::move(memory))
+        {
+        }
         ~reservation() { resize(0); }
         reservation(reservation const&) = delete;
         reservation& operator=(reservation const&) = delete;
@@ -32,7 +38,7 @@
         bool resize(std::size_t answer_bytes);
 
     private:
-        answer_memory& memory_;
+        std::shared_ptr<answer_memory> memory_;
         std::size_t bytes_ = 0;
     };
 
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -151,7 +151,7 @@
     decision::gateway::reducer reducer_;
     observe::log_writer log_writer_;
     observe::gateway_metrics metrics_;
-    answer_memory answer_memory_;
+    std::shared_ptr<answer_memory> answer_memory_;
     net::http_client http_client_;
     peer::peer_sender peer_sender_;
     net::http_server caller_server_;
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -44,7 +44,8 @@
 
     //! `resumed_after` is the id of the last event that the caller has; empty
     //! for a stream that begins.
-    runner_attempt(listener& attempt_listener, answer_memory& memory,
+    runner_attempt(listener& attempt_listener,
+                   std::shared_ptr<answer_memory> memory,
                    decision::gateway::request_ref request, std::uint32_t number,
                    std::string runner_id, std::string request_id,
                    bool expects_stream, std::string resumed_after);
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -145,7 +145,7 @@
          from.request_id(),
          {{"runner", from.runner_id()},
           {"bytes", std::to_string(bytes)},
-          {"held_bytes", std::to_string(answer_memory_.reserved())}}},
+          {"held_bytes", std::to_string(answer_memory_->reserved())}}},
         now());
 }
 
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -77,7 +77,8 @@
                  settings_.retry_budget_window},
                 settings_.first_start ? time_point() : now()}),
       log_writer_(log_descriptor, settings_.vm_name),
-      answer_memory_(settings_.memory_bytes / answer_memory_divisor),
+      answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
+                                                     answer_memory_divisor)),
       http_client_(loop, [this] { return now(); }),
       peer_sender_(
           http_client_, settings_.vm_name, incarnation,
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 runner_attempt::runner_attempt(listener& attempt_listener,
-                               answer_memory& memory,
+                               std::shared_ptr<answer_memory> memory,
                                decision::gateway::request_ref request,
                                std::uint32_t number, std::string runner_id,
                                std::string request_id, bool expects_stream,
@@ -41,7 +41,7 @@
     : listener_(attempt_listener), request_(request), number_(number),
       runner_id_(std::move(runner_id)), request_id_(std::move(request_id)),
       expects_stream_(expects_stream), resumed_after_(std::move(resumed_after)),
-      memory_(memory)
+      memory_(std::move(memory))
 {
 }
 
--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -71,7 +71,8 @@
     }
 
     fake_listener listener;
-    answer_memory memory{max_bytes};
+    std::shared_ptr<answer_memory> memory =
+        std::make_shared<answer_memory>(max_bytes);
     std::vector<std::shared_ptr<runner_attempt>> attempts;
 };
 
@@ -93,7 +94,7 @@
 {
     fill();
     attempts.clear();
-    EXPECT_EQ(memory.reserved(), 0U);
+    EXPECT_EQ(memory->reserved(), 0U);
     EXPECT_TRUE(start_answer()->on_answer_body(std::string(500'000, 'x')));
 }
 
