tests: the head of a runner's answer comes from the stand-in

The tests moved in looked for the status anywhere in the answer; before, at its place in the status line.

Change: the head is parsed from runner_standin::stream_head; the status has to begin the answer again, in all three tests.

--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -1,9 +1,11 @@
 #include <buckthornvale/gateway/runner_attempt.hpp>
+#include <buckthornvale/http/message_parser.hpp>
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <memory>
+#include <standins/fleet_platform/runner_standin.hpp>
 #include <string>
 #include <vector>
 
@@ -35,17 +37,33 @@
     std::size_t too_large = 0;
 };
 
+class ignoring_sink final : public http::message_sink
+{
+public:
+    void on_head() override {}
+    void on_body(std::string_view) override {}
+    void on_complete() override {}
+};
+
+//! Head of a runner's answer to the request, as the platform writes it.
+http::response_head sealed_head(std::string const& request_id)
+{
+    standins::fleet_platform::received_request request;
+    request.id = request_id;
+    ignoring_sink sink;
+    http::message_parser parser(http::message_type::response, {}, sink);
+    parser.feed(standins::fleet_platform::runner_standin::stream_head(request));
+    return parser.response();
+}
+
 class answer_memory_test : public testing::TestWithParam<bool>
 {
 protected:
     std::unique_ptr<runner_attempt> start_answer()
     {
-        http::response_head head;
-        head.status = http::status_ok;
-        head.headers = {{"X-Request-Id", "id"}, {"X-Response-Seal", "s"}};
         auto out = std::make_unique<runner_attempt>(
             listener, memory, 1, 1, "runner", "id", GetParam(), "");
-        EXPECT_TRUE(out->on_answer_head(head));
+        EXPECT_TRUE(out->on_answer_head(sealed_head("id")));
         return out;
     }
 
--- a/packages/gateway/tests/endless_answer_test.cpp
+++ b/packages/gateway/tests/endless_answer_test.cpp
@@ -48,7 +48,7 @@
                                           out.endless = "X-Pad: 0123456789\r\n";
                                           return out;
                                       });
-    EXPECT_TRUE(contains(answer, "HTTP/1.1 502")) << answer;
+    EXPECT_EQ(answer.rfind("HTTP/1.1 502", 0), 0U) << answer;
 }
 
 TEST_F(endless_answer, ends_an_answer_whose_body_has_no_end)
@@ -63,7 +63,7 @@
                           out.endless = std::string(65'536, 'x');
                           return out;
                       });
-    EXPECT_TRUE(contains(answer, "HTTP/1.1 502")) << answer;
+    EXPECT_EQ(answer.rfind("HTTP/1.1 502", 0), 0U) << answer;
     EXPECT_LE(plain->endless_bytes, max_endless_bytes);
 }
 
@@ -96,7 +96,7 @@
             return out;
         },
         1);
-    EXPECT_TRUE(contains(answer, "HTTP/1.1 200")) << answer;
+    EXPECT_EQ(answer.rfind("HTTP/1.1 200", 0), 0U) << answer;
     EXPECT_GT(stage->endless_bytes, 0U);
     EXPECT_LE(stage->endless_bytes, max_endless_bytes);
 }
