soak: runners that repeat, cut and lose refusals, and streams at two runners at once

Cause: the runners of the soak answered each request once, so that no run could show a request that goes on at two runners (TWICE). Change: runners repeat a refusal, with or without its id, before their next answer, lose the results of stages, cut refusals short, answer 421, and reset connections of requests that run. A silent runner does not notice the end of a connection. Streams that cannot be resumed count as at most once, with stages too, and a stream may be at one runner at a time, but for 400 ms. Bookkeeping of runs is by request and runner.

--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -81,7 +81,12 @@
         }
     }
 
-    void on_end(asio::error_code) override { endless_.clear(); }
+    void on_end(asio::error_code) override
+    {
+        endless_.clear();
+        if (owner_.on_connection_end)
+            owner_.on_connection_end(number_);
+    }
     void on_written() override {}
     void on_head() override {}
     void on_body(std::string_view bytes) override { body_.append(bytes); }
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -77,6 +77,9 @@
     //! answers.
     void write(std::size_t connection_number, std::string_view bytes);
 
+    //! Called when a connection, given by its number, has ended.
+    std::function<void(std::size_t)> on_connection_end;
+
     //! Bytes of endless answers that were written.
     std::size_t endless_bytes = 0;
 
--- a/tests/soak/request_ledger.cpp
+++ b/tests/soak/request_ledger.cpp
@@ -15,6 +15,9 @@
 //! The system gives a stream up at the deadline of its caller.
 constexpr duration deadline_tolerance = 100ms;
 
+//! A runner that is left has to stop within this time.
+constexpr duration max_overlap = 400ms;
+
 bool states_not_run(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
@@ -22,12 +25,12 @@
 
 } // namespace
 
-void request_ledger::sent(std::string const& id, bool at_most_once,
+void request_ledger::sent(std::string const& id, request_rules rules,
                           time_point now)
 {
     auto& it = entries_[id];
     it.sent_at = now;
-    it.at_most_once = at_most_once;
+    it.rules = rules;
 }
 
 void request_ledger::sent_whole(std::string const& id, time_point now)
@@ -35,11 +38,34 @@
     entries_[id].sent_at = now;
 }
 
-void request_ledger::executed(std::string const& id)
+void request_ledger::run_started(std::string const& id,
+                                 std::string const& runner, time_point now)
 {
     auto& it = entries_[id];
     it.reached_runner = true;
     ++it.executions;
+    for (auto& run : it.runs)
+        if (!run.second)
+            run.second = now;
+    it.runs[runner].reset();
+}
+
+void request_ledger::run_ended(std::string const& id, std::string const& runner,
+                               time_point now)
+{
+    auto& it = entries_[id];
+    auto& runs = it.runs;
+    auto const found = runs.find(runner);
+    if (found == runs.end())
+        return;
+    if (it.rules.is_stream && found->second &&
+        now - *found->second > max_overlap)
+        add_violation(id + " ran elsewhere while " + runner +
+                      " went on with it for " +
+                      std::to_string((now - *found->second) /
+                                     std::chrono::milliseconds(1)) +
+                      " ms");
+    runs.erase(found);
 }
 
 void request_ledger::refused_by_runner(std::string const& id)
@@ -90,7 +116,7 @@
         auto const& it = named.second;
         if (it.promised_not_run && it.executions > 0)
             add_violation(named.first + " ran, though its answer denies it");
-        if (it.at_most_once && it.executions > 1)
+        if (it.rules.at_most_once && it.executions > 1)
             add_violation(named.first + " ran more than once");
         if (!it.lost)
             continue;
--- a/tests/soak/request_ledger.hpp
+++ b/tests/soak/request_ledger.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,17 +18,29 @@
 //! Time that callers wait for an answer.
 constexpr std::chrono::milliseconds caller_deadline{3000};
 
+//! What may happen to a request.
+struct request_rules
+{
+    bool at_most_once = false;
+    bool is_stream = false; //!< goes on at one runner at a time
+};
+
 //! What callers and runners saw of each request, and which promises it broke.
 class request_ledger
 {
 public:
-    void sent(std::string const& id, bool at_most_once, time_point now);
+    void sent(std::string const& id, request_rules rules, time_point now);
 
     //! Its last byte was sent.
     void sent_whole(std::string const& id, time_point now);
 
     //! A runner received the request and runs it.
-    void executed(std::string const& id);
+    void run_started(std::string const& id, std::string const& runner,
+                     time_point now);
+
+    //! The runner has answered, or noticed that its connection has ended.
+    void run_ended(std::string const& id, std::string const& runner,
+                   time_point now);
 
     //! A runner received the request and refused it.
     void refused_by_runner(std::string const& id);
@@ -56,12 +69,15 @@
     struct entry
     {
         time_point sent_at{};
-        bool at_most_once = false;
+        request_rules rules;
         bool promised_not_run = false;
         bool reached_runner = false;
         bool lost = false;
         duration lost_after{};
         int executions = 0;
+        //! Runners that work on it, with the time since which another one does
+        //! too.
+        std::map<std::string, std::optional<time_point>> runs;
     };
 
     std::map<std::string, entry> entries_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -39,6 +39,9 @@
     {"silence_runner", &soak::silence_runner},
     {"fill_runner", &soak::fill_runner},
     {"spoil_runners", &soak::spoil_runners},
+    {"disturb_runner", &soak::disturb_runner},
+    {"disturb_runners", &soak::disturb_runners},
+    {"disturb_runners", &soak::disturb_runners},
     {"silence_runner_under_load", &soak::silence_runner_under_load},
     {"stop_store", &soak::stop_store},
     {"silence_store", &soak::silence_store},
@@ -91,7 +94,8 @@
         {"/read/", request_kind::idempotent, "plain", 2, false, {}},
         {"/stream/", request_kind::stream, "engine", 1, false, {}},
         {"/resume/", request_kind::stream, "engine", 2, true, {}},
-        {"/staged/", request_kind::stream, "engine", 2, true, "stage"}};
+        {"/staged/", request_kind::stream, "engine", 2, true, "stage"},
+        {"/once/", request_kind::stream, "engine", 1, false, "stage"}};
     if (manifest_version_ % 2 == 1)
         routes.push_back(
             {"/extra/", request_kind::idempotent, "plain", 1, false, {}});
@@ -258,17 +262,38 @@
     random_runner().fall_silent(now + random_time(500, 1400));
 }
 
-void soak::fill_runner(time_point now)
+runner_fault soak::random_fault()
 {
-    random_runner().refuse(now + random_time(200, 800));
+    return static_cast<runner_fault>(random_() % runner_fault_count);
 }
 
-void soak::spoil_runners(time_point now)
+void soak::disturb_runner(time_point now)
+{
+    random_runner().start_fault(random_fault(), now + random_time(200, 800));
+}
+
+void soak::disturb_most(runner_fault kind, time_point until)
 {
-    auto const until = now + random_time(300, 1200);
     for (auto& it : runners_)
         if (random_() % 4 != 0)
-            it->spoil(until);
+            it->start_fault(kind, until);
+}
+
+void soak::disturb_runners(time_point now)
+{
+    auto const kind = random_fault();
+    disturb_most(kind, now + random_time(300, 1200));
+}
+
+void soak::fill_runner(time_point now)
+{
+    random_runner().start_fault(runner_fault::refuse,
+                                now + random_time(200, 800));
+}
+
+void soak::spoil_runners(time_point now)
+{
+    disturb_most(runner_fault::spoil, now + random_time(300, 1200));
 }
 
 void soak::silence_runner_under_load(time_point now)
@@ -278,7 +303,7 @@
     silent.fall_silent(until);
     for (auto& it : runners_)
         if (it.get() != &silent)
-            it->refuse(until);
+            it->start_fault(runner_fault::refuse, until);
 }
 
 void soak::stop_store(time_point now)
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -61,6 +61,10 @@
     void fill_runner(time_point now);
     //! Most runners answer with bytes without end.
     void spoil_runners(time_point now);
+    //! One runner breaks the protocol.
+    void disturb_runner(time_point now);
+    //! Most runners break the protocol in the same way.
+    void disturb_runners(time_point now);
     //! One runner is silent while all others are full.
     void silence_runner_under_load(time_point now);
     void stop_store(time_point now);
@@ -79,6 +83,8 @@
     bool any_caller_waits() const;
     gateway_vm& random_vm();
     soak_runner& random_runner();
+    runner_fault random_fault();
+    void disturb_most(runner_fault kind, time_point until);
     std::chrono::milliseconds random_time(int min_ms, int max_ms);
 
     soak_options const options_;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -13,6 +13,19 @@
 
 using namespace std::chrono_literals;
 
+struct route_traits
+{
+    char const* path;
+    request_rules rules;
+    bool has_stages;
+};
+
+constexpr route_traits routes[] = {
+    {"/book/", {true, false}, false},  {"/read/", {false, false}, false},
+    {"/stream/", {true, true}, false}, {"/resume/", {false, true}, false},
+    {"/staged/", {false, true}, true}, {"/once/", {true, true}, true},
+};
+
 //! Callers reuse a connection that was idle for up to this part of the idle
 //! timeout.
 constexpr double max_idle_share = 0.8;
@@ -96,25 +109,21 @@
 
 void soak_caller::send_request(time_point now)
 {
-    constexpr char const* paths[] = {"/book/", "/read/", "/stream/", "/resume/",
-                                     "/staged/"};
-    auto const kind = random_() % std::size(paths);
-    bool const is_stream = kind >= 2;
-    bool const has_stages = kind == 4;
+    auto const& route = routes[random_() % std::size(routes)];
     request_id_ = name_ + "-" + std::to_string(++request_count_);
     standins::fleet_platform::caller_request out;
     out.id = request_id_;
     out.method = "POST";
-    out.path = paths[kind];
+    out.path = route.path;
     out.body = "body";
-    if (has_stages)
+    if (route.has_stages)
         out.pieces = 2;
     auto const events = events_after(request_id_, 0);
     expected_body_ =
-        is_stream ? std::accumulate(events.begin(), events.end(), std::string())
-                  : plain_body(request_id_);
-    bool const is_booking = kind == 0;
-    ledger_.sent(request_id_, is_booking, now);
+        route.rules.is_stream
+            ? std::accumulate(events.begin(), events.end(), std::string())
+            : plain_body(request_id_);
+    ledger_.sent(request_id_, route.rules, now);
     sent_at_ = now;
     body_.clear();
     unsent_ = standins::fleet_platform::text_of(out);
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -21,12 +21,26 @@
 
 bool is_stream(std::string const& path)
 {
-    return path.rfind("/stream/", 0) == 0 || path.rfind("/resume/", 0) == 0 ||
-           path.rfind("/staged/", 0) == 0;
+    return path != "/book/" && path != "/read/";
+}
+
+answer_head refusal_head(char const* status_line)
+{
+    answer_head out;
+    out.status_line = status_line;
+    out.not_executed = true;
+    return out;
 }
 
 } // namespace
 
+// In the order of `runner_fault`.
+soak_runner::answer_function const soak_runner::fault_answers[] = {
+    &soak_runner::refuse,           &soak_runner::spoil,
+    &soak_runner::repeat_refusals,  &soak_runner::lose_inputs,
+    &soak_runner::cut_refusals,     &soak_runner::misdirect,
+    &soak_runner::reset_after_start};
+
 std::string plain_body(std::string const& request_id)
 {
     return "body of " + request_id;
@@ -46,6 +60,8 @@
                          request_ledger& ledger, std::uint64_t seed)
     : standin_(loop, id), ledger_(ledger), random_(seed)
 {
+    standin_.on_connection_end = [this](std::size_t connection)
+    { ended_connections_.insert(connection); };
     expect_next();
 }
 
@@ -65,78 +81,179 @@
     return std::chrono::milliseconds(time_ms(random_));
 }
 
-soak_runner::scripted_answer
-soak_runner::spoiled_answer(received_request const& in)
+void soak_runner::start_fault(runner_fault fault, time_point until)
 {
-    scripted_answer out;
-    switch (random_() % 3)
-    {
-    case 0:
-        out.bytes = "HTTP/1.1 200 OK\r\n";
-        out.endless = "X-Pad: 0123456789\r\n";
-        break;
-    case 1:
-        out = runner_standin::without_length(in, {});
-        out.close = false;
-        out.endless = std::string(endless_part_bytes, ' ');
-        break;
-    default:
-        out.bytes = runner_standin::stream_head(in);
-        http::append_chunk(out.endless, std::string(endless_part_bytes, 'x'));
-    }
-    return out;
+    fault_ = fault;
+    fault_until_ = until;
+}
+
+bool soak_runner::has_fault(runner_fault fault) const
+{
+    return fault_ == fault && now_ < fault_until_;
+}
+
+void soak_runner::start_run(received_request const& in)
+{
+    bool const is_request = !in.id.empty();
+    if (!is_request)
+        return;
+    runs_[in.connection] = in.id;
+    ledger_.run_started(in.id, standin_.id(), now_);
+}
+
+void soak_runner::end_run(std::size_t connection)
+{
+    auto const found = runs_.find(connection);
+    if (found == runs_.end())
+        return;
+    ledger_.run_ended(found->second, standin_.id(), now_);
+    runs_.erase(found);
 }
 
 soak_runner::scripted_answer soak_runner::answer(received_request const& in)
 {
-    if (now_ < spoiled_until_ && in.last_event_id.empty())
-    {
-        if (!in.stage_call)
-            ledger_.executed(in.id);
-        return spoiled_answer(in);
-    }
-    scripted_answer later;
-    later.silent = true;
-    if (in.stage_call)
+    write_copy_of_refusal(in.connection);
+    if (in.stage_call && !has_fault(runner_fault::spoil))
     {
-        write_later(in.connection, standin_.stage_answer(in).bytes,
+        write_later({{}, in.connection, standin_.stage_answer(in).bytes},
                     random_time(10, 40));
+        scripted_answer later;
+        later.silent = true;
         return later;
     }
-    if (now_ < refuses_until_)
-    {
-        ledger_.refused_by_runner(in.id);
-        answer_head head;
-        head.status_line = "503 Service Unavailable";
-        head.not_executed = true;
-        return runner_standin::with_head(in, head, "");
-    }
-    ledger_.executed(in.id);
+    if (now_ >= fault_until_)
+        return answer_properly(in);
+    return (this->*fault_answers[static_cast<std::size_t>(fault_)])(in);
+}
+
+soak_runner::scripted_answer
+soak_runner::answer_properly(received_request const& in)
+{
+    scripted_answer later;
+    later.silent = true;
+    start_run(in);
     if (!is_stream(in.path))
     {
-        write_later(in.connection,
-                    runner_standin::proper(in, plain_body(in.id)).bytes,
+        write_later({{},
+                     in.connection,
+                     runner_standin::proper(in, plain_body(in.id)).bytes,
+                     true},
                     random_time(2, 60));
         return later;
     }
     int const last = in.last_event_id.empty() ? 0 : std::stoi(in.last_event_id);
     duration at = random_time(20, 60);
-    write_later(in.connection, runner_standin::stream_head(in), at);
+    write_later({{}, in.connection, runner_standin::stream_head(in)}, at);
     for (auto const& event : events_after(in.id, last))
     {
         at += random_time(10, 120);
         std::string chunk;
         http::append_chunk(chunk, event);
-        write_later(in.connection, std::move(chunk), at);
+        write_later({{}, in.connection, std::move(chunk)}, at);
     }
-    write_later(in.connection, std::string(http::last_chunk), at);
+    write_later({{}, in.connection, std::string(http::last_chunk), true}, at);
     return later;
 }
 
-void soak_runner::write_later(std::size_t connection, std::string bytes,
-                              duration after)
+soak_runner::scripted_answer soak_runner::refuse(received_request const& in)
 {
-    pending_.push_back({now_ + after, connection, std::move(bytes)});
+    ledger_.refused_by_runner(in.id);
+    return runner_standin::with_head(
+        in, refusal_head("503 Service Unavailable"), "");
+}
+
+soak_runner::scripted_answer soak_runner::spoil(received_request const& in)
+{
+    if (!in.last_event_id.empty())
+        return answer_properly(in);
+    start_run(in);
+    scripted_answer out;
+    switch (random_() % 3)
+    {
+    case 0:
+        out.bytes = "HTTP/1.1 200 OK\r\n";
+        out.endless = "X-Pad: 0123456789\r\n";
+        break;
+    case 1:
+        out = runner_standin::without_length(in, {});
+        out.close = false;
+        out.endless = std::string(endless_part_bytes, ' ');
+        break;
+    default:
+        out.bytes = runner_standin::stream_head(in);
+        http::append_chunk(out.endless, std::string(endless_part_bytes, 'x'));
+    }
+    return out;
+}
+
+soak_runner::scripted_answer
+soak_runner::repeat_refusals(received_request const& in)
+{
+    if (random_() % 2 == 0)
+        return answer_properly(in);
+    auto out = refuse(in);
+    auto head = refusal_head("503 Service Unavailable");
+    head.names_request = random_() % 2 == 0;
+    copies_[in.connection] = runner_standin::with_head(in, head, "").bytes;
+    return out;
+}
+
+soak_runner::scripted_answer
+soak_runner::lose_inputs(received_request const& in)
+{
+    if (in.inputs.empty() || random_() % 2 == 0)
+        return answer_properly(in);
+    ledger_.refused_by_runner(in.id);
+    auto out = runner_standin::with_head(in, refusal_head("409 Conflict"), "");
+    copies_[in.connection] = out.bytes;
+    return out;
+}
+
+soak_runner::scripted_answer
+soak_runner::cut_refusals(received_request const& in)
+{
+    ledger_.refused_by_runner(in.id);
+    auto out = runner_standin::with_head(
+        in, refusal_head("503 Service Unavailable"), "no room");
+    out.bytes.resize(out.bytes.size() - 2);
+    out.reset = random_() % 2 == 0;
+    out.close = !out.reset;
+    return out;
+}
+
+soak_runner::scripted_answer soak_runner::misdirect(received_request const& in)
+{
+    ledger_.refused_by_runner(in.id);
+    answer_head head;
+    head.status_line = "421 Misdirected Request";
+    return runner_standin::with_head(in, head, "");
+}
+
+soak_runner::scripted_answer
+soak_runner::reset_after_start(received_request const& in)
+{
+    if (random_() % 3 != 0)
+        return answer_properly(in);
+    start_run(in);
+    end_run(in.connection);
+    scripted_answer out;
+    out.reset = true;
+    return out;
+}
+
+void soak_runner::write_copy_of_refusal(std::size_t connection)
+{
+    auto const found = copies_.find(connection);
+    if (found == copies_.end())
+        return;
+    standin_.write(connection, found->second);
+    copies_.erase(found);
+}
+
+void soak_runner::write_later(pending_write value, duration after)
+{
+    value.due = now_ + after;
+    pending_.push_back(std::move(value));
 }
 
 void soak_runner::fall_silent(time_point until)
@@ -151,6 +268,8 @@
     standin_.received.clear();
     if (now < silent_until_)
         return;
+    for (auto const connection : std::exchange(ended_connections_, {}))
+        end_run(connection);
     std::stable_sort(pending_.begin(), pending_.end(),
                      [](pending_write const& a, pending_write const& b)
                      { return a.due < b.due; });
@@ -158,7 +277,11 @@
         std::find_if(pending_.begin(), pending_.end(),
                      [&](pending_write const& it) { return it.due > now; });
     for (auto it = pending_.begin(); it != first_later; ++it)
+    {
         standin_.write(it->connection, it->bytes);
+        if (it->ends_run)
+            end_run(it->connection);
+    }
     pending_.erase(pending_.begin(), first_later);
 }
 
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -3,7 +3,9 @@
 
 #include "request_ledger.hpp"
 
+#include <map>
 #include <random>
+#include <set>
 #include <standins/fleet_platform/runner_standin.hpp>
 
 namespace buckthornvale::soak
@@ -16,8 +18,22 @@
 std::vector<std::string> events_after(std::string const& request_id,
                                       int event_number);
 
-//! A runner that takes its time, refuses or sends bytes without end for a
-//! while, and falls silent for a while and goes on.
+//! What a runner does with requests instead of answering them properly.
+enum class runner_fault
+{
+    refuse,
+    spoil,             //!< bytes without end
+    repeat_refusals,   //!< a copy, some without id, before the next answer
+    lose_inputs,       //!< the results of the stages are gone
+    cut_refusals,      //!< the connection ends within the body
+    misdirect,         //!< as if another runner were at the address
+    reset_after_start, //!< the request runs, then its connection is reset
+};
+
+constexpr int runner_fault_count = 7;
+
+//! A runner that takes its time, breaks the protocol for a while in one of many
+//! ways, and falls silent for a while and goes on.
 class soak_runner
 {
 public:
@@ -28,40 +44,59 @@
     void tick(time_point now);
 
     //! Falls silent, unless it was a short while ago: a sound runner is silent
-    //! for a second or so, and not again and again.
+    //! for a second or so, and not again and again. It reads nothing meanwhile.
     void fall_silent(time_point until);
-    void refuse(time_point until) { refuses_until_ = until; }
 
-    //! Answers with bytes without end.
-    void spoil(time_point until) { spoiled_until_ = until; }
+    void start_fault(runner_fault fault, time_point until);
 
     standins::fleet_platform::runner_standin& standin() { return standin_; }
 
 private:
     using received_request = standins::fleet_platform::received_request;
     using scripted_answer = standins::fleet_platform::scripted_answer;
+    using answer_function =
+        scripted_answer (soak_runner::*)(received_request const&);
 
     struct pending_write
     {
         time_point due{};
         std::size_t connection = 0;
         std::string bytes;
+        bool ends_run = false;
     };
 
+    static answer_function const fault_answers[];
+
     void expect_next();
-    scripted_answer spoiled_answer(received_request const& in);
     scripted_answer answer(received_request const& in);
-    void write_later(std::size_t connection, std::string bytes, duration after);
+    scripted_answer answer_properly(received_request const& in);
+    scripted_answer refuse(received_request const& in);
+    scripted_answer spoil(received_request const& in);
+    scripted_answer repeat_refusals(received_request const& in);
+    scripted_answer lose_inputs(received_request const& in);
+    scripted_answer cut_refusals(received_request const& in);
+    scripted_answer misdirect(received_request const& in);
+    scripted_answer reset_after_start(received_request const& in);
+
+    bool has_fault(runner_fault fault) const;
+    void write_copy_of_refusal(std::size_t connection);
+    void start_run(received_request const& in);
+    void end_run(std::size_t connection);
+    void write_later(pending_write value, duration after);
     duration random_time(int min_ms, int max_ms);
 
     standins::fleet_platform::runner_standin standin_;
     request_ledger& ledger_;
     std::mt19937_64 random_;
     std::vector<pending_write> pending_;
+    std::map<std::size_t, std::string> runs_; //!< request by connection
+    //! Copies of refusals, written when the next request arrives.
+    std::map<std::size_t, std::string> copies_; //!< by connection
+    std::set<std::size_t> ended_connections_;   //!< that it has not noticed
     time_point now_{};
     time_point silent_until_{};
-    time_point refuses_until_{};
-    time_point spoiled_until_{};
+    runner_fault fault_ = runner_fault::refuse;
+    time_point fault_until_{};
 };
 
 } // namespace buckthornvale::soak
