net: close a connection after an answer that names no call

Callers saw: a resumable stream goes on at another runner while the one before works on (TWICE). Cause: an answer without a request id, such as a refusal that a runner writes again, ends the attempt, because nothing better is known. Its connection was kept, so that the runner, which works on the request, did not learn that it was left. Change: on_answer_head tells whether the answer names its call; the client closes the connection after one that does not, before the request goes on. Why it works: a runner stops when its connection closes, and no answer to the request can be read from it later.

--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -70,7 +70,8 @@
     }
 
     // net::answer_handler
-    bool on_answer_head(http::response_head const& head) override;
+    net::response_match
+    on_answer_head(http::response_head const& head) override;
     bool on_answer_body(std::string_view bytes) override;
     void on_answer_end() override;
     void on_answer_failed(net::call_failure failure, bool reset) override;
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -45,21 +45,23 @@
 {
 }
 
-bool runner_attempt::on_answer_head(http::response_head const& head)
+net::response_match
+runner_attempt::on_answer_head(http::response_head const& head)
 {
     auto const response = platform::decode_runner_response(head);
     if (response.has_notice())
         listener_.on_runner_notice(runner_id_, response);
     // A late duplicate response to an earlier request on this connection.
     if (!response.request_id.empty() && response.request_id != request_id_)
-        return false;
+        return net::response_match::other;
     head_received_ = true;
     head_ = head;
     response_ = response;
     streaming_ = expects_stream_ && head.status == http::status_ok &&
                  response.sealed && !response.content_encoded &&
                  response.request_id == request_id_;
-    return true;
+    return response.request_id.empty() ? net::response_match::unnamed
+                                       : net::response_match::expected;
 }
 
 bool runner_attempt::on_answer_body(std::string_view bytes)
--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -63,7 +63,8 @@
     {
         auto out = std::make_unique<runner_attempt>(
             listener, memory, 1, 1, "runner", "id", GetParam(), "");
-        EXPECT_TRUE(out->on_answer_head(sealed_head("id")));
+        EXPECT_EQ(out->on_answer_head(sealed_head("id")),
+                  net::response_match::expected);
         return out;
     }
 
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -28,15 +28,24 @@
     timed_out   //!< not complete within the timeout
 };
 
+//! What the head of a response says about the call that waits for one.
+enum class response_match
+{
+    expected, //!< it is the response to the call
+    unnamed,  //!< it is taken for it, although it names no call
+    other     //!< it names another call
+};
+
 //! Receives the response to one call.
 class answer_handler
 {
 public:
     virtual ~answer_handler() = default;
 
-    //! Returns false when the response belongs to another request. The client
-    //! then discards it and waits for the next one on the connection.
-    virtual bool on_answer_head(http::response_head const& head) = 0;
+    //! The client discards a response that names another call and waits for the
+    //! next one. It closes the connection after an unnamed one, since the
+    //! server may still work on the call.
+    virtual response_match on_answer_head(http::response_head const& head) = 0;
 
     //! Returns false when the rest of the body is not wanted, for example
     //! because it is too large. The client then closes the connection and the
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -174,8 +174,11 @@
         is_interim_response_ = head.status >= 100 && head.status < 200;
         if (handler_ == nullptr || is_interim_response_)
             return;
-        discarding_response_ = !handler_->on_answer_head(head);
+        auto const match = handler_->on_answer_head(head);
+        discarding_response_ = match == response_match::other;
         response_started_ = !discarding_response_;
+        if (match == response_match::unnamed)
+            keep_connection_ = false;
     }
 
     void on_body(std::string_view bytes) override
--- a/packages/net/src/short_call.cpp
+++ b/packages/net/src/short_call.cpp
@@ -15,10 +15,10 @@
     {
     }
 
-    bool on_answer_head(http::response_head const& head) override
+    response_match on_answer_head(http::response_head const& head) override
     {
         result_.head = head;
-        return true;
+        return response_match::expected;
     }
 
     bool on_answer_body(std::string_view bytes) override
--- a/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
+++ b/packages/serving/include/buckthornvale/serving/upstream/runner_call.hpp
@@ -53,7 +53,7 @@
     bool sent() const { return client_ != nullptr; }
 
     // net::answer_handler
-    bool
+    net::response_match
     on_answer_head(buckthornvale::http::response_head const& head) override;
     bool on_answer_body(std::string_view bytes) override;
     void on_answer_end() override;
--- a/packages/serving/src/upstream/runner_call.cpp
+++ b/packages/serving/src/upstream/runner_call.cpp
@@ -126,10 +126,11 @@
     return name != "end";
 }
 
-bool runner_call::on_answer_head(buckthornvale::http::response_head const& head)
+net::response_match
+runner_call::on_answer_head(buckthornvale::http::response_head const& head)
 {
     status_ = head.status;
-    return true;
+    return net::response_match::expected;
 }
 
 bool runner_call::on_answer_body(std::string_view bytes)
