--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -93,6 +93,9 @@
     //! Copies of refusals, written when the next request arrives.
     std::map<std::size_t, std::string> copies_; //!< by connection
     std::set<std::size_t> ended_connections_;   //!< that it has not noticed
+    //! Connections on which it has broken the protocol. They are left for that
+    //! reason, however silent it is.
+    std::set<std::size_t> broken_connections_;
     time_point now_{};
     time_point silent_until_{};
     runner_fault fault_ = runner_fault::refuse;
