gateway: a reload signal during the start does not end the process

Cause: SIGHUP ends a process that has no handler yet. The handler was installed after the settings were read; the platform sends the signal when they change. Change: the signal is blocked first and unblocked when it is handled, so that one that comes meanwhile reloads the settings. What remains: the time until main runs.

--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -56,6 +56,15 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+//! Blocks or unblocks the signal that tells of new settings.
+void mask_reload_signal(int how)
+{
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    ::sigaddset(&signals, SIGHUP);
+    ::sigprocmask(how, &signals, nullptr);
+}
+
 void reload_settings(gateway_process& process)
 {
     auto const settings = read_settings();
@@ -111,6 +120,7 @@
     gateway_process process(loop, settings, random_incarnation(), 1);
     asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
     wait_for_signals(signals, process);
+    mask_reload_signal(SIG_UNBLOCK);
     asio::steady_timer settings_timer(loop);
     watch_settings(settings_timer, process, settings_mtime());
     try
@@ -131,6 +141,8 @@
 
 int main(int argc, char** argv)
 {
+    // Until it is handled, it would end the process.
+    mask_reload_signal(SIG_BLOCK);
     gflags::SetUsageMessage(
         "runs the gateway process of one VM\n"
         "  buckthornvale-gateway [--config FILE] [--check]\n"
