gateway: keep the limit that a runner names for all VMs together

Cause: nothing read Server-Limit. The class: a bound of the whole fleet, kept by VMs that decide alone. Change: the limit is read from the head of each answer, per incarnation of the runner. Each VM works out from the list of VMs which of them send regularly, and spaces its own sends; all sends count, calls of stages and frees too. Requests go to other runners, wait for a share while they can be on time, in order of urgency, or are refused at once with the time until the next share. A limit ends when answers have named none for a second, and with its incarnation. What remains: VMs that send rarely learn late that a limit has ended (195 VMs).

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -68,13 +68,14 @@
     std::string last_event_id;
 };
 
-//! A runner said in an answer that it wants no further requests, for good or
-//! for some time. Follows from the head of the answer, before its end.
+//! A runner said in an answer which further requests it wants. Follows from the
+//! head of the answer, before its end.
 struct runner_notified
 {
     std::string runner_id;
     bool leaving = false;
     std::optional<duration> quiet_time;
+    named_rate_limit rate_limit{};
 };
 
 //! The first complete event of a stream is being sent to the caller.
--- a/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/member_table.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_MEMBER_TABLE_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_MEMBER_TABLE_HPP
 
+#include <buckthornvale/decision/gateway/rate_share.hpp>
 #include <buckthornvale/decision/gateway/runner.hpp>
 
 #include <absl/types/span.h>
@@ -45,6 +46,11 @@
     //! is known. VMs with more processor time own more keys.
     std::string const& owner(std::string_view key, time_point now) const;
 
+    //! Place of this VM in an order of all registered VMs that depends on the
+    //! key, and is the same on all of them. Whether they are reachable does not
+    //! matter, since VMs may differ about that.
+    share_position position(std::string_view key) const;
+
     //! Returns the VMs to remove. Only the first reachable VM in the order of
     //! names returns any, so that the store receives a single request. A VM
     //! that is removed by mistake registers again.
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -62,6 +62,13 @@
     manifest const* current_manifest() const { return manifest_.get(); }
     std::size_t active_requests() const { return requests_.size(); }
 
+    //! True while the runner names a limit on its requests. Each of its answers
+    //! has to be reported then, also those that name none.
+    bool is_rate_limited(std::string_view runner_id);
+
+    //! Number of runners that name a limit on their requests.
+    std::size_t rate_limited_runners() { return runners_.limited().size(); }
+
     //! True while frequent `timer_fired` events are required.
     bool busy() const;
 
@@ -99,6 +106,8 @@
     std::string pick_service(route const& matched_route,
                              std::uint64_t seed) const;
     void start_attempt(active_request& request, time_point now);
+    refusal reason_without_runner(active_request const& request,
+                                  time_point now);
     runner_state* choose_runner(active_request& request, time_point now);
     active_request* find_attempt(request_ref ref, std::uint32_t attempt);
     void release_runner(active_request& request);
@@ -142,6 +151,27 @@
                                         refusal reason, time_point now) const;
     bool are_runners_quiet(active_request const& request, time_point now) const;
 
+    // Limits that runners name on the requests of all VMs.
+    void record_rate_limit(runner_notified const& in, time_point now);
+    void assign_share(runner_state& state, double limit_per_s, time_point now);
+    void assign_shares(time_point now);
+    //! Assigns shares anew when another VM schedules a stage service.
+    void assign_stage_shares(time_point now);
+
+    //! Latest time at which the request can be sent and be answered as its
+    //! caller expects, or as soon as its stages allow.
+    time_point latest_send(active_request const& request, time_point now) const;
+
+    //! True if the shares of this VM suffice to send the request in time, after
+    //! those that wait already.
+    bool has_send_left(active_request const& request, time_point now) const;
+
+    //! Keeps a request that no runner may get now until one may. Returns false
+    //! if that would be too late.
+    bool wait_for_share(active_request& request, time_point now);
+    void start_waiting_requests(time_point now);
+    void log_rate_limit(active_request const& request, time_point now);
+
     // Stages.
 
     //! Estimated time until a request is answered.
@@ -276,6 +306,9 @@
     suspect_table suspects_;
     time_point crash_state_repeated_at_{};
     std::size_t crash_state_repeats_ = 0;
+    //! VM that schedules each stage service whose runners name limits, when
+    //! their shares were assigned.
+    std::map<std::string, std::string, std::less<>> share_owners_;
     std::map<std::string, stage_scheduler> schedulers_;
     std::map<std::string, known_backlog, std::less<>> backlogs_;
     //! Moving average of the time from a send to the first event, by service.
--- a/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
@@ -13,6 +13,7 @@
     unknown_key,
     no_runner,
     runners_full,
+    runners_limited, //!< this VM has used its shares of their limits
     cannot_finish_in_time,
     stage_failed,
     crashes_runners,
--- a/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
@@ -32,6 +32,20 @@
     std::uint32_t slots = 0;
 };
 
+//! What an answer says of the requests that its runner takes from all VMs.
+struct named_rate_limit
+{
+    enum class kind
+    {
+        none, //!< it takes all
+        limit,
+        unreadable
+    };
+
+    kind what = kind::none;
+    double per_s = 0; //!< requests per second
+};
+
 //! Registration of a VM of the fleet.
 struct member
 {
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 
+#include <buckthornvale/decision/gateway/rate_share.hpp>
 #include <buckthornvale/decision/gateway/runner.hpp>
 
 #include <absl/types/span.h>
@@ -26,11 +27,22 @@
     replaced     //!< another runner now listens at the address
 };
 
+//! A limit on the requests of all VMs together, as a runner names it.
+struct runner_rate_limit
+{
+    rate_share share; //!< of this VM
+    time_point named_at{};
+    //! Time of the first answer since then that names no limit.
+    std::optional<time_point> not_named_since;
+};
+
 //! What a runner said about further requests. Ends with its incarnation.
 struct runner_notice
 {
     std::optional<time_point> leaving_since; //!< first told at this time
     time_point quiet_until{};                //!< receives no requests before
+    std::optional<runner_rate_limit> rate_limit;
+    bool rate_limit_unreadable = false; //!< at least once
 };
 
 //! A runner with its health and load as seen by this VM.
@@ -96,7 +108,13 @@
     void usable(std::string_view service, time_point now,
                 std::vector<runner_state*>& out);
 
+    //! Same, but with the runners that this VM may not send to just now,
+    //! because it has used its share of their limits.
+    void usable_with_limited(std::string_view service, time_point now,
+                             std::vector<runner_state*>& out);
+
     runner_state* find(std::string_view id);
+    runner_state* find_by_address(std::string_view address);
 
     //! Records that the runner said that it leaves. It is used only if no other
     //! runner is left, and not at all from the drain timeout on. Registrations
@@ -115,6 +133,26 @@
     std::optional<time_point> quiet_until(std::string_view service,
                                           time_point now) const;
 
+    //! Records what an answer says of the rate of requests that its runner
+    //! takes from all VMs. Returns true if the limit has changed. A new limit
+    //! allows no request before `set_share`.
+    bool record_rate_limit(std::string_view id, named_rate_limit limit,
+                           time_point now);
+
+    //! Runners of all services that name a limit.
+    std::vector<runner_state*> limited();
+
+    //! Number of requests that this VM may send to the service until `until`.
+    //! Returns nullopt if nothing limits it.
+    std::optional<std::size_t> sends_until(std::string_view service,
+                                           time_point until,
+                                           time_point now) const;
+
+    //! The runner of the service with a limit that this VM may send to first.
+    //! Returns nullptr if none has a limit.
+    runner_state const* first_limited(std::string_view service,
+                                      time_point now) const;
+
     //! Returns an empty string for an unknown address.
     std::string_view failure_domain_of(std::string_view address) const;
 
@@ -153,6 +191,12 @@
     std::map<std::string, std::string, std::less<>> id_by_address_;
 };
 
+//! True if this VM has used its share of the limit of the runner.
+bool is_share_used(runner_state const& state, time_point now);
+
+//! Counts a send, a call of stages or any other request to the runner.
+void count_send(runner_state& state, time_point now);
+
 //! Stores the load that a runner reported, if any.
 void record_load(runner_state& state, std::optional<runner_load> load,
                  time_point now);
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -207,6 +207,8 @@
     void start_call(runner_state& runner, std::vector<queued_piece> pieces,
                     call_ref call, time_point now, effects& out);
     void expire_results(time_point now);
+    //! True if the runner may get a call now that frees results.
+    bool may_free(runner_state const& runner, time_point now) const;
     void flush_released(runner_directory& runners, call_ref& next_call,
                         time_point now, effects& out);
 
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -38,6 +38,8 @@
     std::uint32_t possible_executions = 0;
     std::uint32_t sends = 0; //!< attempts that may have reached a runner
     bool in_flight = false;
+    //! Waits until this VM may send to a runner that limits its requests.
+    bool awaits_share = false;
     bool streaming = false; //!< events were forwarded to the caller
     std::string runner_id;
     std::set<std::string> tried_runners;
--- a/packages/decision/src/gateway/member_table.cpp
+++ b/packages/decision/src/gateway/member_table.cpp
@@ -123,6 +123,18 @@
     return *best;
 }
 
+share_position member_table::position(std::string_view key) const
+{
+    auto const own = fleet::rendezvous_weight(key, vm_id::of(self_));
+    share_position out;
+    out.vm_count = members_.size();
+    for (auto const& it : members_)
+        if (it.first != self_ &&
+            fleet::rendezvous_weight(key, vm_id::of(it.first)) > own)
+            ++out.position;
+    return out;
+}
+
 member const* member_table::find(std::string_view name) const
 {
     auto const found = members_.find(name);
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -112,6 +112,7 @@
 
 void reducer::on(runner_notified const& in, time_point now)
 {
+    record_rate_limit(in, now);
     // All answers say it, but one line is enough.
     if (in.leaving && runners_.record_leaving(in.runner_id, now))
         log("runner_leaving", nullptr, {{"runner", in.runner_id}});
@@ -131,6 +132,7 @@
 {
     for (auto const& name : members_.assign(in.members))
         send_crash_state(name, now);
+    assign_shares(now);
     log("members_listed", nullptr,
         {{"count", std::to_string(in.members.size())}});
 }
@@ -180,8 +182,10 @@
         if (auto const found = requests_.find(ref);
             found != requests_.end() && !end_at_deadline(*found->second, now))
             check_progress(*found->second, in.input_until, now);
+    start_waiting_requests(now);
     if (draining_ && finish_at_ <= now)
         give_up_requests(now);
+    assign_stage_shares(now);
     probe_owners(in.input_until, now);
     remove_unreachable_members(now);
     dispatch_needed_ = true;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -156,6 +156,12 @@
         fail_request(request, refusal::no_runner, now);
         return;
     }
+    if (!has_send_left(request, now))
+    {
+        log_rate_limit(request, now);
+        fail_request(request, refusal::runners_limited, now);
+        return;
+    }
     if (!request.pipeline.empty() && !admit_stages(request, now))
     {
         fail_request(request, refusal::cannot_finish_in_time, now);
@@ -231,6 +237,17 @@
            *until;
 }
 
+refusal reducer::reason_without_runner(active_request const& request,
+                                       time_point now)
+{
+    if (request.sends > 0)
+        return refusal::runners_full;
+    if (runners_.first_limited(request.service, now) == nullptr)
+        return refusal::no_runner;
+    log_rate_limit(request, now);
+    return refusal::runners_limited;
+}
+
 void reducer::start_attempt(active_request& request, time_point now)
 {
     // On a VM that is short of processor time, results can be handled before
@@ -245,12 +262,11 @@
     auto* state = choose_runner(request, now);
     if (state == nullptr)
     {
-        auto const reason =
-            request.sends > 0 ? refusal::runners_full : refusal::no_runner;
-        if (!plan_retry(request, now))
-            fail_request(request, reason, now);
+        if (!wait_for_share(request, now) && !plan_retry(request, now))
+            fail_request(request, reason_without_runner(request, now), now);
         return;
     }
+    request.awaits_share = false;
     request.retry_at.reset();
     request.delivery_blocked = false;
     ++request.attempt;
@@ -260,6 +276,7 @@
     request.sent_at = now;
     request.last_progress = now;
     ++state->outstanding;
+    count_send(*state, now);
     send_attempt send;
     send.request = request.ref;
     send.attempt = request.attempt;
--- a/packages/decision/src/gateway/refusal.cpp
+++ b/packages/decision/src/gateway/refusal.cpp
@@ -11,13 +11,14 @@
 
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
-constexpr std::array<refusal_traits, 13> refusals = {{
+constexpr std::array<refusal_traits, 14> refusals = {{
     {refusal::none, 500, "none"},
     {refusal::no_manifest, 503, "no_manifest"},
     {refusal::unknown_route, 404, "unknown_route"},
     {refusal::unknown_key, 401, "unknown_key"},
     {refusal::no_runner, 503, "no_runner"},
     {refusal::runners_full, 503, "runners_full"},
+    {refusal::runners_limited, 503, "runners_limited"},
     {refusal::cannot_finish_in_time, 503, "cannot_finish_in_time"},
     {refusal::stage_failed, 503, "stage_failed"},
     {refusal::crashes_runners, 503, "crashes_runners"},
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -54,6 +54,7 @@
                                  std::vector<queued_piece> pieces,
                                  call_ref call, time_point now, effects& out)
 {
+    count_send(runner, now);
     auto& usage = usage_[runner.entry.id];
     ++usage.calls;
     call_stage started;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -19,6 +19,10 @@
 //! reserve, since result sizes vary.
 constexpr double usable_result_memory_share = 0.94;
 
+//! Results of a runner that limits its requests are freed only above this share
+//! of its memory, since a call that frees takes the place of one that computes.
+constexpr double scarce_memory_share = 0.5;
+
 //! A piece that has not been started is dropped if it has waited longer than
 //! this and has missed its due time.
 constexpr duration max_queue_wait = 300ms;
@@ -318,18 +322,32 @@
     }
 }
 
+bool stage_scheduler::may_free(runner_state const& runner, time_point now) const
+{
+    if (runner.notice.quiet_until > now || is_share_used(runner, now))
+        return false;
+    if (!runner.notice.rate_limit)
+        return true;
+    auto const usage = usage_.find(runner.entry.id);
+    return usage != usage_.end() &&
+           usage->second.held_bytes >
+               scarce_memory_share * limits_.result_memory_bytes;
+}
+
 void stage_scheduler::flush_released(runner_directory& runners,
                                      call_ref& next_call, time_point now,
                                      effects& out)
 {
     for (auto it = released_.begin(); it != released_.end();)
     {
-        auto const* runner = runners.find(it->second.runner_id);
-        if (runner != nullptr && runner->notice.quiet_until > now)
+        auto* runner = runners.find_by_address(it->first);
+        if (runner != nullptr && !may_free(*runner, now))
         {
             ++it;
             continue;
         }
+        if (runner != nullptr)
+            count_send(*runner, now);
         free_results freed;
         freed.call = next_call++;
         freed.address = it->first;
@@ -407,8 +425,15 @@
     constexpr double min_slowness = 0.1;
     double out = 0;
     for (auto const* it : usable)
-        out += limits_.slots /
-               std::max(slowness_of(it->entry.id, now), min_slowness);
+    {
+        double slots = limits_.slots /
+                       std::max(slowness_of(it->entry.id, now), min_slowness);
+        if (it->notice.rate_limit)
+            slots =
+                std::min(slots, it->notice.rate_limit->share.limit_per_s() *
+                                    to_seconds(nominal_time(limits_.batch)));
+        out += slots;
+    }
     return out;
 }
 
@@ -417,7 +442,7 @@
 {
     constexpr double min_effective_slots = 0.1;
     std::vector<runner_state*> usable;
-    runners.usable(service_, now, usable);
+    runners.usable_with_limited(service_, now, usable);
     stage_capacity out;
     out.slots = std::max(effective_slots(usable, now), min_effective_slots);
     out.has_free_slot = calls_.size() < usable.size() * limits_.slots;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -86,8 +86,8 @@
 
     // runner_attempt::listener
     void on_sse_events(runner_attempt& from, std::string_view events) override;
-    void on_runner_notice(std::string const& runner_id,
-                          platform::runner_response const& response) override;
+    void on_runner_head(std::string const& runner_id,
+                        platform::runner_response const& response) override;
     void on_answer_too_large(runner_attempt const& from,
                              std::size_t bytes) override;
     void
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -36,6 +36,9 @@
     void observe_tick_delay(decision::duration delay);
     void set_active(std::size_t requests, std::size_t connections);
 
+    //! Sets the number of runners that name a limit on their requests.
+    void set_limited_runners(std::size_t n);
+
     //! Serialises all metrics in the Prometheus text format.
     std::string to_text() const;
 
@@ -49,6 +52,7 @@
     prometheus::Histogram& tick_delay_seconds_;
     prometheus::Gauge& active_requests_;
     prometheus::Gauge& connections_;
+    prometheus::Gauge& limited_runners_;
 };
 
 } // namespace buckthornvale::gateway::observe
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -28,11 +28,11 @@
         virtual void on_sse_events(runner_attempt& from,
                                    std::string_view events) = 0;
 
-        //! The head of an answer says that the runner wants no further
-        //! requests, for good or for some time.
+        //! The head of an answer may say which further requests the runner
+        //! wants.
         virtual void
-        on_runner_notice(std::string const& runner_id,
-                         platform::runner_response const& response) = 0;
+        on_runner_head(std::string const& runner_id,
+                       platform::runner_response const& response) = 0;
 
         //! The answer has more bytes than may be held of it; the attempt ends.
         virtual void on_answer_too_large(runner_attempt const& from,
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -127,14 +127,15 @@
                                       from.last_event_id()});
 }
 
-void gateway_process::on_runner_notice(
-    std::string const& runner_id, platform::runner_response const& response)
+void gateway_process::on_runner_head(std::string const& runner_id,
+                                     platform::runner_response const& response)
 {
     if (response.invalid_retry_after)
         log("retry_after_ignored", {{"runner", runner_id}});
-    if (response.leaving || response.quiet_time)
+    if (response.has_notice() || reducer_.is_rate_limited(runner_id))
         reduce(model::runner_notified{runner_id, response.leaving,
-                                      response.quiet_time});
+                                      response.quiet_time,
+                                      response.rate_limit});
 }
 
 void gateway_process::on_answer_too_large(runner_attempt const& from,
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -255,6 +255,7 @@
         caller_server_.check_limits(input_until);
         control_handler_->check_limits(input_until);
         metrics_.set_active(requests_.size(), caller_server_.connections());
+        metrics_.set_limited_runners(reducer_.rate_limited_runners());
         log_writer_.flush();
     }
     fetch_manifest_from_peer(at);
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -75,8 +75,9 @@
                            http::response_head const& head)
 {
     auto out = platform::decode_runner_response(head);
-    if (out.has_notice())
-        on_runner_notice(runner_id, out);
+    bool const answered = head.status != 0;
+    if (answered)
+        on_runner_head(runner_id, out);
     return out;
 }
 
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -69,7 +69,10 @@
                                  "buckthornvale_gateway_active_requests",
                                  "Requests without a final response")),
       connections_(add_gauge(registry_, "buckthornvale_gateway_connections",
-                             "Open connections from callers"))
+                             "Open connections from callers")),
+      limited_runners_(add_gauge(registry_,
+                                 "buckthornvale_gateway_limited_runners",
+                                 "Runners that name a limit on their requests"))
 {
 }
 
@@ -106,6 +109,11 @@
     connections_.Set(double(connections));
 }
 
+void gateway_metrics::set_limited_runners(std::size_t n)
+{
+    limited_runners_.Set(double(n));
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -49,10 +49,12 @@
 runner_attempt::on_answer_head(http::response_head const& head)
 {
     auto const response = platform::decode_runner_response(head);
-    if (response.has_notice())
-        listener_.on_runner_notice(runner_id_, response);
     // A late duplicate response to an earlier request on this connection.
-    if (!response.request_id.empty() && response.request_id != request_id_)
+    bool const is_other =
+        !response.request_id.empty() && response.request_id != request_id_;
+    if (!is_other || response.has_notice())
+        listener_.on_runner_head(runner_id_, response);
+    if (is_other)
         return net::response_match::other;
     head_received_ = true;
     head_ = head;
--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -21,8 +21,8 @@
 {
 public:
     void on_sse_events(runner_attempt&, std::string_view) override {}
-    void on_runner_notice(std::string const&,
-                          platform::runner_response const&) override
+    void on_runner_head(std::string const&,
+                        platform::runner_response const&) override
     {
     }
     void on_answer_too_large(runner_attempt const&, std::size_t) override
--- a/packages/gateway/tests/runner_notices_test.cpp
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -96,6 +96,62 @@
     EXPECT_EQ(first->received.size(), 2U);
 }
 
+scripted_answer answer_with_limits(received_request const& in,
+                                   std::vector<std::string> limits)
+{
+    answer_head head;
+    head.sealed = true;
+    head.rate_limits = std::move(limits);
+    return runner_standin::with_head(in, head, "body");
+}
+
+// A runner that named a limit on its requests went on to get all of them.
+TEST_F(runner_notices, keep_requests_above_a_limit_from_a_runner)
+{
+    for (int n = 0; n < 100; ++n)
+        first->script.emplace_back([](received_request const& in)
+                                   { return answer_with_limits(in, {"0.5"}); });
+    EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    auto const second = add_second();
+    for (int n = 0; n < 20; ++n)
+        EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    EXPECT_LE(first->received.size(), 2U);
+    EXPECT_GE(second->received.size(), 19U);
+}
+
+// Callers whose requests no runner takes are told so at once.
+TEST_F(runner_notices, refuse_requests_above_the_limit_of_the_last_runner)
+{
+    for (int n = 0; n < 100; ++n)
+        first->script.emplace_back([](received_request const& in)
+                                   { return answer_with_limits(in, {"0.1"}); });
+    EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    int refused = 0;
+    for (int n = 0; n < 10; ++n)
+    {
+        auto const answer = exchange_read();
+        if (!contains(answer, "HTTP/1.1 503"))
+            continue;
+        ++refused;
+        EXPECT_TRUE(contains(answer, "Retry-After: ")) << answer;
+    }
+    EXPECT_GE(refused, 9);
+    EXPECT_LE(first->received.size(), 2U);
+}
+
+// A limit that cannot be read counted as none, or ended the use of its runner.
+TEST_F(runner_notices, with_a_limit_that_cannot_be_read_change_nothing)
+{
+    for (auto const& odd :
+         {std::vector<std::string>{"-1"}, {"many"}, {""}, {"0.1", "0.2"}})
+    {
+        first->script.emplace_back([odd](received_request const& in)
+                                   { return answer_with_limits(in, odd); });
+        EXPECT_TRUE(contains(exchange_read(), "200 OK"));
+    }
+    EXPECT_EQ(first->received.size(), 4U);
+}
+
 // The late copy of an answer to an earlier call of stages was taken for the
 // answer to the next call, so that a request ran with the results of another.
 TEST_F(runner_notices, of_stages_are_not_taken_from_a_copy_of_an_earlier_answer)
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -30,6 +30,8 @@
         out += "Server-Leaving: 1\r\n";
     if (!head.retry_after.empty())
         out += "Retry-After: " + head.retry_after + "\r\n";
+    for (auto const& it : head.rate_limits)
+        out += "Server-Limit: " + it + "\r\n";
     return out;
 }
 
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -52,6 +52,8 @@
     bool encoded = false;         //!< the body is not the runner's
     bool leaving = false;         //!< the runner is about to stop
     std::string retry_after = {}; //!< seconds; empty: none
+    //! Each is written as a limit on requests per second.
+    std::vector<std::string> rate_limits = {};
 };
 
 //! A runner on a loopback port. Its answers are raw bytes, so that a test can
