gateway: limits of runners that lapse, back off or are told wrongly; tests of limits

Cause, found in a read of the new code: a limit that was named by a runner whose entry had lapsed gave it no share, so that the VM would have left it alone for good when it came back; runners in back-off were not tried when all others had used their shares; a request that waits for a share was kept to its target instead of the time that its answer takes before that; a limit from another VM was not checked. Change: as the cause says. Measured: nine new tests of directory, requests and stages; 129 of gateway, stage, rate, fleet and runner tests pass, the known red one fails as before.

--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -106,7 +106,8 @@
 
     //! Returns the runners of the service that may receive a request now,
     //! ordered by id. If all of them are in back-off, those are returned, since
-    //! some of them may be alive.
+    //! some of them may be alive. A runner whose limit on requests would be
+    //! exceeded is never returned.
     void usable(std::string_view service, time_point now,
                 std::vector<runner_state*>& out);
 
@@ -137,7 +138,7 @@
 
     //! Records what an answer says of the rate of requests that its runner
     //! takes from all VMs. Returns true if the limit has changed. A new limit
-    //! allows no request before `set_share`.
+    //! allows no request until its share is set.
     bool record_rate_limit(std::string_view id, named_rate_limit limit,
                            time_point now);
 
@@ -181,6 +182,9 @@
         std::optional<time_point> erased_at; //!< set by the next `expire`
     };
 
+    template <class Predicate>
+    void select(std::string_view service, time_point now,
+                std::vector<runner_state*>& out, Predicate const& accepted);
     duration outage_grace_period(time_point store_failed_after,
                                  time_point now) const;
     void erase_entry(runner_map::iterator it);
--- a/packages/decision/src/gateway/reducer_rate_limits.cpp
+++ b/packages/decision/src/gateway/reducer_rate_limits.cpp
@@ -4,6 +4,7 @@
 #include <buckthornvale/decision/gateway/reducer.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace buckthornvale::decision::gateway
 {
@@ -93,7 +94,8 @@
         return;
     if (in.per_s)
     {
-        if (!state->notice.rate_limit &&
+        bool const valid = std::isfinite(*in.per_s) && *in.per_s >= 0;
+        if (valid && !state->notice.rate_limit &&
             runners_.record_rate_limit(
                 in.runner_id, {named_rate_limit::kind::limit, *in.per_s}, now))
             apply_rate_limit(*state, *in.per_s, now);
@@ -183,7 +185,7 @@
     if (request.attempt > 0)
         return false;
     auto const sends =
-        runners_.sends_until(request.service, std::max(request.due, now), now);
+        runners_.sends_until(request.service, latest_send(request, now), now);
     request.awaits_share = sends && *sends > 0;
     return request.awaits_share;
 }
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -196,16 +196,21 @@
 void runner_directory::usable(std::string_view service, time_point now,
                               std::vector<runner_state*>& out)
 {
-    usable_with_limited(service, now, out);
-    out.erase(std::remove_if(out.begin(), out.end(),
-                             [&](runner_state const* it)
-                             { return is_share_used(*it, now); }),
-              out.end());
+    select(service, now, out,
+           [now](runner_state const& it) { return !is_share_used(it, now); });
 }
 
 void runner_directory::usable_with_limited(std::string_view service,
                                            time_point now,
                                            std::vector<runner_state*>& out)
+{
+    select(service, now, out, [](runner_state const&) { return true; });
+}
+
+template <class Predicate>
+void runner_directory::select(std::string_view service, time_point now,
+                              std::vector<runner_state*>& out,
+                              Predicate const& accepted)
 {
     out.clear();
     std::vector<runner_state*> fallbacks;
@@ -213,7 +218,7 @@
     {
         auto& state = it.second;
         if (state.entry.service != service || is_gone(state, now) ||
-            state.notice.quiet_until > now)
+            state.notice.quiet_until > now || !accepted(state))
             continue;
         bool const fallback = state.backoff_until > now ||
                               state.fallback_only || state.notice.leaving_since;
@@ -288,14 +293,14 @@
 bool runner_directory::record_rate_limit(std::string_view id,
                                          named_rate_limit limit, time_point now)
 {
-    auto* notice = find_notice(id);
-    if (notice == nullptr)
+    auto* state = find(id);
+    if (state == nullptr)
         return false;
-    auto& known = notice->rate_limit;
+    auto& known = state->notice.rate_limit;
     switch (limit.what)
     {
     case named_rate_limit::kind::unreadable:
-        return !std::exchange(notice->rate_limit_unreadable, true);
+        return !std::exchange(state->notice.rate_limit_unreadable, true);
     case named_rate_limit::kind::none:
         if (!known)
             return false;
--- a/packages/decision/tests/gateway/reducer_requests_test.cpp
+++ b/packages/decision/tests/gateway/reducer_requests_test.cpp
@@ -317,6 +317,45 @@
     EXPECT_EQ(all<send_attempt>(arrive("/read/x")).size(), 1U);
 }
 
+runner_notified limit_of(std::string const& runner, double per_s)
+{
+    return {runner, false, {}, {named_rate_limit::kind::limit, per_s}};
+}
+
+// Requests that no runner may get in time waited for their deadline, or went to
+// a runner against its limit.
+TEST_F(gateway_requests, are_refused_at_once_when_no_share_is_left_in_time)
+{
+    for (auto const* id : {"plain-1", "plain-2", "plain-3"})
+        feed(limit_of(id, 0.05));
+    advance(20s);
+    int sent = 0;
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const out = arrive("/read/x", 6s);
+        sent += int(all<send_attempt>(out).size());
+        auto const refused = all<refuse_request>(out);
+        for (auto const& it : refused)
+            EXPECT_GT(it.retry_after.value_or(0s), 0s);
+    }
+    EXPECT_EQ(sent, 3);
+    EXPECT_EQ(gateway.active_requests(), 3U);
+}
+
+// The more urgent of two requests that wait gets the next share.
+TEST_F(gateway_requests, wait_for_a_share_while_they_can_be_on_time)
+{
+    for (auto const* id : {"plain-1", "plain-2", "plain-3"})
+        feed(limit_of(id, 1.5));
+    advance(2s);
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(all<send_attempt>(arrive("/read/x", 6s)).size(), 1U);
+    auto const out = arrive("/read/x", 6s);
+    EXPECT_TRUE(all<send_attempt>(out).empty());
+    EXPECT_TRUE(all<refuse_request>(out).empty());
+    EXPECT_EQ(all<send_attempt>(advance(700ms)).size(), 1U);
+}
+
 // Stages were computed for requests whose last runner would not take them.
 TEST_F(gateway_requests, start_no_stage_while_all_model_runners_want_none)
 {
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -361,5 +361,27 @@
     EXPECT_EQ(only<close_idle_connections>(feed(copy)).address, second.address);
 }
 
+// Calls of stages exceeded the limits of their runners.
+TEST_F(gateway_stages, are_called_as_often_as_their_runners_allow)
+{
+    for (auto const* id : {"stage-1", "stage-2"})
+        feed(runner_notified{
+            id, false, {}, {named_rate_limit::kind::limit, 0.5}});
+    advance(2s);
+    std::size_t calls = 0;
+    for (int n = 0; n < 40; ++n)
+    {
+        for (auto const& it : all<call_stage>(arrive("/staged/x", 5s)))
+        {
+            ++calls;
+            stage_call_ended ended;
+            ended.call = it.call;
+            feed(ended);
+        }
+        calls += all<call_stage>(advance(100ms)).size();
+    }
+    EXPECT_LE(calls, 6U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/runner_directory_test.cpp
+++ b/packages/decision/tests/gateway/runner_directory_test.cpp
@@ -279,5 +279,86 @@
     EXPECT_EQ(usable(it.runners, start + 10s), ids{"b"});
 }
 
+constexpr named_rate_limit one_per_second{named_rate_limit::kind::limit, 1};
+
+//! The VM is the only one, and has used its share.
+void use_share(runner_directory& runners, time_point now)
+{
+    EXPECT_TRUE(runners.record_rate_limit("a", one_per_second, now));
+    auto& state = *runners.find("a");
+    state.notice.rate_limit->share.set(1, {0, 1}, 0, now);
+    count_send(state, now);
+}
+
+TEST(runner_directory, uses_a_runner_with_a_limit_when_its_share_is_due)
+{
+    two_runners it;
+    use_share(it.runners, start);
+    EXPECT_EQ(usable(it.runners, start + 999ms), ids{"b"});
+    EXPECT_EQ(usable(it.runners, start + 1s), (ids{"a", "b"}));
+}
+
+// The other runners are the last resort, not the limit of one.
+TEST(runner_directory, prefers_runners_in_back_off_to_exceeding_a_limit)
+{
+    two_runners it;
+    use_share(it.runners, start);
+    it.runners.record(*it.runners.find("b"), runner_signal::unreachable, 0s,
+                      start);
+    EXPECT_EQ(usable(it.runners, start + 100ms), ids{"b"});
+}
+
+TEST(runner_directory, ends_a_limit_with_the_incarnation_of_its_runner)
+{
+    two_runners it;
+    use_share(it.runners, start);
+    auto again = make_runner("a", "10.0.0.1:80");
+    it.runners.upsert(again);
+    EXPECT_EQ(usable(it.runners, start), ids{"b"});
+    again.started_at_ms = 2;
+    it.runners.upsert(again);
+    EXPECT_EQ(usable(it.runners, start), (ids{"a", "b"}));
+}
+
+// Answers to requests that were sent before the runner was in need arrive after
+// the first one that names a limit.
+TEST(runner_directory, ends_a_limit_when_answers_name_none_for_a_while)
+{
+    two_runners it;
+    use_share(it.runners, start);
+    named_rate_limit const none;
+    EXPECT_FALSE(it.runners.record_rate_limit("a", none, start + 10ms));
+    EXPECT_FALSE(
+        it.runners.record_rate_limit("a", one_per_second, start + 20ms));
+    EXPECT_FALSE(it.runners.record_rate_limit("a", none, start + 900ms));
+    EXPECT_FALSE(it.runners.record_rate_limit("a", none, start + 1100ms));
+    EXPECT_TRUE(it.runners.record_rate_limit("a", none, start + 1900ms));
+    EXPECT_FALSE(it.runners.find("a")->notice.rate_limit);
+}
+
+TEST(runner_directory, keeps_a_limit_when_an_answer_names_no_readable_one)
+{
+    two_runners it;
+    use_share(it.runners, start);
+    named_rate_limit const odd{named_rate_limit::kind::unreadable, 0};
+    EXPECT_TRUE(it.runners.record_rate_limit("a", odd, start + 10ms));
+    EXPECT_FALSE(it.runners.record_rate_limit("a", odd, start + 20ms));
+    EXPECT_EQ(usable(it.runners, start + 30ms), ids{"b"});
+}
+
+// A runner whose entry had lapsed when it named a limit was left alone for good
+// when it came back.
+TEST(runner_directory, ignores_the_limit_of_a_runner_that_is_not_registered)
+{
+    two_runners it;
+    auto draining = make_runner("a", "10.0.0.1:80");
+    draining.draining = true;
+    it.runners.upsert(draining);
+    it.runners.remove("a", std::nullopt, start);
+    EXPECT_FALSE(it.runners.record_rate_limit("a", one_per_second, start));
+    it.runners.upsert(make_runner("a", "10.0.0.1:80"));
+    EXPECT_EQ(usable(it.runners, start), (ids{"a", "b"}));
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
