decision: compile with CMAKE_BUILD_TYPE=Release

Cause: gcc 12 at -O3 reports alternatives of a moved variant that it does not hold as uninitialized (settings_push and others), in six files; warnings are errors. No behaviour changes.

--- a/packages/decision/src/config/settings_state.cpp
+++ b/packages/decision/src/config/settings_state.cpp
@@ -114,7 +114,7 @@
 {
     trim_tombstones();
     if (!changed_paths.empty())
-        out.push_back(settings_changed{std::move(changed_paths), revision_});
+        out.emplace_back(settings_changed{std::move(changed_paths), revision_});
     if (revision_ != previous_revision)
         announce(now, out);
 }
@@ -123,7 +123,7 @@
 {
     last_announced_ = revision_;
     next_announce_at_ = now + settings_.announce_interval;
-    out.push_back(announce_settings{{revision_, complete_}});
+    out.emplace_back(announce_settings{{revision_, complete_}});
 }
 
 void settings_state::tick(time_point now, config_effects& out)
@@ -164,8 +164,9 @@
     phase_ = store_phase::listing;
     call_deadline_ = now + settings_.call_grace;
     ++counters_.lists;
-    out.push_back(list_objects{++token_, settings_.prefix, partial_list_->after,
-                               settings_.max_page_items});
+    out.emplace_back(list_objects{++token_, settings_.prefix,
+                                  partial_list_->after,
+                                  settings_.max_page_items});
 }
 
 void settings_state::start_watch(time_point now, config_effects& out)
@@ -173,8 +174,8 @@
     phase_ = store_phase::watching;
     call_deadline_ = now + settings_.watch_timeout + settings_.call_grace;
     ++counters_.watches;
-    out.push_back(watch_objects{++token_, settings_.prefix, revision_,
-                                settings_.watch_timeout});
+    out.emplace_back(watch_objects{++token_, settings_.prefix, revision_,
+                                   settings_.watch_timeout});
 }
 
 void settings_state::list_page(list_answer const& answer, time_point now,
@@ -361,7 +362,7 @@
     if (!pull_->full_copy)
         pull_->base = from;
     ++counters_.pulls;
-    out.push_back(pull_settings{peer, {from, pull_->base}});
+    out.emplace_back(pull_settings{peer, {from, pull_->base}});
 }
 
 void settings_state::handle_pull(vm_id peer, settings_pull const& message,
@@ -378,7 +379,7 @@
     {
         answer.restart = true;
         answer.up_to = message.from;
-        out.push_back(std::move(push));
+        out.emplace_back(std::move(push));
         return;
     }
     std::size_t bytes = 0;
@@ -404,7 +405,7 @@
         bytes += size;
         answer.objects.push_back(object);
     }
-    out.push_back(std::move(push));
+    out.emplace_back(std::move(push));
 }
 
 void settings_state::handle_push(vm_id peer, settings_push const& message,
--- a/packages/decision/src/reducer/reducer.cpp
+++ b/packages/decision/src/reducer/reducer.cpp
@@ -86,11 +86,11 @@
             {
                 using kind = std::decay_t<decltype(one)>;
                 if constexpr (std::is_same_v<kind, bookings::forward_update>)
-                    out.push_back(send_peer{one.to, std::move(one.update)});
+                    out.emplace_back(send_peer{one.to, std::move(one.update)});
                 else if constexpr (std::is_same_v<kind, bookings::answer_peer>)
-                    out.push_back(send_peer{one.to, std::move(one.answer)});
+                    out.emplace_back(send_peer{one.to, std::move(one.answer)});
                 else if constexpr (std::is_constructible_v<effect, kind>)
-                    out.push_back(std::move(one));
+                    out.emplace_back(std::move(one));
             },
             it);
     }
@@ -105,7 +105,7 @@
 
 void reducer::log(std::string text)
 {
-    request_effects_.push_back(requests::state_logged{
+    request_effects_.emplace_back(requests::state_logged{
         requests::state_logged::level::info, std::move(text)});
 }
 
@@ -214,7 +214,7 @@
             apply_pool_settings(it.name, now);
     }
     update_capacity(now);
-    request_effects_.push_back(
+    request_effects_.emplace_back(
         requests::event_counted{requests::counter::settings_applied,
                                 static_cast<double>(value.changes.size())});
 }
@@ -344,18 +344,18 @@
     for (auto& it : config_effects_)
     {
         if (auto* const list = std::get_if<config::list_objects>(&it))
-            out.push_back(*list);
+            out.emplace_back(*list);
         else if (auto* const watch = std::get_if<config::watch_objects>(&it))
-            out.push_back(*watch);
+            out.emplace_back(*watch);
         else if (auto* const have = std::get_if<config::announce_settings>(&it))
         {
             for (auto peer : connected_peers_)
-                out.push_back(send_peer{peer, have->message});
+                out.emplace_back(send_peer{peer, have->message});
         }
         else if (auto* const pull = std::get_if<config::pull_settings>(&it))
-            out.push_back(send_peer{pull->to, pull->message});
+            out.emplace_back(send_peer{pull->to, pull->message});
         else if (auto* const push = std::get_if<config::push_settings>(&it))
-            out.push_back(send_peer{push->to, std::move(push->message)});
+            out.emplace_back(send_peer{push->to, std::move(push->message)});
         else if (auto* const changed =
                      std::get_if<config::settings_changed>(&it))
             emit_settings_change(*changed, out);
@@ -375,7 +375,7 @@
         else
             apply.objects.push_back({path, config_.version_of(path), true, {}});
     }
-    out.push_back(std::move(apply));
+    out.emplace_back(std::move(apply));
 }
 
 void reducer::on(drain_started const&, time_point, effects&)
@@ -404,7 +404,7 @@
         reported_totals_[n] = totals[n].value;
         if (change > 0)
         {
-            request_effects_.push_back(requests::event_counted{
+            request_effects_.emplace_back(requests::event_counted{
                 totals[n].which, static_cast<double>(change)});
         }
     }
--- a/packages/decision/src/reducer/reducer_orders.cpp
+++ b/packages/decision/src/reducer/reducer_orders.cpp
@@ -80,10 +80,10 @@
             auto const* const runner = settings_view_.runners().find(it.runner);
             if (runner == nullptr)
                 continue;
-            out.push_back(send_order{id, it, orders.model_name(it.model),
-                                     runner->host, runner->port,
-                                     order_validity});
-            request_effects_.push_back(
+            out.emplace_back(send_order{id, it, orders.model_name(it.model),
+                                        runner->host, runner->port,
+                                        order_validity});
+            request_effects_.emplace_back(
                 requests::event_counted{requests::counter::order_sent, 1.});
         }
     }
@@ -94,12 +94,12 @@
 {
     auto const path = absl::StrCat("leases/", orders.pool());
     if (auto const* const read = std::get_if<leases::read_lease>(&call))
-        out.push_back(read_lease_object{read->pool, read->call, path});
+        out.emplace_back(read_lease_object{read->pool, read->call, path});
     else if (auto const* const write = std::get_if<leases::write_lease>(&call))
     {
-        out.push_back(write_lease_object{write->pool, write->call, path,
-                                         write->expected_version,
-                                         leases::encode(write->value)});
+        out.emplace_back(write_lease_object{write->pool, write->call, path,
+                                            write->expected_version,
+                                            leases::encode(write->value)});
     }
 }
 
--- a/packages/decision/src/requests/executor.cpp
+++ b/packages/decision/src/requests/executor.cpp
@@ -105,8 +105,8 @@
     stage.tried_runners.push_back(*runner);
     ++stage.attempt_count;
     ++stage.possible_runs;
-    out.push_back(make_start_attempt(request, attempt, budget));
-    out.push_back(event_counted{counter::attempt_started, 1.});
+    out.emplace_back(make_start_attempt(request, attempt, budget));
+    out.emplace_back(event_counted{counter::attempt_started, 1.});
     return true;
 }
 
@@ -181,7 +181,7 @@
         event.detail = attempt.call_open ? "no answer within the stage's budget"
                                          : "the runner's answer never came";
         event.took = now - attempt.started;
-        out.push_back(cancel_attempt{id, attempt.runner});
+        out.emplace_back(cancel_attempt{id, attempt.runner});
         fail(it->second, attempt, event, now, out, results);
     }
     for (auto& [id, request] : requests)
@@ -225,7 +225,7 @@
                 now))
             continue;
         if (start(request, n, now, out))
-            out.push_back(event_counted{counter::attempt_hedged, 1.});
+            out.emplace_back(event_counted{counter::attempt_hedged, 1.});
         else
             dependencies_.retry_budget.refund();
     }
--- a/packages/decision/src/requests/request_flow.cpp
+++ b/packages/decision/src/requests/request_flow.cpp
@@ -101,14 +101,14 @@
                           duration retry_after, flow_output out)
 {
     auto const& call = event.call;
-    out.requests.push_back(request_counted{call.pipeline,
-                                           call.organisation,
-                                           call.work_rank,
-                                           outcome::not_run,
-                                           reason.kind,
-                                           false,
-                                           {}});
-    out.requests.push_back(send_answer{
+    out.requests.emplace_back(request_counted{call.pipeline,
+                                              call.organisation,
+                                              call.work_rank,
+                                              outcome::not_run,
+                                              reason.kind,
+                                              false,
+                                              {}});
+    out.requests.emplace_back(send_answer{
         event.request, not_run_answer(std::move(reason), retry_after)});
 }
 
@@ -191,7 +191,7 @@
     auto const* const attempt = executor_.find(event.answered_attempt);
     if (attempt == nullptr)
     {
-        out.requests.push_back(event_counted{counter::answer_late, 1.});
+        out.requests.emplace_back(event_counted{counter::answer_late, 1.});
         return;
     }
     auto const it = requests_.find(attempt->request);
@@ -294,10 +294,10 @@
     auto const& rank =
         dependencies_.settings.settings().ranks[index_of(call.work_rank)];
     bool const completed = body.result_kind == outcome::completed;
-    out.requests.push_back(request_counted{
+    out.requests.emplace_back(request_counted{
         call.pipeline, call.organisation, call.work_rank, body.result_kind,
         body.failure.kind, completed && took <= rank.target, took});
-    out.requests.push_back(send_answer{request.id, std::move(body)});
+    out.requests.emplace_back(send_answer{request.id, std::move(body)});
     request.answered = true;
     dependencies_.admission.finished(request.id, now);
     settle_claims(request, now, out);
--- a/packages/decision/src/requests/request_flow_claims.cpp
+++ b/packages/decision/src/requests/request_flow_claims.cpp
@@ -60,7 +60,7 @@
                     if constexpr (is_claim_decision<decision>)
                         apply(it, now, out);
                     else
-                        out.store.push_back(it);
+                        out.store.emplace_back(it);
                 },
                 item);
         }
@@ -114,7 +114,7 @@
                                       bookings::claim_duplicate const& decision,
                                       time_point now, flow_output out)
 {
-    out.requests.push_back(event_counted{counter::booking_duplicate, 1.});
+    out.requests.emplace_back(event_counted{counter::booking_duplicate, 1.});
     bool const completed = decision.state == bookings::claim_state::completed;
     if (!completed || decision.result.truncated)
     {
@@ -213,7 +213,7 @@
             return false;
         if (auto const source = outcome_source_of(service_query->request))
         {
-            out.requests.push_back(query_service_outcome{
+            out.requests.emplace_back(query_service_outcome{
                 service_query->id, source->service_key, source->runner.id,
                 source->runner.host, source->runner.port});
         }
@@ -241,7 +241,7 @@
 
 void request_flow::answer_query(request_id query, answer body, flow_output out)
 {
-    out.requests.push_back(send_answer{query, std::move(body)});
+    out.requests.emplace_back(send_answer{query, std::move(body)});
 }
 
 } // namespace buckthornvale::decision::requests
