bench: the bookings bench compiles with CMAKE_BUILD_TYPE=Release

Cause: gcc 12 at -O3 takes a string of an aggregate that is built in place for uninitialized. Change: the members are assigned.

--- a/bench/bookings/main.cpp
+++ b/bench/bookings/main.cpp
@@ -147,12 +147,12 @@
         {
             auto const i = random_(vm_count);
             request_id const id{i + 1, ++requests_};
-            claim_request const request{
-                {organisation_id{1}, std::to_string(requests_), wall()},
-                digest128::of("body"),
-                id,
-                milliseconds(3000),
-                false};
+            claim_request request;
+            request.key = {organisation_id{1}, std::to_string(requests_),
+                           wall()};
+            request.body = digest128::of("body");
+            request.request = id;
+            request.time_left = milliseconds(3000);
             started_[id] = now_;
             step(i, [&](booking_table& table, booking_effects& out)
                  { table.claim(request, now_, wall(), out); });
