--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -128,7 +128,8 @@
     }
     if (now_ >= fault_until_)
         return answer_properly(in);
-    return (this->*fault_answers[static_cast<std::size_t>(fault_)])(in);
+    auto const answer_fault = fault_answers[static_cast<std::size_t>(fault_)];
+    return (this->*answer_fault)(in);
 }
 
 soak_runner::scripted_answer
