tests: the simulation of limits holds no unused state

Cause, found in the last read: the start time of a VM was kept and never read, and two headers were included for nothing. Change: they are gone. No check, bound or scenario changes. Measured: decision_tests compile; the six tests of fleet_limit pass.

--- a/packages/decision/tests/gateway/limit_simulation.cpp
+++ b/packages/decision/tests/gateway/limit_simulation.cpp
@@ -3,7 +3,6 @@
 #include "uniform.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace buckthornvale::decision::gateway
 {
@@ -89,7 +88,6 @@
     settings.settle_time = settle_time;
     settings.retries = {0.2, 56, 10s};
     it.logic = std::make_unique<reducer>(settings);
-    it.started_at = now_;
     for (auto& runner : runners_)
         runner.told.erase(n);
     feed(n, manifest_changed{make_manifest()});
--- a/packages/decision/tests/gateway/limit_simulation.hpp
+++ b/packages/decision/tests/gateway/limit_simulation.hpp
@@ -6,7 +6,6 @@
 #include <pcg_random.hpp>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -81,7 +80,6 @@
     {
         std::unique_ptr<reducer> logic;
         std::size_t restarts = 0;
-        time_point started_at{};
     };
 
     struct pending_answer
