gateway: log the connection of a send, and answers that name another request

Change: attempt_ended names the connection by a number; answer_discarded names the runner, the connection and the request of an answer that is dropped.

Result: builds, the tests of the gateway's answers pass; no decision changes.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -52,6 +52,7 @@
 {
     request_ref request = 0;
     std::uint32_t attempt = 0;
+    std::uint64_t connection = 0; //!< number, for logs only
     transport_end transport = transport_end::no_answer;
     body_framing framing = body_framing::length;
     int status = 0;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -379,6 +379,7 @@
         return;
     log("attempt_ended", &request,
         {{"runner", request.runner_id},
+         {"connection", std::to_string(in.connection)},
          {"outcome", name_of(outcome)},
          {"status", std::to_string(in.status)},
          {"framing", name_of(in.framing)},
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -88,6 +88,9 @@
     void on_sse_events(runner_attempt& from, std::string_view events) override;
     void on_runner_head(std::string const& runner_id,
                         platform::runner_response const& response) override;
+    void
+    on_answer_discarded(runner_attempt const& from, int status,
+                        platform::runner_response const& response) override;
     void on_answer_too_large(runner_attempt const& from,
                              std::size_t bytes) override;
     void
--- a/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/runner_attempt.hpp
@@ -34,6 +34,11 @@
         on_runner_head(std::string const& runner_id,
                        platform::runner_response const& response) = 0;
 
+        //! An answer to another request came on the connection.
+        virtual void
+        on_answer_discarded(runner_attempt const& from, int status,
+                            platform::runner_response const& response) = 0;
+
         //! The answer has more bytes than may be held of it; the attempt ends.
         virtual void on_answer_too_large(runner_attempt const& from,
                                          std::size_t bytes) = 0;
@@ -77,6 +82,7 @@
     void on_answer_failed(net::call_failure failure, bool reset) override;
 
     net::call_id call = 0;
+    net::connection_number connection = 0;
 
 private:
     decision::gateway::attempt_ended
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -57,6 +57,7 @@
         effect.address,
         platform::encode_runner_request(it->head, it->body->size(), headers),
         it->body, options, *it->attempt);
+    it->attempt->connection = http_client_.connection_of(it->attempt->call);
     metrics_.count_send();
 }
 
@@ -138,6 +139,19 @@
                                       response.rate_limit});
 }
 
+void gateway_process::on_answer_discarded(
+    runner_attempt const& from, int status,
+    platform::runner_response const& response)
+{
+    log_writer_.write({"answer_discarded",
+                       from.request_id(),
+                       {{"runner", from.runner_id()},
+                        {"connection", std::to_string(from.connection)},
+                        {"names", response.request_id},
+                        {"status", std::to_string(status)}}},
+                      now());
+}
+
 void gateway_process::on_answer_too_large(runner_attempt const& from,
                                           std::size_t bytes)
 {
--- a/packages/gateway/src/runner_attempt.cpp
+++ b/packages/gateway/src/runner_attempt.cpp
@@ -55,7 +55,10 @@
     if (!is_other || response.has_notice())
         listener_.on_runner_head(runner_id_, response);
     if (is_other)
+    {
+        listener_.on_answer_discarded(*this, head.status, response);
         return net::response_match::other;
+    }
     head_received_ = true;
     head_ = head;
     response_ = response;
@@ -101,6 +104,7 @@
     model::attempt_ended out;
     out.request = request_;
     out.attempt = number_;
+    out.connection = connection;
     out.transport = transport;
     out.load = response_.load;
     out.last_event_id = splitter_.last_event_id();
--- a/packages/gateway/tests/answer_memory_test.cpp
+++ b/packages/gateway/tests/answer_memory_test.cpp
@@ -25,6 +25,10 @@
                         platform::runner_response const&) override
     {
     }
+    void on_answer_discarded(runner_attempt const&, int,
+                             platform::runner_response const&) override
+    {
+    }
     void on_answer_too_large(runner_attempt const&, std::size_t) override
     {
         ++too_large;
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -61,6 +61,9 @@
 
 using call_id = std::uint64_t;
 
+//! Number of a connection of one client, never given out again.
+using connection_number = std::uint64_t;
+
 struct call_options
 {
     duration connect_timeout = std::chrono::milliseconds(400);
@@ -95,6 +98,9 @@
                  call_options const& options,
                  std::shared_ptr<answer_handler> handler);
 
+    //! The connection that carries the call, which must not have ended.
+    connection_number connection_of(call_id call) const;
+
     //! Closes the connection of the call. The handler is not called again.
     void cancel(call_id call);
 
@@ -129,6 +135,7 @@
     asio::io_context& loop_;
     clock_function clock_;
     call_id next_call_ = 1;
+    connection_number next_connection_ = 1;
     std::map<call_id, std::shared_ptr<connection>> calls_;
     std::map<std::string, std::vector<idle_connection>> idle_;
 };
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -33,8 +33,9 @@
       public std::enable_shared_from_this<http_client::connection>
 {
 public:
-    connection(http_client& client, std::string address)
-        : client_(client), address_(std::move(address)),
+    connection(http_client& client, connection_number number,
+               std::string address)
+        : client_(client), number_(number), address_(std::move(address)),
           stream_(std::make_shared<tcp_stream>(
               asio::ip::tcp::socket(client.loop_))),
           parser_(http::message_type::response, response_limits, *this)
@@ -48,6 +49,7 @@
         stream_->close();
     }
 
+    connection_number number() const { return number_; }
     std::string const& address() const { return address_; }
     tcp_stream& stream() { return *stream_; }
 
@@ -291,6 +293,7 @@
     }
 
     http_client& client_;
+    connection_number const number_;
     std::string const address_;
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
@@ -336,7 +339,8 @@
                                ? take_idle(address, options.max_idle)
                                : nullptr;
     if (http_connection == nullptr)
-        http_connection = std::make_shared<connection>(*this, address);
+        http_connection =
+            std::make_shared<connection>(*this, next_connection_++, address);
     auto const id = next_call_++;
     calls_.emplace(id, http_connection);
     http_connection->start_call(id, std::move(head), std::move(body), options,
@@ -355,6 +359,11 @@
     return id;
 }
 
+connection_number http_client::connection_of(call_id call) const
+{
+    return calls_.at(call)->number();
+}
+
 void http_client::cancel(call_id call)
 {
     auto const found = calls_.find(call);
