soak: runners that start again under another id, and copies of refusals at other moments

Cause: the soak wrote the copy of a refusal only when the next request came, and excused the connection from then on. Runners kept their ids for ever, so that no request came to a runner again on the connection of a refusal.

Change: a runner takes another id, or another start, at its address and keeps its connections; what is sent to the former id gets 421. Copies come while the connection is idle, before the next answer, or some time after the next head; only those without an id excuse the connection.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -22,6 +22,9 @@
 
 constexpr duration restart_delay = 200ms;
 
+//! After its last renewal, the store removes the entry of a runner.
+constexpr duration entry_lifetime = 3600ms;
+
 constexpr int max_series_length = 4;
 
 constexpr std::chrono::milliseconds idle_timeouts[] = {1500ms, 3000ms, 6000ms};
@@ -42,6 +45,8 @@
     {"disturb_runner", &soak::disturb_runner},
     {"disturb_runners", &soak::disturb_runners},
     {"disturb_runners", &soak::disturb_runners},
+    {"restart_runner", &soak::restart_runner},
+    {"restart_runner", &soak::restart_runner},
     {"silence_runner_under_load", &soak::silence_runner_under_load},
     {"stop_store", &soak::stop_store},
     {"silence_store", &soak::silence_store},
@@ -63,10 +68,9 @@
         for (int n = 1; n <= count; ++n)
         {
             auto const id = service + "-" + std::to_string(n);
-            runners_.push_back(
-                std::make_unique<soak_runner>(loop_, id, ledger_, random_()));
-            auto& standin = runners_.back()->standin();
-            store_.put_runner(id, standin.entry(service));
+            runners_.push_back(std::make_unique<soak_runner>(
+                loop_, id, service, ledger_, random_()));
+            store_.put_runner(id, runners_.back()->entry());
         }
     };
     add_runners("plain", 3);
@@ -297,6 +301,23 @@
     disturb_most(runner_fault::spoil, now + random_time(300, 1200));
 }
 
+void soak::restart_runner(time_point now)
+{
+    auto& runner = random_runner();
+    bool const keeps_id = random_() % 4 == 0;
+    if (keeps_id)
+    {
+        runner.change_start();
+        store_.put_runner(runner.id(), runner.entry());
+        return;
+    }
+    auto const former = runner.id();
+    runner.change_id();
+    store_.put_runner(runner.id(), runner.entry());
+    at(now + entry_lifetime,
+       [this, former](time_point) { store_.remove("servers", former); });
+}
+
 void soak::silence_runner_under_load(time_point now)
 {
     auto const until = now + random_time(500, 1400);
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -65,6 +65,9 @@
     void disturb_runner(time_point now);
     //! Most runners break the protocol in the same way.
     void disturb_runners(time_point now);
+    //! One runner starts again, mostly under another id, at its address. The
+    //! former entry lapses some seconds later.
+    void restart_runner(time_point now);
     //! One runner is silent while all others are full.
     void silence_runner_under_load(time_point now);
     void stop_store(time_point now);
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -19,6 +19,10 @@
 
 constexpr std::chrono::seconds min_time_between_silences{2};
 
+constexpr int copy_moment_count = 3;
+
+constexpr char const* misdirected_status_line = "421 Misdirected Request";
+
 bool is_stream(std::string const& path)
 {
     return path != "/book/" && path != "/read/";
@@ -57,8 +61,10 @@
 }
 
 soak_runner::soak_runner(asio::io_context& loop, std::string const& id,
-                         request_ledger& ledger, std::uint64_t seed)
-    : standin_(loop, id), ledger_(ledger), random_(seed)
+                         std::string service, request_ledger& ledger,
+                         std::uint64_t seed)
+    : standin_(loop, id), ledger_(ledger), random_(seed),
+      service_(std::move(service)), id_(id)
 {
     standin_.on_connection_end = [this](std::size_t connection)
     {
@@ -92,6 +98,18 @@
     fault_until_ = until;
 }
 
+void soak_runner::change_id()
+{
+    id_ = standin_.id() + "-" + std::to_string(++starts_);
+}
+
+nlohmann::json soak_runner::entry() const
+{
+    auto out = standin_.entry(service_);
+    out["born"] = starts_;
+    return out;
+}
+
 bool soak_runner::has_fault(runner_fault fault) const
 {
     return fault_ == fault && now_ < fault_until_;
@@ -117,7 +135,9 @@
 
 soak_runner::scripted_answer soak_runner::answer(received_request const& in)
 {
-    write_copy_of_refusal(in.connection);
+    write_copy_of_refusal(in);
+    if (!in.expected_runner.empty() && in.expected_runner != id_)
+        return answer_as_another(in);
     if (in.stage_call && !has_fault(runner_fault::spoil))
     {
         write_later({{}, in.connection, standin_.stage_answer(in).bytes},
@@ -198,11 +218,42 @@
 {
     if (random_() % 2 == 0)
         return answer_properly(in);
-    auto out = refuse(in);
     auto head = refusal_head("503 Service Unavailable");
-    head.names_request = random_() % 2 == 0;
-    copies_[in.connection] = runner_standin::with_head(in, head, "").bytes;
-    return out;
+    head.names_request = random_() % 4 != 0;
+    copy_later(in, head);
+    return refuse(in);
+}
+
+soak_runner::scripted_answer
+soak_runner::answer_as_another(received_request const& in)
+{
+    if (in.id.empty())
+    {
+        answer_head head;
+        head.status_line = misdirected_status_line;
+        return runner_standin::with_head(in, head, "");
+    }
+    auto head = refusal_head(misdirected_status_line);
+    copy_later(in, head);
+    return misdirect(in);
+}
+
+void soak_runner::copy_later(received_request const& in, answer_head head)
+{
+    refusal_copy copy;
+    copy.bytes = runner_standin::with_head(in, head, "").bytes;
+    copy.names_request = head.names_request;
+    copy.moment = static_cast<copy_moment>(random_() % copy_moment_count);
+    if (copy.moment != copy_moment::while_idle)
+    {
+        copies_[in.connection] = std::move(copy);
+        return;
+    }
+    pending_write value;
+    value.connection = in.connection;
+    value.bytes = std::move(copy.bytes);
+    value.during = "";
+    write_later(std::move(value), random_time(5, 60));
 }
 
 soak_runner::scripted_answer
@@ -211,9 +262,9 @@
     if (in.inputs.empty() || random_() % 2 == 0)
         return answer_properly(in);
     ledger_.refused_by_runner(in.id);
-    auto out = runner_standin::with_head(in, refusal_head("409 Conflict"), "");
-    copies_[in.connection] = out.bytes;
-    return out;
+    auto const head = refusal_head("409 Conflict");
+    copy_later(in, head);
+    return runner_standin::with_head(in, head, "");
 }
 
 soak_runner::scripted_answer
@@ -232,7 +283,7 @@
 {
     ledger_.refused_by_runner(in.id);
     answer_head head;
-    head.status_line = "421 Misdirected Request";
+    head.status_line = misdirected_status_line;
     return runner_standin::with_head(in, head, "");
 }
 
@@ -248,14 +299,33 @@
     return out;
 }
 
-void soak_runner::write_copy_of_refusal(std::size_t connection)
+void soak_runner::write_copy_of_refusal(received_request const& next)
 {
-    auto const found = copies_.find(connection);
+    auto const found = copies_.find(next.connection);
     if (found == copies_.end())
         return;
-    standin_.write(connection, found->second);
-    broken_connections_.insert(connection);
+    auto const copy = std::move(found->second);
     copies_.erase(found);
+    if (!copy.names_request)
+        broken_connections_.insert(next.connection);
+    if (copy.moment == copy_moment::before_next_answer)
+    {
+        standin_.write(next.connection, copy.bytes);
+        return;
+    }
+    // Sound answers begin later than that.
+    auto const last_ms = is_stream(next.path) ? 19 : 1;
+    pending_write value;
+    value.connection = next.connection;
+    value.bytes = copy.bytes;
+    value.during = next.id;
+    write_later(std::move(value), random_time(1, last_ms));
+}
+
+std::string soak_runner::running_on(std::size_t connection) const
+{
+    auto const found = runs_.find(connection);
+    return found == runs_.end() ? std::string() : found->second;
 }
 
 void soak_runner::write_later(pending_write value, duration after)
@@ -286,6 +356,8 @@
                      [&](pending_write const& it) { return it.due > now; });
     for (auto it = pending_.begin(); it != first_later; ++it)
     {
+        if (it->during && *it->during != running_on(it->connection))
+            continue;
         standin_.write(it->connection, it->bytes);
         if (it->ends_run)
             end_run(it->connection);
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -4,6 +4,7 @@
 #include "request_ledger.hpp"
 
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <standins/fleet_platform/runner_standin.hpp>
@@ -23,7 +24,7 @@
 {
     refuse,
     spoil,             //!< bytes without end
-    repeat_refusals,   //!< a copy, some without id, before the next answer
+    repeat_refusals,   //!< a copy, some without id, at some later moment
     lose_inputs,       //!< the results of the stages are gone
     cut_refusals,      //!< the connection ends within the body
     misdirect,         //!< as if another runner were at the address
@@ -38,7 +39,8 @@
 {
 public:
     soak_runner(asio::io_context& loop, std::string const& id,
-                request_ledger& ledger, std::uint64_t seed);
+                std::string service, request_ledger& ledger,
+                std::uint64_t seed);
 
     //! Writes what is due.
     void tick(time_point now);
@@ -49,6 +51,19 @@
 
     void start_fault(runner_fault fault, time_point until);
 
+    //! Takes another id at the same address. Its connections stay open. What
+    //! is sent to the former id is refused.
+    void change_id();
+
+    //! Starts again under its id, as far as others can tell.
+    void change_start() { ++starts_; }
+
+    //! The id under which it answers.
+    std::string const& id() const { return id_; }
+
+    //! Its entry in the store.
+    nlohmann::json entry() const;
+
     standins::fleet_platform::runner_standin& standin() { return standin_; }
 
 private:
@@ -63,6 +78,24 @@
         std::size_t connection = 0;
         std::string bytes;
         bool ends_run = false;
+        //! Written only during the run of this request on the connection, or
+        //! during none if empty.
+        std::optional<std::string> during = {};
+    };
+
+    //! When the copy of a refusal is written.
+    enum class copy_moment
+    {
+        while_idle,         //!< shortly after the refusal
+        before_next_answer, //!< when the next request arrives
+        after_next_head     //!< some time later, before its answer
+    };
+
+    struct refusal_copy
+    {
+        std::string bytes;
+        copy_moment moment = copy_moment::before_next_answer;
+        bool names_request = true;
     };
 
     static answer_function const fault_answers[];
@@ -79,7 +112,13 @@
     scripted_answer reset_after_start(received_request const& in);
 
     bool has_fault(runner_fault fault) const;
-    void write_copy_of_refusal(std::size_t connection);
+    //! Answers that another runner is at the address, and repeats that later.
+    scripted_answer answer_as_another(received_request const& in);
+    void copy_later(received_request const& in,
+                    standins::fleet_platform::answer_head head);
+    void write_copy_of_refusal(received_request const& next);
+    //! Request that runs on the connection; empty without one.
+    std::string running_on(std::size_t connection) const;
     void start_run(received_request const& in);
     void end_run(std::size_t connection);
     void write_later(pending_write value, duration after);
@@ -89,10 +128,12 @@
     request_ledger& ledger_;
     std::mt19937_64 random_;
     std::vector<pending_write> pending_;
-    std::map<std::size_t, std::string> runs_; //!< request by connection
-    //! Copies of refusals, written when the next request arrives.
-    std::map<std::size_t, std::string> copies_; //!< by connection
-    std::set<std::size_t> ended_connections_;   //!< that it has not noticed
+    std::string const service_;
+    std::string id_;
+    int starts_ = 1;
+    std::map<std::size_t, std::string> runs_;    //!< request by connection
+    std::map<std::size_t, refusal_copy> copies_; //!< by connection
+    std::set<std::size_t> ended_connections_;    //!< that it has not noticed
     //! Connections on which it has broken the protocol. They are left for that
     //! reason, however silent it is.
     std::set<std::size_t> broken_connections_;
