gateway: a request is sent on no connection that has carried it before

What callers saw: a booking that ran twice, or that was answered with 503 while it ran, so that the caller booked again.

Cause: an answer belongs to the request that it names, but a copy of a refusal names the request also while that request is under way again on the same connection. The guard against this was a list of runner ids; a runner that answers 421 at an address is another one, and the request went to it on the connection of the 421.

Change: the VM remembers the connections that have carried a request, until the request ends, and the client excludes them from its next send. The list of runner ids (earlier_runners, new_connection) goes. A second send may use another kept connection, so that it opens fewer than before.

Why it works: bytes of an earlier send can only arrive on a connection that carried it, whatever the runner's id, start or address.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -29,9 +29,6 @@
     bool stream = false;
     //! Requires a connection that cannot be stale.
     bool reliable_connection = false;
-    //! The runner got the request before. On a kept connection, an answer to
-    //! the former send could not be told from one to this send.
-    bool new_connection = false;
 };
 
 //! Closes the connection of an attempt, so that the runner stops processing it.
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -43,9 +43,6 @@
     bool streaming = false; //!< events were forwarded to the caller
     std::string runner_id;
     std::set<std::string> tried_runners;
-    //! Those tried before `tried_runners` was cleared. They may get the request
-    //! again, on a new connection.
-    std::set<std::string> earlier_runners;
     time_point sent_at{};
     time_point last_progress{};
     std::string last_event_id;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -288,7 +288,6 @@
     send.time_left = request.deadline - now;
     send.stream = request.matched_route->kind == request_kind::stream;
     send.reliable_connection = !request.matched_route->repeatable();
-    send.new_connection = request.earlier_runners.count(request.runner_id) > 0;
     send.last_event_id = request.last_event_id;
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
@@ -526,7 +525,6 @@
 void reducer::run_planned_retry(active_request& request, time_point now)
 {
     request.retry_at.reset();
-    request.earlier_runners.merge(request.tried_runners);
     request.tried_runners.clear();
     bool const possible =
         choose_runner(request, now) != nullptr &&
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -364,7 +364,6 @@
         !retry_budget_.try_consume(request.service, members_.count(), now))
         return false;
     request.pipeline.restart();
-    request.earlier_runners.merge(request.tried_runners);
     request.tried_runners.clear();
     advance(request, now);
     return true;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -65,6 +65,8 @@
         std::string request_id;
         time_point arrived_at{};
         std::unique_ptr<runner_attempt> attempt;
+        //! To runners, of all its attempts. None of them carries it again.
+        std::vector<net::connection_number> used_connections;
         bool response_started = false;
         bool reading_paused = false;
     };
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -47,7 +47,7 @@
     options.timeout = effect.time_left + call_timeout_margin;
     if (effect.reliable_connection)
         options.max_idle = max_reliable_idle;
-    options.keep_connection = !effect.new_connection;
+    options.excluded_connections = it->used_connections;
     it->reading_paused = false;
     destroy_later(std::move(it->attempt));
     it->attempt = std::make_unique<runner_attempt>(
@@ -58,6 +58,7 @@
         platform::encode_runner_request(it->head, it->body->size(), headers),
         it->body, options, *it->attempt);
     it->attempt->connection = http_client_.connection_of(it->attempt->call);
+    it->used_connections.push_back(it->attempt->connection);
     metrics_.count_send();
 }
 
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <buckthornvale/net/clock.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
 
+#include <absl/types/span.h>
 #include <asio/io_context.hpp>
 
 #include <cstddef>
@@ -73,6 +74,11 @@
     //! closed them, and a request that must not be retried would be lost.
     duration max_idle = std::chrono::seconds(60);
 
+    //! Connections that must not carry the call, because they carried an
+    //! earlier send of the same request: a late copy of an answer to that one
+    //! could not be told from the answer to this one. Read by `call` only.
+    absl::Span<connection_number const> excluded_connections;
+
     //! False: use a new connection for this call and close it afterwards.
     bool keep_connection = true;
 };
@@ -130,7 +136,7 @@
     void remove_idle(connection const* http_connection);
     void remove_call(call_id call);
     std::shared_ptr<connection> take_idle(std::string const& address,
-                                          duration max_idle);
+                                          call_options const& options);
 
     asio::io_context& loop_;
     clock_function clock_;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <cstddef>
 
 namespace buckthornvale::net
 {
@@ -24,6 +25,12 @@
 //! Limits on a response; a larger one is treated as a server error.
 constexpr http::parser_limits response_limits = {65'536, 67'108'864};
 
+bool contains(absl::Span<connection_number const> numbers,
+              connection_number number)
+{
+    return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+}
+
 } // namespace
 
 //! Connection to a server, either idle or carrying one call.
@@ -335,9 +342,8 @@
                           std::shared_ptr<std::string const> body,
                           call_options const& options, answer_handler& handler)
 {
-    auto http_connection = options.keep_connection
-                               ? take_idle(address, options.max_idle)
-                               : nullptr;
+    auto http_connection =
+        options.keep_connection ? take_idle(address, options) : nullptr;
     if (http_connection == nullptr)
         http_connection =
             std::make_shared<connection>(*this, next_connection_++, address);
@@ -421,7 +427,7 @@
 }
 
 std::shared_ptr<http_client::connection>
-http_client::take_idle(std::string const& address, duration max_idle)
+http_client::take_idle(std::string const& address, call_options const& options)
 {
     auto const found = idle_.find(address);
     if (found == idle_.end())
@@ -430,13 +436,18 @@
     auto const now = clock_();
     // The most recently used connection is the least likely to have been closed
     // by the peer.
-    while (!list.empty())
+    for (std::size_t n = list.size(); n > 0; --n)
     {
-        auto entry = std::move(list.back());
-        list.pop_back();
-        if (entry.expires_at > now && now - entry.idle_since <= max_idle &&
+        auto const it = list.begin() + std::ptrdiff_t(n - 1);
+        if (contains(options.excluded_connections,
+                     it->http_connection->number()))
+            continue;
+        auto const entry = std::move(*it);
+        list.erase(it);
+        if (entry.expires_at > now &&
+            now - entry.idle_since <= options.max_idle &&
             entry.http_connection->stream().is_quiet())
-            return std::move(entry.http_connection);
+            return entry.http_connection;
         entry.http_connection->close();
     }
     return nullptr;
--- a/packages/net/tests/loopback_test.cpp
+++ b/packages/net/tests/loopback_test.cpp
@@ -60,6 +60,31 @@
         return done.get_future().get();
     }
 
+    //! Makes a call and returns the connection that carried it.
+    connection_number
+    connection_of_call(std::vector<connection_number> const& excluded)
+    {
+        connection_number out = 0;
+        std::promise<void> done;
+        loop.post(
+            [&]
+            {
+                call_options options;
+                options.excluded_connections = excluded;
+                auto const id = make_call(
+                    client, address,
+                    {"GET /3 HTTP/1.1\r\nHost: a\r\n\r\n", {}, 100}, options,
+                    [&](call_result const& it)
+                    {
+                        EXPECT_FALSE(it.failure);
+                        done.set_value();
+                    });
+                out = client.connection_of(id);
+            });
+        done.get_future().wait();
+        return out;
+    }
+
     std::size_t connection_count()
     {
         std::size_t n = 0;
@@ -113,6 +138,22 @@
     EXPECT_EQ(handler.requests, 3);
 }
 
+// Guards against a second send of a request on the connection of the first,
+// where a late copy of the first answer could not be told from the second.
+TEST_F(loopback_test, carries_no_call_on_an_excluded_connection)
+{
+    start({});
+    auto const first = connection_of_call({});
+    auto const second = connection_of_call({first});
+    EXPECT_NE(second, first);
+    auto const third = connection_of_call({first, second});
+    EXPECT_NE(third, first);
+    EXPECT_NE(third, second);
+    // The excluded ones are kept for other calls.
+    EXPECT_EQ(connection_of_call({second, third}), first);
+    EXPECT_EQ(connection_count(), 3U);
+}
+
 // Guards against taking a response above the size limit for a complete one.
 TEST_F(loopback_test, fails_a_call_whose_response_is_too_large)
 {
