standins: a store that comes back from a copy, and answers watches when they end

Cause: no stand-in could lose what it had acknowledged, and its watches were never answered without a change, so that VMs in tests lost their store again and again.

Change: save_copy and restore_copy with Store-Era; a watch from a revision that the store does not have gets 410; conditional DELETE; pages of lists; waitMs is obeyed.

--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 store_standin::store_standin(asio::io_context& loop)
-    : server_(
+    : loop_(loop),
+      server_(
           loop, *this, [] { return net::server_limits(); }, steady_now)
 {
     server_.listen("127.0.0.1", 0);
@@ -37,28 +38,30 @@
 void store_standin::put(std::string const& kind, std::string const& name,
                         json specification)
 {
-    ++revision_;
-    json const object = {
-        {"metadata",
-         {{"name", name}, {"revision", revision_}, {"deleting", false}}},
-        {"specification", std::move(specification)}};
-    objects_[kind][name] = object;
+    ++contents_.revision;
+    json const object = {{"metadata",
+                          {{"name", name},
+                           {"revision", contents_.revision},
+                           {"deleting", false}}},
+                         {"specification", std::move(specification)}};
+    contents_.objects[kind][name] = object;
     note(kind, object, false);
 }
 
 void store_standin::remove(std::string const& kind, std::string const& name)
 {
-    ++revision_;
-    auto const object = objects_[kind][name];
-    objects_[kind].erase(name);
+    ++contents_.revision;
+    auto const object = contents_.objects[kind][name];
+    contents_.objects[kind].erase(name);
     note(kind, object, true);
 }
 
 void store_standin::note(std::string const& kind, json object, bool deleted)
 {
-    changes_.push_back({revision_,
-                        kind,
-                        {{"object", std::move(object)}, {"deleted", deleted}}});
+    contents_.changes.push_back(
+        {contents_.revision,
+         kind,
+         {{"object", std::move(object)}, {"deleted", deleted}}});
     for (auto it = watches_.begin(); it != watches_.end();)
         it = answer_watch(it->first, it->second) ? watches_.erase(it)
                                                  : std::next(it);
@@ -66,7 +69,7 @@
 
 void store_standin::copy_to(store_standin& other) const
 {
-    for (auto const& kind : objects_)
+    for (auto const& kind : contents_.objects)
         for (auto const& it : kind.second)
             other.put(kind.first, it.first, it.second.at("specification"));
 }
@@ -74,8 +77,12 @@
 void store_standin::set_down(bool down)
 {
     down_ = down;
-    if (!down)
-        return;
+    if (down)
+        cut_watches();
+}
+
+void store_standin::cut_watches()
+{
     for (auto const& it : watches_)
         if (auto* to = server_.find(it.first))
             to->abort();
@@ -90,7 +97,19 @@
 
 void store_standin::compact()
 {
-    first_kept_ = revision_ + 1;
+    first_kept_ = contents_.revision + 1;
+}
+
+void store_standin::save_copy()
+{
+    copy_ = contents_;
+}
+
+void store_standin::restore_copy()
+{
+    contents_ = copy_;
+    ++era_;
+    cut_watches();
 }
 
 void store_standin::put_manifest(json manifest)
@@ -105,8 +124,8 @@
 
 std::size_t store_standin::members() const
 {
-    auto const found = objects_.find("members");
-    return found == objects_.end() ? 0 : found->second.size();
+    auto const found = contents_.objects.find("members");
+    return found == contents_.objects.end() ? 0 : found->second.size();
 }
 
 void store_standin::answer(std::uint64_t connection, int status,
@@ -114,6 +133,7 @@
 {
     std::string head;
     http::append_status_line(head, status);
+    http::append_header(head, "Store-Era", std::to_string(era_));
     auto text = body.dump();
     for (auto const& it : replaced_values_)
     {
@@ -146,12 +166,15 @@
     auto const query = http::split_once(head.target, '?').second;
     std::string const kind(parts.first);
     auto const watched = http::parse_number(parameter(query, "watch"));
+    std::chrono::milliseconds const wait(
+        http::parse_number(parameter(query, "waitMs")).value_or(0));
     if (head.method != "GET")
-        write(from.id(), head.method, kind, std::string(parts.second), body);
+        write(from.id(), head.method, kind, std::string(parts.second), query,
+              body);
     else if (watched)
-        start_watch(from.id(), kind, *watched);
+        start_watch(from.id(), kind, *watched, wait);
     else
-        list(from.id(), kind);
+        list(from.id(), kind, parameter(query, "after"));
 }
 
 void store_standin::on_caller_left(net::server_connection& from)
@@ -159,48 +182,76 @@
     watches_.erase(from.id());
 }
 
-void store_standin::list(std::uint64_t connection, std::string const& kind)
+void store_standin::list(std::uint64_t connection, std::string const& kind,
+                         std::string_view after)
 {
     auto items = json::array();
-    for (auto const& it : objects_[kind])
-        items.push_back(it.second);
+    auto const& objects = contents_.objects[kind];
+    auto it = objects.upper_bound(std::string(after));
+    for (; it != objects.end() && items.size() < page_size_; ++it)
+        items.push_back(it->second);
+    bool const truncated = it != objects.end();
     answer(connection, 200,
            {{"items", std::move(items)},
-            {"truncated", false},
-            {"asOf", revision_}});
+            {"truncated", truncated},
+            {"asOf", contents_.revision}});
+    if (truncated && on_page)
+        on_page();
 }
 
 void store_standin::start_watch(std::uint64_t connection,
-                                std::string const& kind, std::uint64_t from)
+                                std::string const& kind, std::uint64_t from,
+                                std::chrono::milliseconds wait)
 {
-    watch const it{kind, from};
-    if (from + 1 < first_kept_)
+    watch const it{kind, from,
+                   std::make_shared<asio::steady_timer>(loop_, wait)};
+    bool const unknown = from > contents_.revision;
+    if (from + 1 < first_kept_ || unknown)
         answer(connection, 410, json::object());
     else if (!answer_watch(connection, it))
+    {
         watches_[connection] = it;
+        it.end->async_wait(
+            [this, connection](asio::error_code ec)
+            {
+                if (!ec && watches_.erase(connection) > 0)
+                    answer(connection, 200,
+                           {{"events", json::array()},
+                            {"asOf", contents_.revision}});
+            });
+    }
 }
 
 bool store_standin::answer_watch(std::uint64_t connection, watch const& it)
 {
     auto events = json::array();
-    for (auto const& made : changes_)
+    for (auto const& made : contents_.changes)
         if (made.kind == it.kind && made.revision > it.from)
             events.push_back(made.event);
     if (events.empty())
         return false;
     answer(connection, 200,
-           {{"events", std::move(events)}, {"asOf", revision_}});
+           {{"events", std::move(events)}, {"asOf", contents_.revision}});
     return true;
 }
 
 void store_standin::write(std::uint64_t connection, std::string const& method,
                           std::string const& kind, std::string name,
-                          std::string const& body)
+                          std::string_view query, std::string const& body)
 {
     auto const value = json::parse(body, nullptr, false);
     if (method == "DELETE")
     {
-        if (objects_[kind].count(name) > 0)
+        auto const found = contents_.objects[kind].find(name);
+        auto const revision = http::parse_number(parameter(query, "revision"));
+        bool const exists = found != contents_.objects[kind].end();
+        if (exists && revision &&
+            found->second["metadata"]["revision"] != *revision)
+        {
+            answer(connection, 409, found->second);
+            return;
+        }
+        if (exists)
             remove(kind, name);
         answer(connection, 200, json::object());
         return;
@@ -212,13 +263,13 @@
     }
     if (method == "POST")
         name = value["metadata"].value("name", "");
-    if (method == "POST" && objects_[kind].count(name) > 0)
+    if (method == "POST" && contents_.objects[kind].count(name) > 0)
     {
-        answer(connection, 409, objects_[kind][name]);
+        answer(connection, 409, contents_.objects[kind][name]);
         return;
     }
     put(kind, name, value.value("specification", json()));
-    answer(connection, 200, objects_[kind][name]);
+    answer(connection, 200, contents_.objects[kind][name]);
 }
 
 } // namespace buckthornvale::standins::fleet_platform
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -4,11 +4,17 @@
 #include <buckthornvale/net/http_server.hpp>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace buckthornvale::standins::fleet_platform
@@ -54,6 +60,19 @@
     //! Forgets the history, so that a watch has to list again.
     void compact();
 
+    //! Keeps a copy of all objects and revisions.
+    void save_copy();
+
+    //! Comes back from the copy: what was written since is gone, revisions are
+    //! given out again, and the era rises. Watches that wait are cut.
+    void restore_copy();
+
+    //! Lists return this many objects at once.
+    void set_page_size(std::size_t n) { page_size_ = n; }
+
+    //! Called after each page of a list that has a next one.
+    std::function<void()> on_page;
+
     // request_handler
     void on_request(net::server_connection& from, http::request_head& head,
                     std::string& body) override;
@@ -68,29 +87,45 @@
         nlohmann::json event;
     };
 
+    using object_map =
+        std::map<std::string, std::map<std::string, nlohmann::json>>;
+
+    //! All that comes back from a copy.
+    struct contents
+    {
+        object_map objects;
+        std::vector<change> changes;
+        std::uint64_t revision = 1;
+    };
+
     struct watch
     {
         std::string kind;
         std::uint64_t from = 0;
+        std::shared_ptr<asio::steady_timer> end; //!< of its wait
     };
 
     void answer(std::uint64_t connection, int status,
                 nlohmann::json const& body);
-    void list(std::uint64_t connection, std::string const& kind);
+    void cut_watches();
+    void list(std::uint64_t connection, std::string const& kind,
+              std::string_view after);
     void start_watch(std::uint64_t connection, std::string const& kind,
-                     std::uint64_t from);
+                     std::uint64_t from, std::chrono::milliseconds wait);
     bool answer_watch(std::uint64_t connection, watch const& it);
     void write(std::uint64_t connection, std::string const& method,
                std::string const& kind, std::string name,
-               std::string const& body);
+               std::string_view query, std::string const& body);
     void note(std::string const& kind, nlohmann::json object, bool deleted);
 
+    asio::io_context& loop_;
     net::http_server server_;
-    std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
-    std::vector<change> changes_;
+    contents contents_;
+    contents copy_;
     std::map<std::uint64_t, watch> watches_;
-    std::uint64_t revision_ = 1;
     std::uint64_t first_kept_ = 1;
+    std::uint64_t era_ = 1;
+    std::size_t page_size_ = 500;
     std::map<std::string, std::string> replaced_values_;
     bool down_ = false;
     bool silent_ = false;
