gateway: log the era and the revisions of the store

Change: Store-Era is read from all answers to watches; store_listed and store_changed name era and revision, store_era_risen tells of a restore, and a counter counts them. What a watch returns is one struct in place of three arguments. No decision changes.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -8,6 +8,7 @@
 #include <buckthornvale/gateway/observe/log_writer.hpp>
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
 #include <buckthornvale/gateway/runner_attempt.hpp>
+#include <buckthornvale/gateway/store/store_era.hpp>
 #include <buckthornvale/gateway/store/store_watcher.hpp>
 #include <buckthornvale/net/http_client.hpp>
 #include <buckthornvale/net/http_server.hpp>
@@ -121,8 +122,9 @@
     void destroy_later(std::unique_ptr<runner_attempt> attempt);
 
     void start_store_watchers();
-    void apply_runners(std::vector<platform::stored_object> const& objects,
-                       bool listed, std::optional<time_point> failed_after);
+    void log_update(char const* watch, store::object_update const& update);
+    store::era_order observe_store_era(std::optional<std::uint64_t> era);
+    void apply_runners(store::object_update const& update);
     //! Decodes the head of an answer to a call of this VM, and the notice in
     //! it.
     platform::runner_response read_head(std::string const& runner_id,
@@ -130,9 +132,9 @@
     void finish_stage_call(decision::gateway::call_ref call, std::size_t pieces,
                            platform::runner_response const& answer,
                            net::call_result const& result);
-    void apply_members(std::vector<platform::stored_object> const& objects,
-                       bool listed);
-    void apply_manifest(std::vector<platform::stored_object> const& objects);
+    void apply_members(store::object_update const& update);
+    void apply_manifest(store::object_update const& update);
+    void take_manifest(platform::stored_object const& object);
     void fetch_manifest_from_peer(time_point now);
     void call_store(platform::store_request call, net::call_done done);
     void register_member();
@@ -161,6 +163,7 @@
     peer::peer_sender peer_sender_;
     net::http_server caller_server_;
     std::unique_ptr<control_handler> control_handler_;
+    store::store_era store_era_;
     std::vector<std::unique_ptr<store::store_watcher>> store_watchers_;
     std::unordered_map<request_ref, caller_request> requests_;
     std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -31,6 +31,9 @@
     //! Counts bytes of callers that were read and dropped.
     void count_discarded_input(std::size_t bytes);
 
+    //! Counts a return of the store from a copy.
+    void count_store_restore();
+
     //! Records how much later than planned the periodic tick of the event loop
     //! ran.
     void observe_tick_delay(decision::duration delay);
@@ -48,6 +51,7 @@
     prometheus::Histogram& request_seconds_;
     prometheus::Counter& sends_;
     prometheus::Counter& discarded_input_bytes_;
+    prometheus::Counter& store_restores_;
     prometheus::Histogram& stage_call_pieces_;
     prometheus::Histogram& tick_delay_seconds_;
     prometheus::Gauge& active_requests_;
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -2,6 +2,8 @@
 #define BUCKTHORNVALE_GATEWAY_STORE_STORE_WATCHER_HPP
 
 #include <buckthornvale/gateway/gateway_request.hpp>
+#include <buckthornvale/gateway/store/object_update.hpp>
+#include <buckthornvale/gateway/store/store_era.hpp>
 #include <buckthornvale/net/timer.hpp>
 #include <buckthornvale/platform/store_codec.hpp>
 
@@ -40,14 +42,12 @@
 public:
     struct callback_set
     {
-        //! Receives all objects. `failed_after` is set shortly after the store
-        //! became reachable again: its last failure came later.
-        std::function<void(std::vector<platform::stored_object> const&,
-                           std::optional<time_point> failed_after)>
-            listed;
-        std::function<void(std::vector<platform::stored_object> const&,
-                           std::optional<time_point> failed_after)>
-            changed;
+        std::function<void(object_update const&)> updated;
+
+        //! Receives the era that an answer states, and tells how it compares
+        //! with that of other answers.
+        std::function<era_order(std::optional<std::uint64_t> era)> observe_era;
+
         //! Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable, std::string const& reason)>
             reachable;
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -25,77 +25,99 @@
 
 void gateway_process::start_store_watchers()
 {
-    using objects = std::vector<platform::stored_object>;
-    auto const add_watcher =
-        [this](platform::object_kind kind, store::watch_timing timing,
-               char const* name,
-               std::function<void(objects const&, bool,
-                                  std::optional<time_point>)> const& apply)
+    struct watched_kind
+    {
+        platform::object_kind kind;
+        store::watch_timing timing;
+        char const* name;
+        void (gateway_process::*apply)(store::object_update const&);
+    };
+    watched_kind const kinds[] = {
+        {platform::object_kind::manifest,
+         store::manifest_watch_timing(settings_), "manifest",
+         &gateway_process::apply_manifest},
+        {platform::object_kind::runners, store::runner_watch_timing(settings_),
+         "runners", &gateway_process::apply_runners},
+        {platform::object_kind::members, store::member_watch_timing(),
+         "members", &gateway_process::apply_members}};
+    for (auto const& it : kinds)
     {
         store::store_watcher::callback_set callbacks;
-        callbacks.listed =
-            [apply](objects const& all, std::optional<time_point> failed_after)
-        { apply(all, true, failed_after); };
-        callbacks.changed = [apply](objects const& changes,
-                                    std::optional<time_point> failed_after)
-        { apply(changes, false, failed_after); };
+        callbacks.updated = [this, it](store::object_update const& update)
+        {
+            log_update(it.name, update);
+            (this->*it.apply)(update);
+        };
+        callbacks.observe_era = [this](std::optional<std::uint64_t> era)
+        { return observe_store_era(era); };
         callbacks.reachable =
-            [this, name](bool reachable, std::string const& reason)
+            [this, it](bool reachable, std::string const& reason)
         {
             log(reachable ? "store_regained" : "store_lost",
-                {{"watch", name}, {"reason", reason}});
+                {{"watch", it.name}, {"reason", reason}});
         };
         store_watchers_.push_back(std::make_unique<store::store_watcher>(
-            loop_, http_client_, settings_.store_endpoint.to_string(), kind,
-            timing, [this] { return now(); }, std::move(callbacks)));
-        store_watchers_.back()->start();
-        return store_watchers_.back().get();
-    };
-    manifest_watcher_ =
-        add_watcher(platform::object_kind::manifest,
-                    store::manifest_watch_timing(settings_), "manifest",
-                    [this](objects const& all, bool, std::optional<time_point>)
-                    { apply_manifest(all); });
-    add_watcher(platform::object_kind::runners,
-                store::runner_watch_timing(settings_), "runners",
-                [this](objects const& all, bool listed,
-                       std::optional<time_point> failed_after)
-                { apply_runners(all, listed, failed_after); });
-    add_watcher(
-        platform::object_kind::members, store::member_watch_timing(), "members",
-        [this](objects const& all, bool listed, std::optional<time_point>)
-        { apply_members(all, listed); });
+            loop_, http_client_, settings_.store_endpoint.to_string(), it.kind,
+            it.timing, [this] { return now(); }, std::move(callbacks)));
+    }
+    manifest_watcher_ = store_watchers_.front().get();
+    for (auto const& it : store_watchers_)
+        it->start();
+}
+
+void gateway_process::log_update(char const* watch,
+                                 store::object_update const& update)
+{
+    log(update.listed ? "store_listed" : "store_changed",
+        {{"watch", watch},
+         {"era", std::to_string(store_era_.current().value_or(0))},
+         {"revision", std::to_string(update.revision)},
+         {"objects", std::to_string(update.objects.size())}});
+}
+
+store::era_order
+gateway_process::observe_store_era(std::optional<std::uint64_t> era)
+{
+    auto const former = store_era_.current();
+    auto const order = store_era_.observe(era);
+    if (order == store::era_order::risen)
+    {
+        log("store_era_risen",
+            {{"from", std::to_string(*former)}, {"to", std::to_string(*era)}});
+        metrics_.count_store_restore();
+    }
+    return order;
 }
 
-void gateway_process::apply_manifest(
-    std::vector<platform::stored_object> const& objects)
+void gateway_process::apply_manifest(store::object_update const& update)
 {
     constexpr std::string_view name = "main";
-    for (auto const& it : objects)
+    for (auto const& it : update.objects)
+        if (!it.deleted && it.name == name)
+            take_manifest(it);
+}
+
+void gateway_process::take_manifest(platform::stored_object const& object)
+{
+    auto value = platform::decode_manifest(object);
+    if (value == nullptr)
     {
-        if (it.deleted || it.name != name)
-            continue;
-        auto value = platform::decode_manifest(it);
-        if (value == nullptr)
-            log("manifest_unreadable",
-                {{"revision", std::to_string(it.revision)}});
-        else
-        {
-            auto const* current = reducer_.current_manifest();
-            if (current == nullptr || current->version < value->version)
-                encoded_manifest_ = platform::encode_object(it);
-            reduce(model::manifest_changed{std::move(value)});
-        }
+        log("manifest_unreadable",
+            {{"revision", std::to_string(object.revision)}});
+        return;
     }
+    auto const* current = reducer_.current_manifest();
+    if (current == nullptr || current->version < value->version)
+        encoded_manifest_ = platform::encode_object(object);
+    reduce(model::manifest_changed{std::move(value)});
 }
 
-void gateway_process::apply_runners(
-    std::vector<platform::stored_object> const& objects, bool listed,
-    std::optional<time_point> failed_after)
+void gateway_process::apply_runners(store::object_update const& update)
 {
+    bool const listed = update.listed;
     model::runners_listed all;
-    all.store_failed_after = failed_after;
-    for (auto const& it : objects)
+    all.store_failed_after = update.failed_after;
+    for (auto const& it : update.objects)
     {
         auto entry = it.deleted ? std::nullopt : platform::decode_runner(it);
         if (!it.deleted && !entry)
@@ -105,18 +127,17 @@
         else if (!listed && entry)
             reduce(model::runner_changed{std::move(*entry)});
         else if (!listed)
-            reduce(model::runner_removed{it.name, failed_after});
+            reduce(model::runner_removed{it.name, update.failed_after});
     }
     if (listed)
         reduce(all);
 }
 
-void gateway_process::apply_members(
-    std::vector<platform::stored_object> const& objects, bool listed)
+void gateway_process::apply_members(store::object_update const& update)
 {
-    if (listed)
+    if (update.listed)
         members_.clear();
-    for (auto const& it : objects)
+    for (auto const& it : update.objects)
     {
         auto entry = it.deleted ? std::nullopt : platform::decode_member(it);
         if (entry)
@@ -162,7 +183,7 @@
                   if (!object)
                       return;
                   log("manifest_from_peer", {{"member", name}});
-                  apply_manifest({*object});
+                  take_manifest(*object);
               });
 }
 
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -58,6 +58,9 @@
       discarded_input_bytes_(add_counter(
           registry_, "buckthornvale_gateway_discarded_input_bytes_total",
           "Bytes of callers that were read and dropped")),
+      store_restores_(add_counter(registry_,
+                                  "buckthornvale_gateway_store_restores_total",
+                                  "Returns of the store from a copy")),
       stage_call_pieces_(add_histogram(
           registry_, "buckthornvale_gateway_stage_call_pieces",
           "Pieces per call to a stage runner", {1, 2, 4, 8, 16, 32, 64, 128})),
@@ -98,6 +101,11 @@
     discarded_input_bytes_.Increment(double(bytes));
 }
 
+void gateway_metrics::count_store_restore()
+{
+    store_restores_.Increment();
+}
+
 void gateway_metrics::observe_tick_delay(decision::duration delay)
 {
     tick_delay_seconds_.Observe(decision::to_seconds(delay));
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -1,6 +1,7 @@
 #include <buckthornvale/gateway/store/store_watcher.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornvale::gateway::store
 {
@@ -90,6 +91,7 @@
         retry_later(failure_texts[static_cast<std::size_t>(*result.failure)]);
         return;
     }
+    callbacks_.observe_era(platform::decode_store_era(result.head));
     int const status = result.head.status;
     // Other responses that reject the revision are handled alike.
     bool const history_gone =
@@ -179,14 +181,18 @@
     }
     list_cursor_.clear();
     list_completed_ = true;
-    callbacks_.listed(listed_objects_, failed_shortly_before(clock_()));
-    listed_objects_.clear();
+    object_update update;
+    update.objects = std::exchange(listed_objects_, {});
+    update.listed = true;
+    update.revision = revision_;
+    update.failed_after = failed_shortly_before(clock_());
+    callbacks_.updated(update);
     request_watch();
 }
 
 void store_watcher::handle_changes(std::string const& body)
 {
-    auto const page = platform::decode_changes(body);
+    auto page = platform::decode_changes(body);
     if (!page.ok())
     {
         retry_later(std::string(page.status().message()));
@@ -199,9 +205,13 @@
         request_watch();
         return;
     }
-    auto const failed_after = failed_shortly_before(clock_());
-    callbacks_.changed(page->objects, failed_after);
-    continue_after(failed_after ? timing_.pause_after_outage : timing_.pause);
+    object_update update;
+    update.objects = std::move(page->objects);
+    update.revision = revision_;
+    update.failed_after = failed_shortly_before(clock_());
+    callbacks_.updated(update);
+    continue_after(update.failed_after ? timing_.pause_after_outage
+                                       : timing_.pause);
 }
 
 } // namespace buckthornvale::gateway::store
