gateway: what a VM knows of the store belongs to an era

What callers saw: a route that was added after the store had come back from a copy was not served (404), until the next change of the manifest.

Cause: each watch kept one number and compared it across the restore. Once the counter of the store had passed it again, the store answered with what came after it in another history, and no 410 told. A list that was read page by page across the restore, and the entry of a VM that was not in the copy, had the same cause: the VM never registered again. The class: a number of one history compared in another.

Change: an answer whose Store-Era is higher than that of the answers before ends all watches of the VM, which list anew; one with a lower era is dropped. Revisions of VMs for conditional removals are forgotten until the list. A restore counts as an outage that ended now, so that missing entries of runners keep their grace period.

Why it works: every answer states the era, so a number is never used with a history other than its own, whoever notices the restore first.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -72,11 +72,12 @@
         bool reading_paused = false;
     };
 
-    //! A VM in the member list and the revision of its object.
+    //! A VM in the member list.
     struct registered_member
     {
         decision::gateway::member value;
-        std::uint64_t revision = 0;
+        //! Of its object; unknown since the store came back from a copy.
+        std::optional<std::uint64_t> revision;
     };
 
     // net::request_handler
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -36,7 +36,7 @@
 
 //! Follows all objects of one kind in the store: lists them, watches for
 //! changes from the revision of the list, and lists again when the store has
-//! compacted that revision.
+//! compacted that revision or has come back from a copy.
 class store_watcher
 {
 public:
@@ -60,9 +60,14 @@
 
     void start();
 
+    //! Reads all objects anew, because the store has come back from a copy:
+    //! what was read before, and its revision, belong to another history.
+    void restart();
+
     bool is_reachable() const { return reachable_; }
 
 private:
+    void list_anew();
     void request_list();
     void request_watch();
     void send(platform::store_request const& call, duration timeout);
@@ -89,6 +94,7 @@
     time_point call_started_at_{}; //!< of the last call
     time_point failed_after_{};    //!< the last failure came later
     std::uint32_t failed_calls_ = 0;
+    net::call_id call_ = 0; //!< the last one
     std::uint64_t revision_ = 0;
     std::string list_cursor_; //!< last name of the previous page
     std::vector<platform::stored_object> listed_objects_;
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -85,6 +85,10 @@
         log("store_era_risen",
             {{"from", std::to_string(*former)}, {"to", std::to_string(*era)}});
         metrics_.count_store_restore();
+        for (auto& it : members_)
+            it.second.revision.reset();
+        for (auto const& it : store_watchers_)
+            it->restart();
     }
     return order;
 }
@@ -190,12 +194,12 @@
 void gateway_process::execute(model::remove_member const& effect)
 {
     auto const found = members_.find(effect.member);
-    if (found == members_.end())
+    if (found == members_.end() || !found->second.revision)
         return;
     // A failed call needs no retry here: the reducer requests the removal
     // again.
     call_store(
-        platform::delete_member_request(effect.member, found->second.revision),
+        platform::delete_member_request(effect.member, *found->second.revision),
         [](net::call_result const&) {});
 }
 
@@ -209,7 +213,14 @@
                std::move(call.target),
                std::move(call.body),
                {}},
-              options, std::move(done));
+              options,
+              [this, done = std::move(done)](net::call_result const& result)
+              {
+                  if (!result.failure)
+                      observe_store_era(
+                          platform::decode_store_era(result.head));
+                  done(result);
+              });
 }
 
 bool gateway_process::self_registered() const
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -47,6 +47,26 @@
     request_list();
 }
 
+void store_watcher::restart()
+{
+    client_.cancel(call_);
+    timer_.stop();
+    if (reachable_)
+    {
+        // The store was away, whether a call failed meanwhile or not.
+        failed_after_ = answered_at_;
+        reachable_since_ = clock_();
+    }
+    list_anew();
+}
+
+void store_watcher::list_anew()
+{
+    list_completed_ = false;
+    list_cursor_.clear();
+    request_list();
+}
+
 void store_watcher::request_list()
 {
     watching_ = false;
@@ -73,7 +93,7 @@
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
-    make_call(
+    call_ = make_call(
         client_, address_,
         {call.method, call.target, call.body, {}, max_answer_bytes}, options,
         [this](net::call_result const& result) { handle_response(result); });
@@ -91,7 +111,16 @@
         retry_later(failure_texts[static_cast<std::size_t>(*result.failure)]);
         return;
     }
-    callbacks_.observe_era(platform::decode_store_era(result.head));
+    switch (callbacks_.observe_era(platform::decode_store_era(result.head)))
+    {
+    case era_order::current:
+        break;
+    case era_order::risen:
+        return; // `restart` was called
+    case era_order::former:
+        retry_later("answer of a former era");
+        return;
+    }
     int const status = result.head.status;
     // Other responses that reject the revision are handled alike.
     bool const history_gone =
@@ -99,8 +128,7 @@
     if (watching_ && history_gone)
     {
         mark_reachable();
-        list_cursor_.clear();
-        request_list();
+        list_anew();
     }
     else if (status != http::status_ok)
         retry_later("status " + std::to_string(status));
@@ -131,7 +159,7 @@
     timer_.start(pause,
                  [this]
                  {
-                     if (list_completed_ && list_cursor_.empty())
+                     if (list_completed_)
                          request_watch();
                      else
                          request_list();
--- a/packages/net/include/buckthornvale/net/timer.hpp
+++ b/packages/net/include/buckthornvale/net/timer.hpp
@@ -25,6 +25,9 @@
     //! Calls the handler once after the delay. Replaces the previous handler.
     void start(duration delay, handler on_expiry);
 
+    //! The handler is not called any more.
+    void stop() { handler_.reset(); }
+
 private:
     asio::steady_timer timer_;
     std::shared_ptr<handler> handler_;
