gateway: a VM that starts asks the others for a newer manifest

What callers saw: a VM that started after the store had come back from a copy, and before the operator had written the newest manifest again, answered 404 for routes that the other VMs served.

Cause: the others were asked only while the store was out of reach; a store that answers was believed to hold the newest manifest.

The store accepts only valid manifests, so what a VM holds was valid; the highest version counts, as before.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -178,6 +178,9 @@
     bool fetching_manifest_ = false;
     std::size_t next_peer_index_ = 0;
     time_point last_manifest_fetch_at_{};
+    //! For a newer manifest. The store may lack it for some time after it has
+    //! come back from a copy.
+    time_point ask_peers_until_{};
     std::vector<decision::gateway::event> pending_events_;
     bool reducing_ = false;
     request_ref next_ref_;
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -64,6 +64,8 @@
             loop_, http_client_, settings_.store_endpoint.to_string(), it.kind,
             it.timing, [this] { return now(); }, std::move(callbacks)));
     }
+    // The store may have come back from a copy shortly before.
+    ask_peers_until_ = now() + settings_.settle_time;
     manifest_watcher_ = store_watchers_[0].get();
     runner_watcher_ = store_watchers_[1].get();
     for (auto const& it : store_watchers_)
@@ -94,6 +96,7 @@
             it.second.revision.reset();
         for (auto const& it : store_watchers_)
             it->restart();
+        ask_peers_until_ = now() + settings_.settle_time;
     }
     return order;
 }
@@ -176,8 +179,9 @@
 
 void gateway_process::fetch_manifest_from_peer(time_point at)
 {
-    if (manifest_watcher_->is_reachable() || fetching_manifest_ ||
-        members_.size() < 2 ||
+    bool const store_suffices =
+        manifest_watcher_->is_reachable() && at >= ask_peers_until_;
+    if (store_suffices || fetching_manifest_ || members_.size() < 2 ||
         at - last_manifest_fetch_at_ < manifest_fetch_interval)
         return;
     last_manifest_fetch_at_ = at;
--- a/packages/gateway/tests/restored_store_test.cpp
+++ b/packages/gateway/tests/restored_store_test.cpp
@@ -156,5 +156,18 @@
     expect_nothing_at(*first);
 }
 
+// A VM that started before the operator had written the newest manifest again
+// knew only the older one, although another VM held the newer one.
+TEST_F(restored_store, leaves_no_starting_vm_with_an_older_manifest)
+{
+    auto const holder = start_gateway("vm-0");
+    object_store.save_copy();
+    put_manifest(2, true);
+    run_for(400ms);
+    restore([] {});
+    auto const starting = start_gateway("vm-1");
+    EXPECT_TRUE(serves_in_time("/extra/x"));
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
