gateway: VMs that a restored store has lost stay in the list for a while

By reading: VMs that had registered after the copy was made were missing for a moment, so that others took over their services, shares of limits and parts of the retry budget, which all count the list of VMs.

Cause: the first list after a restore took the place of what was known, as any other.

The list is a class of its own, member_list, taken out of gateway_process.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -8,6 +8,7 @@
 #include <buckthornvale/gateway/observe/log_writer.hpp>
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
 #include <buckthornvale/gateway/runner_attempt.hpp>
+#include <buckthornvale/gateway/store/member_list.hpp>
 #include <buckthornvale/gateway/store/store_era.hpp>
 #include <buckthornvale/gateway/store/store_watcher.hpp>
 #include <buckthornvale/net/http_client.hpp>
@@ -72,14 +73,6 @@
         bool reading_paused = false;
     };
 
-    //! A VM in the member list.
-    struct registered_member
-    {
-        decision::gateway::member value;
-        //! Of its object; unknown since the store came back from a copy.
-        std::optional<std::uint64_t> revision;
-    };
-
     // net::request_handler
     void on_request(net::server_connection& from, http::request_head& head,
                     std::string& body) override;
@@ -137,13 +130,13 @@
     //! gone have lapsed, so that one that is left is known to live.
     void list_runners_later();
     void apply_members(store::object_update const& update);
+    void drop_lapsed_members(time_point at);
     void apply_manifest(store::object_update const& update);
     void take_manifest(platform::stored_object const& object);
     void fetch_manifest_from_peer(time_point now);
     void call_store(platform::store_request call, net::call_done done);
     void register_member();
     void write_member(bool replace);
-    bool self_registered() const;
     void log(char const* what,
              std::vector<decision::gateway::log_decision::field> fields);
 
@@ -171,7 +164,7 @@
     std::vector<std::unique_ptr<store::store_watcher>> store_watchers_;
     std::unordered_map<request_ref, caller_request> requests_;
     std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
-    std::map<std::string, registered_member> members_;
+    store::member_list members_;
     std::string encoded_manifest_; //!< object in force, served to other VMs
     store::store_watcher const* manifest_watcher_ = nullptr;
     store::store_watcher* runner_watcher_ = nullptr;
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -258,6 +258,7 @@
         metrics_.set_limited_runners(reducer_.rate_limited_runners());
         log_writer_.flush();
     }
+    drop_lapsed_members(at);
     fetch_manifest_from_peer(at);
     stop_when_drained(at);
     schedule_tick();
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -92,8 +92,7 @@
         log("store_era_risen",
             {{"from", std::to_string(*former)}, {"to", std::to_string(*era)}});
         metrics_.count_store_restore();
-        for (auto& it : members_)
-            it.second.revision.reset();
+        members_.forget_revisions();
         for (auto const& it : store_watchers_)
             it->restart();
         ask_peers_until_ = now() + settings_.settle_time;
@@ -159,24 +158,18 @@
 
 void gateway_process::apply_members(store::object_update const& update)
 {
-    if (update.listed)
-        members_.clear();
-    for (auto const& it : update.objects)
-    {
-        auto entry = it.deleted ? std::nullopt : platform::decode_member(it);
-        if (entry)
-            members_[it.name] = {std::move(*entry), it.revision};
-        else
-            members_.erase(it.name);
-    }
-    model::members_listed all;
-    for (auto const& it : members_)
-        all.members.push_back(it.second.value);
-    reduce(all);
-    if (!self_registered())
+    members_.apply(update, now());
+    reduce(model::members_listed{members_.values()});
+    if (!members_.is_registered(self_))
         register_member();
 }
 
+void gateway_process::drop_lapsed_members(time_point at)
+{
+    if (members_.expire(at))
+        reduce(model::members_listed{members_.values()});
+}
+
 void gateway_process::fetch_manifest_from_peer(time_point at)
 {
     bool const store_suffices =
@@ -185,9 +178,8 @@
         at - last_manifest_fetch_at_ < manifest_fetch_interval)
         return;
     last_manifest_fetch_at_ = at;
-    auto to = members_.begin();
-    std::advance(to, next_peer_index_++ % members_.size());
-    if (to->first == self_.name)
+    auto const& to = members_.at(next_peer_index_++ % members_.size());
+    if (to.name == self_.name)
         return;
     auto const* current = reducer_.current_manifest();
     auto const target =
@@ -197,9 +189,8 @@
     options.connect_timeout = manifest_fetch_timeout;
     options.timeout = manifest_fetch_timeout;
     fetching_manifest_ = true;
-    make_call(http_client_, to->second.value.address, {"GET", target, {}, {}},
-              options,
-              [this, name = to->first](net::call_result const& result)
+    make_call(http_client_, to.address, {"GET", target, {}, {}}, options,
+              [this, name = to.name](net::call_result const& result)
               {
                   fetching_manifest_ = false;
                   if (result.failure || result.head.status != http::status_ok)
@@ -214,14 +205,13 @@
 
 void gateway_process::execute(model::remove_member const& effect)
 {
-    auto const found = members_.find(effect.member);
-    if (found == members_.end() || !found->second.revision)
+    auto const revision = members_.revision_of(effect.member);
+    if (!revision)
         return;
     // A failed call needs no retry here: the reducer requests the removal
     // again.
-    call_store(
-        platform::delete_member_request(effect.member, *found->second.revision),
-        [](net::call_result const&) {});
+    call_store(platform::delete_member_request(effect.member, *revision),
+               [](net::call_result const&) {});
 }
 
 void gateway_process::call_store(platform::store_request call,
@@ -244,13 +234,6 @@
               });
 }
 
-bool gateway_process::self_registered() const
-{
-    auto const found = members_.find(self_.name);
-    return found != members_.end() &&
-           found->second.value.incarnation == self_.incarnation;
-}
-
 void gateway_process::register_member()
 {
     if (registering_ || draining_)
