gateway: no call of stages is made again before the input of a delay is read

What callers saw: nothing; runners worked twice on the same pieces after a VM had been short of processor time.

Cause: the silence of a call was measured until now, although its answer may have arrived during a delay of the process and wait to be read.

Change: calls are made again on a tick, and their silence is measured until the input that the last tick has read, as for requests.

One test of the scheduler asks for the repetition itself now, with the same expectations.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -106,6 +106,10 @@
     void dispatch(runner_directory& runners, call_ref& next_call,
                   time_point now, effects& out);
 
+    //! Queues the pieces of calls again that have had no answer for much longer
+    //! than usual, among all that had arrived at `input_until`.
+    void hedge_slow_calls(time_point input_until);
+
     //! Returns the results since the previous call.
     std::vector<addressed_result> take_results();
 
@@ -182,7 +186,6 @@
     double effective_slots(absl::Span<runner_state* const> usable,
                            time_point now) const;
     void report_inputs_read(time_point now);
-    void hedge_slow_calls(time_point now);
     double slowness_of(std::string const& runner_id, time_point now) const;
     void drop_hedge_copies(std::vector<queued_piece> const& pieces);
     void finish_piece(queued_piece& it, piece_outcome outcome,
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -189,6 +189,8 @@
     if (draining_ && finish_at_ <= now)
         give_up_requests(now);
     assign_stage_shares(now);
+    for (auto& it : schedulers_)
+        it.second.hedge_slow_calls(in.input_until);
     probe_owners(in.input_until, now);
     remove_unreachable_members(now);
     dispatch_needed_ = true;
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -193,7 +193,7 @@
     return has_handle ? answer_origin::own : answer_origin::unknown;
 }
 
-void stage_scheduler::hedge_slow_calls(time_point now)
+void stage_scheduler::hedge_slow_calls(time_point input_until)
 {
     for (auto& entry : calls_)
     {
@@ -202,7 +202,7 @@
             to_seconds(nominal_time(call.pieces.size())) *
             std::max(1.0, slowness_of(call.runner_id, call.started));
         if (call.hedged ||
-            now - call.started <
+            input_until - call.started <
                 from_seconds(expected_s * hedge_factor) + hedge_slack)
             continue;
         call.hedged = true;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -392,7 +392,6 @@
     returned_.expire(now);
     expire_results(now);
     report_inputs_read(now);
-    hedge_slow_calls(now);
     drop_late_pieces(now);
     announced_.expire(now);
 }
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -169,9 +169,11 @@
     auto const silent_runner = pool.calls[1].runner_id;
     pool.call_ends = {};
     pool.now = start + 300ms;
+    scheduler.hedge_slow_calls(pool.now);
     pool.dispatch(scheduler, true);
     EXPECT_EQ(pool.calls.size(), 1U);
     pool.now = start + 700ms;
+    scheduler.hedge_slow_calls(pool.now);
     pool.dispatch(scheduler, true);
     ASSERT_EQ(pool.calls.size(), 2U);
     EXPECT_NE(pool.calls[2].runner_id, silent_runner);
