soak: the store comes back from a copy

Cause: no fault of the soak let the store lose what it had acknowledged.

Change: restore_store. The store is away for 0.1 to 0.8 s and comes back from a copy that is some seconds old; operator and runners write again up to 1.5 s later, while other faults go on.

--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -50,9 +50,12 @@
 
 void store_standin::remove(std::string const& kind, std::string const& name)
 {
+    auto const found = contents_.objects[kind].find(name);
+    if (found == contents_.objects[kind].end())
+        return;
     ++contents_.revision;
-    auto const object = contents_.objects[kind][name];
-    contents_.objects[kind].erase(name);
+    auto const object = std::move(found->second);
+    contents_.objects[kind].erase(found);
     note(kind, object, true);
 }
 
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -32,6 +32,7 @@
     //! Writes an object and wakes the watches of its kind.
     void put(std::string const& kind, std::string const& name,
              nlohmann::json specification);
+    //! Does nothing without the object.
     void remove(std::string const& kind, std::string const& name);
 
     void put_manifest(nlohmann::json manifest);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -51,6 +51,8 @@
     {"stop_store", &soak::stop_store},
     {"silence_store", &soak::silence_store},
     {"compact_store", &soak::compact_store},
+    {"restore_store", &soak::restore_store},
+    {"restore_store", &soak::restore_store},
     {"lose_watches", &soak::lose_watches}};
 
 soak::soak(soak_options options)
@@ -77,6 +79,7 @@
     add_runners("engine", 4);
     add_runners("stage", 2);
     put_manifest();
+    store_.save_copy();
     for (std::size_t n = 0; n < options_.vms; ++n)
     {
         vms_.push_back(std::make_unique<gateway_vm>(
@@ -106,7 +109,8 @@
     auto manifest =
         standins::fleet_platform::manifest_of(++manifest_version_, routes);
     manifest["limits"]["idleTimeoutMs"] = idle_timeout_ / 1ms;
-    store_.put_manifest(std::move(manifest));
+    manifest_ = std::move(manifest);
+    store_.put_manifest(manifest_);
 }
 
 std::vector<std::string> soak::run()
@@ -311,11 +315,16 @@
         store_.put_runner(runner.id(), runner.entry());
         return;
     }
-    auto const former = runner.id();
+    former_runner_ids_.push_back(runner.id());
     runner.change_id();
     store_.put_runner(runner.id(), runner.entry());
-    at(now + entry_lifetime,
-       [this, former](time_point) { store_.remove("servers", former); });
+    at(now + entry_lifetime, [this](time_point) { remove_former_entries(); });
+}
+
+void soak::remove_former_entries()
+{
+    for (auto const& it : former_runner_ids_)
+        store_.remove("servers", it);
 }
 
 void soak::silence_runner_under_load(time_point now)
@@ -347,6 +356,34 @@
     store_.compact();
 }
 
+void soak::save_copy_later(time_point now)
+{
+    at(now + random_time(500, 3000),
+       [this](time_point) { store_.save_copy(); });
+}
+
+void soak::write_again()
+{
+    store_.put_manifest(manifest_);
+    for (auto const& it : runners_)
+        store_.put_runner(it->id(), it->entry());
+}
+
+void soak::restore_store(time_point now)
+{
+    store_.set_down(true);
+    auto const back = now + random_time(100, 800);
+    at(back,
+       [this](time_point)
+       {
+           store_.restore_copy();
+           store_.set_down(false);
+       });
+    at(back + random_time(0, 1500), [this](time_point) { write_again(); });
+    at(back + entry_lifetime, [this](time_point) { remove_former_entries(); });
+    save_copy_later(back);
+}
+
 void soak::lose_watches(time_point)
 {
     store_.lose_watches(random_() % 2 == 0 ? "servers" : "config");
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -74,9 +74,15 @@
     void silence_store(time_point now);
     void compact_store(time_point now);
     void lose_watches(time_point now);
+    //! The store is away for a moment and comes back from a copy; operator and
+    //! runners write again some time later.
+    void restore_store(time_point now);
 
     void start_fleet();
     void put_manifest();
+    void save_copy_later(time_point now);
+    void write_again();
+    void remove_former_entries();
     void plan_series(time_point now);
     void at(time_point when, std::function<void(time_point)> action);
     void run_due_actions(time_point now);
@@ -103,6 +109,8 @@
     std::map<gateway_vm const*, time_point> restart_at_;
     duration idle_timeout_;
     int manifest_version_ = 0;
+    nlohmann::json manifest_; //!< the last one
+    std::vector<std::string> former_runner_ids_;
 };
 
 } // namespace buckthornvale::soak
