soak: its summary names its longest step

Logs of the VMs had to show that the soak itself, with store, runners and callers, had stood still for seconds.

Change: the longest time between two steps is printed with each seed.

No check changes.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -147,7 +147,8 @@
     auto out = ledger_.summary() + "; faults:";
     for (auto const& it : injected_)
         out += " " + it.first + " " + std::to_string(it.second);
-    return out;
+    return out + "; longest step of the soak: " +
+           std::to_string(longest_step_ / 1ms) + " ms";
 }
 
 void soak::step(bool may_send)
@@ -155,6 +156,9 @@
     loop_.restart();
     loop_.run_for(step_time);
     auto const now = net::steady_now();
+    if (stepped_at_ != time_point())
+        longest_step_ = std::max(longest_step_, now - stepped_at_);
+    stepped_at_ = now;
     run_due_actions(now);
     for (auto& it : runners_)
         it->tick(now);
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -108,6 +108,9 @@
     std::map<std::string, std::size_t> injected_; //!< faults by name
     std::map<gateway_vm const*, time_point> restart_at_;
     duration idle_timeout_;
+    //! Store, runners and callers stand still during a step.
+    duration longest_step_{};
+    time_point stepped_at_{};
     int manifest_version_ = 0;
     nlohmann::json manifest_; //!< the last one
     std::vector<std::string> former_runner_ids_;
