gateway: sends nothing to runners of an evacuated failure domain

The operator's evacuations in the store were read by nobody, so requests, retries, resumed streams, stage calls and requests to free results went on to runners of the domain.

Where the settings bound evacuations, each VM now watches them. The runner directory returns and counts no runner of an evacuated domain; requests to free results wait. A VM is not ready before it has listed them. After a return of the store from a copy, known evacuations are held for the settle time and the bound.

The tests of the gateway package are in this commit, but had not been run when it was made.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -166,6 +166,19 @@
     std::optional<time_point> store_failed_after{}; //!< as in runners_listed
 };
 
+//! The failure domains that the operator evacuates.
+struct evacuations_listed
+{
+    std::vector<std::string> failure_domains;
+    bool restored = false; //!< as in runners_listed
+};
+
+struct evacuation_changed
+{
+    std::string failure_domain;
+    bool evacuated = false;
+};
+
 struct members_listed
 {
     std::vector<member> members;
@@ -212,13 +225,12 @@
     time_point input_until;
 };
 
-using event =
-    std::variant<request_arrived, caller_left, attempt_ended, runner_notified,
-                 stream_started, stream_advanced, delivery_blocked,
-                 stage_call_ended, stage_results_freed, manifest_changed,
-                 runners_listed, runner_changed, runner_removed, members_listed,
-                 peer_sent, peer_unreachable, peer_answered, drain_started,
-                 timer_fired>;
+using event = std::variant<
+    request_arrived, caller_left, attempt_ended, runner_notified,
+    stream_started, stream_advanced, delivery_blocked, stage_call_ended,
+    stage_results_freed, manifest_changed, runners_listed, runner_changed,
+    runner_removed, evacuations_listed, evacuation_changed, members_listed,
+    peer_sent, peer_unreachable, peer_answered, drain_started, timer_fired>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -37,6 +37,9 @@
     duration settle_time{};
     retry_budget_limits retries;
     time_point started_at{}; //!< of the process
+    //! Time within which an evacuation has to be obeyed. Not set if the
+    //! deployment has none.
+    std::optional<duration> evacuation_timeout{};
 };
 
 //! The decision logic of one gateway process: admission, stages, choice of
@@ -69,6 +72,12 @@
     //! Number of runners that name a limit on their requests.
     std::size_t rate_limited_runners() { return runners_.limited().size(); }
 
+    //! Number of failure domains that the operator evacuates.
+    std::size_t evacuated_domains() const
+    {
+        return runners_.evacuations().size();
+    }
+
     //! True while frequent `timer_fired` events are required.
     bool busy() const;
 
@@ -89,6 +98,8 @@
     void on(runners_listed const& in, time_point now);
     void on(runner_changed const& in, time_point now);
     void on(runner_removed const& in, time_point now);
+    void on(evacuations_listed const& in, time_point now);
+    void on(evacuation_changed const& in, time_point now);
     void on(members_listed const& in, time_point now);
     void on(peer_sent const& in, time_point now);
     void on(peer_unreachable const& in, time_point now);
@@ -96,6 +107,7 @@
     void on(drain_started const& in, time_point now);
     void on(timer_fired const& in, time_point now);
 
+    void log_evacuation(evacuation_change const& change);
     void resume_after_pause(duration pause, time_point now);
     void give_up_requests(time_point now);
 
@@ -337,6 +349,7 @@
     //! Pieces that arrive before may have been sent before a pause.
     time_point pieces_stale_until_{};
     bool runners_known_ = false;
+    bool evacuations_known_ = false;
     bool dispatch_needed_ = false;
     effects out_;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 
+#include <buckthornvale/decision/gateway/evacuation_table.hpp>
 #include <buckthornvale/decision/gateway/rate_share.hpp>
 #include <buckthornvale/decision/gateway/runner.hpp>
 
@@ -172,6 +173,14 @@
     //! Returns an empty string for an unknown address.
     std::string_view failure_domain_of(std::string_view address) const;
 
+    //! Failure domains whose runners receive nothing.
+    evacuation_table& evacuations() { return evacuations_; }
+    evacuation_table const& evacuations() const { return evacuations_; }
+
+    //! True if runners of the failure domain may receive messages. While one is
+    //! evacuated, an unknown domain, an empty string, may be that one.
+    bool is_reachable_domain(std::string_view failure_domain) const;
+
     void record(runner_state& state, runner_signal signal, duration elapsed,
                 time_point now);
 
@@ -199,6 +208,8 @@
     bool has_left(runner const& value) const;
     runner_notice* find_notice(std::string_view id);
     bool is_gone(runner_state const& state, time_point now) const;
+    //! True if the runner receives nothing, because it or its domain leaves.
+    bool is_excluded(runner_state const& state, time_point now) const;
     void back_off(runner_state& state, duration min_backoff, time_point now);
 
     //! Longest grace period of entries that expired in an outage.
@@ -210,6 +221,7 @@
     runner_map runners_;
     std::map<std::string, former_entry, std::less<>> former_entries_;
     std::map<std::string, std::string, std::less<>> id_by_address_;
+    evacuation_table evacuations_;
 };
 
 //! True if this VM has used its share of the limit of the runner.
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -47,7 +47,10 @@
 
 bool reducer::ready() const
 {
-    return manifest_ != nullptr && runners_known_ && !draining_;
+    bool const evacuations_known =
+        evacuations_known_ || !settings_.evacuation_timeout;
+    return manifest_ != nullptr && runners_known_ && evacuations_known &&
+           !draining_;
 }
 
 bool reducer::busy() const
@@ -114,6 +117,41 @@
          {"after_outage", in.store_failed_after ? "true" : "false"}});
 }
 
+void reducer::on(evacuations_listed const& in, time_point now)
+{
+    auto& known = runners_.evacuations();
+    // The operator writes what the copy lacks anew once the store is sound.
+    auto const hold_until = now + settings_.settle_time +
+                            settings_.evacuation_timeout.value_or(duration());
+    auto const changes =
+        in.restored ? known.assign_restored(in.failure_domains, hold_until, now)
+                    : known.assign(in.failure_domains, now);
+    evacuations_known_ = true;
+    for (auto const& it : changes)
+        log_evacuation(it);
+}
+
+void reducer::on(evacuation_changed const& in, time_point now)
+{
+    auto& known = runners_.evacuations();
+    auto const change = in.evacuated ? known.start(in.failure_domain, now)
+                                     : known.end(in.failure_domain, now);
+    if (change)
+        log_evacuation(*change);
+}
+
+void reducer::log_evacuation(evacuation_change const& change)
+{
+    dispatch_needed_ = true;
+    if (change.started)
+        log("evacuation_started", nullptr,
+            {{"failure_domain", change.failure_domain}});
+    else
+        log("evacuation_ended", nullptr,
+            {{"failure_domain", change.failure_domain},
+             {"known_ms", milliseconds_text(change.held_for)}});
+}
+
 void reducer::on(runner_notified const& in, time_point now)
 {
     record_rate_limit(in, now);
@@ -171,6 +209,8 @@
 void reducer::on(timer_fired const& in, time_point now)
 {
     runners_.expire(now);
+    for (auto const& it : runners_.evacuations().expire(now))
+        log_evacuation(it);
     crashes_.expire(now);
     judge_.expire(now);
     suspects_.expire(now);
--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -247,13 +247,17 @@
         input_bytes += request.pipeline.stage(after).result_bytes *
                        request.pipeline.piece_count(after);
     auto const inputs = request.pipeline.inputs_of(n);
+    auto const expected = runners_.is_reachable_domain(request.expected_domain)
+                              ? request.expected_domain
+                              : std::string();
     if (inputs.empty() || input_bytes < stage.result_bytes)
-        return request.expected_domain;
+        return expected;
     // Each piece fetches all inputs, so it should run in the domain that holds
     // them.
     auto const& handle = inputs.front();
     auto const domain = runners_.failure_domain_of(address_of(handle));
-    return domain.empty() ? request.expected_domain : std::string(domain);
+    bool const usable = !domain.empty() && runners_.is_reachable_domain(domain);
+    return usable ? std::string(domain) : expected;
 }
 
 void reducer::submit_missing_pieces(active_request& request, std::uint32_t n,
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -227,6 +227,21 @@
            (leaving && now - *leaving >= leaving_grace_period_);
 }
 
+bool runner_directory::is_excluded(runner_state const& state,
+                                   time_point now) const
+{
+    return evacuations_.contains(state.entry.failure_domain) ||
+           is_gone(state, now);
+}
+
+bool runner_directory::is_reachable_domain(
+    std::string_view failure_domain) const
+{
+    if (failure_domain.empty())
+        return evacuations_.size() == 0;
+    return !evacuations_.contains(failure_domain);
+}
+
 void runner_directory::usable(std::string_view service, time_point now,
                               std::vector<runner_state*>& out)
 {
@@ -251,7 +266,7 @@
     for (auto& it : runners_)
     {
         auto& state = it.second;
-        if (state.entry.service != service || is_gone(state, now) ||
+        if (state.entry.service != service || is_excluded(state, now) ||
             state.notice.quiet_until > now || !accepted(state))
             continue;
         bool const fallback = state.backoff_until > now ||
@@ -314,7 +329,7 @@
     for (auto const& it : runners_)
     {
         auto const& state = it.second;
-        if (state.entry.service != service || is_gone(state, now))
+        if (state.entry.service != service || is_excluded(state, now))
             continue;
         if (state.notice.quiet_until <= now)
             return std::nullopt;
--- a/packages/decision/src/gateway/runner_directory_limits.cpp
+++ b/packages/decision/src/gateway/runner_directory_limits.cpp
@@ -77,7 +77,7 @@
     for (auto const& it : runners_)
     {
         auto const& state = it.second;
-        if (state.entry.service != service || is_gone(state, now) ||
+        if (state.entry.service != service || is_excluded(state, now) ||
             state.notice.quiet_until > until)
             continue;
         if (!state.notice.rate_limit)
@@ -96,7 +96,7 @@
     for (auto const& it : runners_)
     {
         auto const& state = it.second;
-        if (state.entry.service != service || is_gone(state, now) ||
+        if (state.entry.service != service || is_excluded(state, now) ||
             !state.notice.rate_limit)
             continue;
         auto const next = state.notice.rate_limit->share.next_send();
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -341,7 +341,10 @@
     for (auto it = released_.begin(); it != released_.end();)
     {
         auto* runner = runners.find_by_address(it->first);
-        if (runner != nullptr && !may_free(*runner, now))
+        // Results in an evacuated domain lapse by themselves.
+        bool const reachable =
+            runners.is_reachable_domain(runners.failure_domain_of(it->first));
+        if (!reachable || (runner != nullptr && !may_free(*runner, now)))
         {
             ++it;
             continue;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -130,6 +130,7 @@
     //! gone have lapsed, so that one that is left is known to live.
     void list_runners_later();
     void apply_members(store::object_update const& update);
+    void apply_evacuations(store::object_update const& update);
     void drop_lapsed_members(time_point at);
     void apply_manifest(store::object_update const& update);
     void take_manifest(platform::stored_object const& object);
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -42,6 +42,9 @@
     //! Sets the number of runners that name a limit on their requests.
     void set_limited_runners(std::size_t n);
 
+    //! Sets the number of failure domains that the operator evacuates.
+    void set_evacuated_domains(std::size_t n);
+
     //! Serialises all metrics in the Prometheus text format.
     std::string to_text() const;
 
@@ -57,6 +60,7 @@
     prometheus::Gauge& active_requests_;
     prometheus::Gauge& connections_;
     prometheus::Gauge& limited_runners_;
+    prometheus::Gauge& evacuated_domains_;
 };
 
 } // namespace buckthornvale::gateway::observe
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -75,7 +75,8 @@
                 settings_.settle_time,
                 {settings_.retry_budget_ratio, settings_.retry_budget_slack,
                  settings_.retry_budget_window},
-                settings_.first_start ? time_point() : now()}),
+                settings_.first_start ? time_point() : now(),
+                settings_.evacuation_timeout}),
       log_writer_(log_descriptor, settings_.vm_name),
       answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
                                                      answer_memory_divisor)),
@@ -256,6 +257,7 @@
         control_handler_->check_limits(input_until);
         metrics_.set_active(requests_.size(), caller_server_.connections());
         metrics_.set_limited_runners(reducer_.rate_limited_runners());
+        metrics_.set_evacuated_domains(reducer_.evacuated_domains());
         log_writer_.flush();
     }
     drop_lapsed_members(at);
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -36,7 +36,7 @@
         char const* name;
         void (gateway_process::*apply)(store::object_update const&);
     };
-    watched_kind const kinds[] = {
+    std::vector<watched_kind> kinds = {
         {platform::object_kind::manifest,
          store::manifest_watch_timing(settings_), "manifest",
          &gateway_process::apply_manifest},
@@ -44,6 +44,10 @@
          "runners", &gateway_process::apply_runners},
         {platform::object_kind::members, store::member_watch_timing(),
          "members", &gateway_process::apply_members}};
+    if (settings_.evacuation_timeout)
+        kinds.push_back({platform::object_kind::evacuations,
+                         store::evacuation_watch_timing(settings_),
+                         "evacuations", &gateway_process::apply_evacuations});
     for (auto const& it : kinds)
     {
         store::store_watcher::callback_set callbacks;
@@ -164,6 +168,19 @@
         register_member();
 }
 
+void gateway_process::apply_evacuations(store::object_update const& update)
+{
+    model::evacuations_listed all;
+    all.restored = update.restored;
+    for (auto const& it : update.objects)
+        if (update.listed)
+            all.failure_domains.push_back(it.name);
+        else
+            reduce(model::evacuation_changed{it.name, !it.deleted});
+    if (update.listed)
+        reduce(all);
+}
+
 void gateway_process::drop_lapsed_members(time_point at)
 {
     if (members_.expire(at))
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -73,9 +73,12 @@
                                  "Requests without a final response")),
       connections_(add_gauge(registry_, "buckthornvale_gateway_connections",
                              "Open connections from callers")),
-      limited_runners_(add_gauge(registry_,
-                                 "buckthornvale_gateway_limited_runners",
-                                 "Runners that name a limit on their requests"))
+      limited_runners_(
+          add_gauge(registry_, "buckthornvale_gateway_limited_runners",
+                    "Runners that name a limit on their requests")),
+      evacuated_domains_(
+          add_gauge(registry_, "buckthornvale_gateway_evacuated_domains",
+                    "Failure domains that the operator evacuates"))
 {
 }
 
@@ -122,6 +125,11 @@
     limited_runners_.Set(double(n));
 }
 
+void gateway_metrics::set_evacuated_domains(std::size_t n)
+{
+    evacuated_domains_.Set(double(n));
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
--- a/packages/gateway/src/store/store_timing.cpp
+++ b/packages/gateway/src/store/store_timing.cpp
@@ -19,6 +19,7 @@
 //! Changes often come in bursts, so the next watch starts only after a pause.
 constexpr duration manifest_pause = 150ms;
 constexpr duration member_pause = 1500ms;
+constexpr duration evacuation_pause = 150ms;
 
 //! A draining runner keeps serving for the drain timeout. Half of it is for
 //! learning of the drain, the rest for requests on their way.
@@ -27,6 +28,7 @@
 constexpr duration min_wait = 500ms;
 constexpr duration max_runner_wait = 8s;
 constexpr duration member_wait = 29s;
+constexpr duration max_evacuation_wait = 29s;
 
 //! Registrations that expired in an outage are renewed soon after it.
 constexpr duration runner_pause_after_outage = 350ms;
@@ -69,6 +71,15 @@
             std::min(pause, runner_pause_after_outage)};
 }
 
+watch_timing evacuation_watch_timing(platform::node_settings const& settings)
+{
+    auto const longest =
+        longest_wait(settings, settings.evacuation_timeout.value_or(duration()),
+                     evacuation_pause);
+    return {std::min(longest, max_evacuation_wait), evacuation_pause,
+            evacuation_pause};
+}
+
 watch_timing member_watch_timing()
 {
     return {member_wait, member_pause, member_pause};
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -80,6 +80,8 @@
     settings.retry_budget_slack = 40;
     settings.retry_budget_window = 10s;
     settings.first_start = true;
+    if (evacuation_timeout)
+        settings.evacuation_timeout = *evacuation_timeout;
     callers_port = settings.caller_endpoint.port;
     peer_port = settings.first_peer_port;
     auto const members = used_store.members();
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <standins/fleet_platform/caller.hpp>
 #include <standins/fleet_platform/manifest.hpp>
 #include <standins/fleet_platform/runner_standin.hpp>
@@ -89,6 +90,8 @@
     std::uint16_t peer_port = 0;
     std::string last_request_id;
     int request_count = 0;
+    //! Bound in the settings of the gateways that are started next.
+    std::optional<std::chrono::seconds> evacuation_timeout;
 
 private:
     //! Returns a port on which only gateways of this test can listen. It stays
--- a/packages/gateway/tests/store_timing_test.cpp
+++ b/packages/gateway/tests/store_timing_test.cpp
@@ -57,9 +57,11 @@
     constexpr duration send_delay = 400ms;
     for (duration const bound : {1s, 2s, 3s, 4s, 30s})
     {
-        auto const settings = settings_of(bound, bound);
+        auto settings = settings_of(bound, bound);
+        settings.evacuation_timeout = bound;
         for (auto const& timing :
-             {runner_watch_timing(settings), manifest_watch_timing(settings)})
+             {runner_watch_timing(settings), manifest_watch_timing(settings),
+              evacuation_watch_timing(settings)})
             EXPECT_LE(timing.pause + timing.max_wait + watch_timeout_margin +
                           retry + send_delay,
                       settings.settle_time + bound);
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -131,6 +131,12 @@
     return found == contents_.objects.end() ? 0 : found->second.size();
 }
 
+std::size_t store_standin::calls(std::string const& kind) const
+{
+    auto const found = calls_.find(kind);
+    return found == calls_.end() ? 0 : found->second;
+}
+
 void store_standin::answer(std::uint64_t connection, int status,
                            json const& body)
 {
@@ -168,6 +174,7 @@
     auto const parts = http::split_once(path.substr(base.size()), '/');
     auto const query = http::split_once(head.target, '?').second;
     std::string const kind(parts.first);
+    ++calls_[kind];
     auto const watched = http::parse_number(parameter(query, "watch"));
     std::chrono::milliseconds const wait(
         http::parse_number(parameter(query, "waitMs")).value_or(0));
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -45,6 +45,9 @@
     //! VMs of the product that have registered themselves.
     std::size_t members() const;
 
+    //! Calls to objects of the kind so far.
+    std::size_t calls(std::string const& kind) const;
+
     //! Writes all objects to the other store.
     void copy_to(store_standin& other) const;
 
@@ -124,6 +127,7 @@
     contents contents_;
     contents copy_;
     std::map<std::uint64_t, watch> watches_;
+    std::map<std::string, std::size_t> calls_; //!< by kind
     std::uint64_t first_kept_ = 1;
     std::uint64_t era_ = 1;
     std::size_t page_size_ = 500;
