gateway: bounds the requests of all VMs to a cold runner

VMs do not know of each other's requests, so that a runner that had just started got several times as many as it takes. Its cold time in the registration was not read.

A cold runner now has a limit that VMs share as they share a named one. The smaller one of a named limit and that for cold runners holds. Without the bounds in the settings, or the rate of the service, nothing changes.

The tests of the gateway package are in this commit, but had not been run when it was made.

--- a/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
@@ -90,6 +90,9 @@
     std::string health_path;
     //! Connections to one runner from all VMs together.
     std::uint32_t connection_limit = 0;
+    //! Requests per second that a cold runner takes from all VMs together; 0:
+    //! any number.
+    double cold_requests_per_s = 0;
     std::optional<engine_limits> engine;
     std::optional<piece_limits> pieces;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -25,6 +25,14 @@
 namespace buckthornvale::decision::gateway
 {
 
+//! How many requests a cold runner may get in any second: its rate times the
+//! factor, and the slack.
+struct cold_start_bounds
+{
+    double rate_factor = 1;
+    double slack = 0; //!< requests
+};
+
 //! Settings of a gateway process that are fixed at its start.
 struct gateway_settings
 {
@@ -40,6 +48,8 @@
     //! Time within which an evacuation has to be obeyed. Not set if the
     //! deployment has none.
     std::optional<duration> evacuation_timeout{};
+    //! Not set if cold runners may get any number of requests.
+    std::optional<cold_start_bounds> cold_starts{};
 };
 
 //! The decision logic of one gateway process: admission, stages, choice of
@@ -72,6 +82,12 @@
     //! Number of runners that name a limit on their requests.
     std::size_t rate_limited_runners() { return runners_.limited().size(); }
 
+    //! Number of runners that are cold.
+    std::size_t cold_runners(time_point now)
+    {
+        return runners_.cold(now).size();
+    }
+
     //! Number of failure domains that the operator evacuates.
     std::size_t evacuated_domains() const
     {
@@ -174,7 +190,10 @@
     //! it late.
     void report_end_of_limit(std::string const& runner_id, time_point now);
     double spread_of(std::string_view runner_id) const;
+    //! Part of this VM in a limit on the requests of all VMs to the runner.
+    share_position share_of(runner_state const& state, time_point now);
     void assign_share(runner_state& state, double limit_per_s, time_point now);
+    void assign_cold_share(runner_state& state, time_point now);
     void assign_shares(time_point now);
     //! Assigns shares anew when another VM schedules a stage service.
     void assign_stage_shares(time_point now);
@@ -193,6 +212,13 @@
     void start_waiting_requests(time_point now);
     void log_rate_limit(active_request const& request, time_point now);
 
+    // Cold runners.
+
+    //! Limit on the requests of all VMs to a cold runner of the service.
+    std::optional<fleet_limit> cold_limit(std::string_view service) const;
+    void record_cold_start(runner_state& state, bool restored, time_point now);
+    void record_cold_starts(bool restored, time_point now);
+
     // Stages.
 
     //! Estimated time until a request is answered.
--- a/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
@@ -22,6 +22,9 @@
     //! Start time, in Unix milliseconds. A runner may restart under its
     //! previous id; it has then lost its state.
     std::int64_t started_at_ms = 0;
+    //! Time for which the runner remains slow after its start, as of the
+    //! registration.
+    duration cold_time_left{};
 };
 
 //! Load that a runner reports in an answer.
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -39,6 +39,15 @@
     std::optional<time_point> ends_at;
 };
 
+//! A runner that was started shortly before, or is as slow again for another
+//! reason, and must not get many requests from all VMs together.
+struct cold_start
+{
+    time_point ends_at{};
+    //! Of this VM; not set if the service has no limit for cold runners.
+    std::optional<rate_share> share;
+};
+
 //! What a runner said about further requests. Ends with its incarnation.
 struct runner_notice
 {
@@ -67,6 +76,7 @@
     //! Entry removed; used only if no other runner is left.
     bool fallback_only = false;
     runner_notice notice;
+    std::optional<cold_start> cold;
 };
 
 //! The registered runners with their health as seen by this VM. Registrations
@@ -159,14 +169,27 @@
     //! Runners of all services that name a limit.
     std::vector<runner_state*> limited();
 
+    //! Records how long the runner stays cold, as it says in its registration.
+    //! A restored registration may be old, and does not shorten what is known.
+    //! Returns true if the runner has turned cold. Its share has to be set
+    //! then.
+    static bool record_cold_start(runner_state& state, duration time_left,
+                                  bool restored, time_point now);
+
+    //! Runners of all services that are cold.
+    std::vector<runner_state*> cold(time_point now);
+
+    //! All runners, in order of their ids.
+    std::vector<runner_state*> all();
+
     //! Number of requests that this VM may send to the service until `until`.
     //! Returns nullopt if nothing limits it.
     std::optional<std::size_t> sends_until(std::string_view service,
                                            time_point until,
                                            time_point now) const;
 
-    //! The runner of the service with a limit that this VM may send to first.
-    //! Returns nullptr if none has a limit.
+    //! The runner of the service that names a limit or is cold, and that this
+    //! VM may send to first. Returns nullptr if there is none.
     runner_state const* first_limited(std::string_view service,
                                       time_point now) const;
 
@@ -224,6 +247,14 @@
     evacuation_table evacuations_;
 };
 
+//! Time from which this VM may send to the runner by its shares of the limit
+//! that the runner names and of that for cold runners; time_point::max() for
+//! never. Returns time_point() without a limit.
+time_point next_send(runner_state const& state, time_point now);
+
+//! Smaller one of these limits, in requests per second of all VMs.
+std::optional<double> limit_per_s(runner_state const& state, time_point now);
+
 //! True if this VM has used its share of the limit of the runner.
 bool is_share_used(runner_state const& state, time_point now);
 
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -70,12 +70,13 @@
         what, request != nullptr ? request->traits.id : "", std::move(fields)});
 }
 
-void reducer::on(manifest_changed const& in, time_point)
+void reducer::on(manifest_changed const& in, time_point now)
 {
     if (in.value == nullptr ||
         (manifest_ != nullptr && in.value->version <= manifest_->version))
         return;
     manifest_ = in.value;
+    assign_shares(now);
     for (auto const& it : manifest_->services)
         if (it.second.pieces)
             scheduler(it.first).configure(*it.second.pieces);
@@ -91,6 +92,7 @@
         runners_.assign_restored(in.runners, in.store_failed_after, now);
     else
         runners_.assign(in.runners, in.store_failed_after, now);
+    record_cold_starts(in.restored, now);
     runners_known_ = true;
     dispatch_needed_ = true;
     log("runners_listed", nullptr,
@@ -99,9 +101,11 @@
          {"restored", in.restored ? "true" : "false"}});
 }
 
-void reducer::on(runner_changed const& in, time_point)
+void reducer::on(runner_changed const& in, time_point now)
 {
     runners_.upsert(in.value);
+    if (auto* state = runners_.find(in.value.id))
+        record_cold_start(*state, false, now);
     dispatch_needed_ = true;
     log("runner_changed", nullptr,
         {{"runner", in.value.id},
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -58,9 +58,8 @@
         wait = forecast_stages(request, now).on_schedule;
     if (auto const* limited = runners_.first_limited(request.service, now);
         limited != nullptr && reason == refusal::runners_limited)
-        wait = std::min<duration>(
-            limited->notice.rate_limit->share.next_send() - now,
-            max_retry_after);
+        wait =
+            std::min<duration>(next_send(*limited, now) - now, max_retry_after);
     wait = from_seconds(to_seconds(wait) * (0.75 + 0.5 * jitter));
     return std::clamp(wait, min_retry_after, max_retry_after);
 }
--- a/packages/decision/src/gateway/reducer_rate_limits.cpp
+++ b/packages/decision/src/gateway/reducer_rate_limits.cpp
@@ -115,8 +115,7 @@
     return stable_fraction(members_.self() + '\n' + std::string(runner_id));
 }
 
-void reducer::assign_share(runner_state& state, double limit_per_s,
-                           time_point now)
+share_position reducer::share_of(runner_state const& state, time_point now)
 {
     auto const& service = state.entry.service;
     auto of = members_.position(state.entry.id);
@@ -132,8 +131,14 @@
         else
             of.position = of.vm_count;
     }
-    auto const spread = spread_of(state.entry.id);
-    state.notice.rate_limit->share.set(limit_per_s, of, spread, now);
+    return of;
+}
+
+void reducer::assign_share(runner_state& state, double limit_per_s,
+                           time_point now)
+{
+    state.notice.rate_limit->share.set(limit_per_s, share_of(state, now),
+                                       spread_of(state.entry.id), now);
 }
 
 void reducer::assign_shares(time_point now)
@@ -141,6 +146,8 @@
     for (auto* state : runners_.limited())
         assign_share(*state, state->notice.rate_limit->share.limit_per_s(),
                      now);
+    for (auto* state : runners_.cold(now))
+        assign_cold_share(*state, now);
 }
 
 void reducer::assign_stage_shares(time_point now)
@@ -211,14 +218,15 @@
     auto const* state = runners_.first_limited(request.service, now);
     if (state == nullptr)
         return;
-    auto const& limit = *state->notice.rate_limit;
-    bool const never = limit.share.next_send() == time_point::max();
+    auto const& named = state->notice.rate_limit;
+    auto const next = next_send(*state, now);
+    bool const never = next == time_point::max();
     log("rate_limited", &request,
         {{"runner", state->entry.id},
-         {"per_s", std::to_string(limit.share.limit_per_s())},
-         {"named_ms_ago", milliseconds_text(now - limit.named_at)},
-         {"next_send_ms",
-          never ? "" : milliseconds_text(limit.share.next_send() - now)}});
+         {"per_s", std::to_string(limit_per_s(*state, now).value_or(0))},
+         {"named_ms_ago",
+          named ? milliseconds_text(now - named->named_at) : ""},
+         {"next_send_ms", never ? "" : milliseconds_text(next - now)}});
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -187,6 +187,9 @@
         auto& limit = it->second.notice.rate_limit;
         if (limit && limit->ends_at && *limit->ends_at <= now)
             limit.reset();
+        auto& cold = it->second.cold;
+        if (cold && cold->ends_at <= now)
+            cold.reset();
         if (it->second.expires_at && *it->second.expires_at <= now)
             erase_entry(it);
         it = next;
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -430,10 +430,9 @@
     {
         double slots = limits_.slots /
                        std::max(slowness_of(it->entry.id, now), min_slowness);
-        if (it->notice.rate_limit)
-            slots =
-                std::min(slots, it->notice.rate_limit->share.limit_per_s() *
-                                    to_seconds(nominal_time(limits_.batch)));
+        if (auto const per_s = limit_per_s(*it, now))
+            slots = std::min(slots,
+                             *per_s * to_seconds(nominal_time(limits_.batch)));
         out += slots;
     }
     return out;
--- a/packages/decision/tests/gateway/limit_simulation.cpp
+++ b/packages/decision/tests/gateway/limit_simulation.cpp
@@ -26,6 +26,8 @@
 
 constexpr duration message_delay = 5ms;
 
+constexpr cold_start_bounds cold_bounds{1.5, 5};
+
 std::string vm_name(std::size_t n)
 {
     return "vm-" + std::to_string(n);
@@ -36,12 +38,13 @@
     return std::stoul(name.substr(vm_name(0).size() - 1));
 }
 
-std::shared_ptr<manifest> make_manifest()
+std::shared_ptr<manifest> make_manifest(double cold_per_s)
 {
     auto out = std::make_shared<manifest>();
     out->version = 1;
     service plain;
     plain.name = "plain";
+    plain.cold_requests_per_s = cold_per_s;
     out->services[plain.name] = plain;
     route it;
     it.name = it.path_prefix = "/read/";
@@ -67,9 +70,10 @@
         it.service = "plain";
         it.address = "10.0.0." + std::to_string(n) + ":80";
         it.slots = 64;
+        it.failure_domain = n < scenario_.runner_count / 2 ? "north" : "south";
         it.started_at_ms = 1;
         registrations_.push_back(it);
-        runners_.push_back({it.id, -1, {}, {}, {}});
+        runners_.push_back({it.id, -1, {}, {}, {}, {}});
     }
     for (std::size_t n = 0; n < scenario_.vm_count; ++n)
     {
@@ -87,10 +91,11 @@
     settings.drain_timeout = 2s;
     settings.settle_time = settle_time;
     settings.retries = {0.2, 56, 10s};
+    settings.cold_starts = cold_bounds;
     it.logic = std::make_unique<reducer>(settings);
     for (auto& runner : runners_)
         runner.told.erase(n);
-    feed(n, manifest_changed{make_manifest()});
+    feed(n, manifest_changed{make_manifest(scenario_.cold_per_s)});
     feed(n, runners_listed{registrations_});
 }
 
@@ -100,8 +105,19 @@
     for (std::size_t n = 0; n < vms_.size(); ++n)
         list.members.push_back(
             {vm_name(n), "10.0.1.1:80", "north", vms_[n].restarts + 1, 1});
+    publish(list);
+}
+
+void limit_simulation::publish(event const& input)
+{
     for (std::size_t n = 0; n < vms_.size(); ++n)
-        feed(n, list);
+        if (scenario_.max_update_delay == duration::zero())
+            feed(n, input);
+        else
+            messages_.emplace(
+                now_ + from_seconds(uniform(random_) *
+                                    to_seconds(scenario_.max_update_delay)),
+                std::make_pair(n, input));
 }
 
 void limit_simulation::feed(std::size_t vm_number, event const& input)
@@ -125,7 +141,7 @@
     auto const number = std::size_t(std::stoul(in.runner_id.substr(7)));
     auto const at =
         now_ + from_seconds(uniform(random_) * to_seconds(max_delivery_delay));
-    runners_[number].arrivals.push_back({at, vm_number});
+    runners_[number].arrivals.push_back({at, vm_number, now_});
     answers_.emplace(at + answer_time,
                      pending_answer{vm_number, vms_[vm_number].restarts, number,
                                     in.request, in.attempt});
@@ -176,6 +192,37 @@
     }
 }
 
+void limit_simulation::set_cold(std::size_t runner, duration time_left)
+{
+    registrations_[runner].cold_time_left = time_left;
+    publish(runner_changed{registrations_[runner]});
+}
+
+void limit_simulation::change_cold(duration elapsed)
+{
+    for (std::size_t n = 0; n < runners_.size() && is_limited(n); ++n)
+    {
+        auto& history = runners_[n].cold_history;
+        if (registrations_[n].cold_time_left > duration::zero() &&
+            elapsed >= history.back().at + history.back().length)
+            set_cold(n, duration::zero());
+        if (scenario_.cold.size() <= history.size() ||
+            scenario_.cold[history.size()].at > elapsed)
+            continue;
+        history.push_back(scenario_.cold[history.size()]);
+        set_cold(n, history.back().length);
+    }
+}
+
+void limit_simulation::evacuate(duration elapsed)
+{
+    if (scenario_.evacuate_at == duration::zero() ||
+        elapsed < scenario_.evacuate_at)
+        return;
+    scenario_.evacuate_at = duration::zero();
+    publish(evacuation_changed{"south", true});
+}
+
 void limit_simulation::change_fleet(duration elapsed)
 {
     auto& restarts = scenario_.restarts;
@@ -246,6 +293,8 @@
     {
         change_limits(now_ - start_);
         change_fleet(now_ - start_);
+        change_cold(now_ - start_);
+        evacuate(now_ - start_);
         deliver_due();
         make_requests();
         if (now_ >= next_tick)
@@ -301,6 +350,29 @@
     return out;
 }
 
+std::size_t limit_simulation::most_while_cold() const
+{
+    std::size_t out = 0;
+    for (auto const& it : runners_)
+        for (auto const& period : it.cold_history)
+        {
+            auto const from = start_ + period.at + scenario_.max_update_delay;
+            auto const until = start_ + period.at + period.length;
+            for (auto const& first : it.arrivals)
+            {
+                auto const end = first.sent_at + 1s;
+                if (first.sent_at < from || end > until)
+                    continue;
+                auto const n = std::count_if(
+                    it.arrivals.begin(), it.arrivals.end(),
+                    [&](arrival const& a)
+                    { return a.sent_at >= first.sent_at && a.at <= end; });
+                out = std::max(out, std::size_t(n));
+            }
+        }
+    return out;
+}
+
 double limit_simulation::use_of_limits(duration from) const
 {
     double got = 0;
--- a/packages/decision/tests/gateway/limit_simulation.hpp
+++ b/packages/decision/tests/gateway/limit_simulation.hpp
@@ -21,19 +21,32 @@
     double limit_per_s = 0;
 };
 
-//! VMs in front of the runners of one plain service, of which some name a
-//! limit.
+//! A time for which the runners that change are cold.
+struct cold_period
+{
+    duration at{};
+    duration length{};
+};
+
+//! VMs in front of the runners of one plain service, of which some change: they
+//! name a limit or turn cold.
 struct limit_scenario
 {
     std::size_t vm_count = 8;
     std::size_t runner_count = 18;
-    double limited_share = 0.7;  //!< of the runners
+    double limited_share = 0.7;  //!< of the runners: those that change
     double requests_per_s = 100; //!< of the whole fleet
     std::vector<limit_change> limits{{std::chrono::seconds(2), 2.9}};
     //! Times at which every fourth VM starts again, with nothing known.
     std::vector<duration> restarts;
     //! Time at which as many VMs as at first join; zero: none.
     duration join_at{};
+    double cold_per_s = 0; //!< limit of the service for cold runners
+    std::vector<cold_period> cold;
+    //! Time at which the second half of the runners is evacuated; zero: never.
+    duration evacuate_at{};
+    //! VMs learn of changes in the store within this time, each at another one.
+    duration max_update_delay{};
     std::uint64_t seed = 1;
 };
 
@@ -50,6 +63,10 @@
     //! the users' rule.
     double largest_excess() const;
 
+    //! Most requests that a cold runner was sent and got within a second, from
+    //! the time on at which all VMs know that it is cold.
+    std::size_t most_while_cold() const;
+
     //! Share of their last limit that the limited runners got, from `from` on.
     double use_of_limits(duration from) const;
 
@@ -65,6 +82,7 @@
     {
         time_point at{};
         std::size_t vm = 0;
+        time_point sent_at{};
     };
 
     struct runner_model
@@ -74,6 +92,7 @@
         std::vector<arrival> arrivals;
         std::vector<limit_change> history;      //!< times from the start
         std::map<std::size_t, time_point> told; //!< VMs that passed it on
+        std::vector<cold_period> cold_history;  //!< times from the start
     };
 
     struct vm
@@ -99,6 +118,11 @@
     void deliver_due();
     void change_limits(duration elapsed);
     void change_fleet(duration elapsed);
+    void change_cold(duration elapsed);
+    void evacuate(duration elapsed);
+    //! Gives the event to each VM, at once or with a delay of its own.
+    void publish(event const& input);
+    void set_cold(std::size_t runner, duration time_left);
     void make_requests();
     bool is_limited(std::size_t runner) const;
     double excess(runner_model const& it) const;
@@ -109,7 +133,7 @@
     std::vector<runner_model> runners_;
     std::vector<vm> vms_;
     std::multimap<time_point, pending_answer> answers_;
-    std::multimap<time_point, std::pair<std::size_t, peer_sent>> messages_;
+    std::multimap<time_point, std::pair<std::size_t, event>> messages_;
     std::vector<time_point> requests_;
     std::vector<time_point> served_; //!< by time of arrival
     std::map<request_ref, time_point> open_;
--- a/packages/decision/tests/gateway/rate_share_test.cpp
+++ b/packages/decision/tests/gateway/rate_share_test.cpp
@@ -44,6 +44,31 @@
         }
 }
 
+// A limit that bounds each second must hold when all senders coincide, and
+// leave the other VMs nothing, of which there may be many.
+TEST(rate_share, of_all_vms_stays_below_the_bound_on_a_second)
+{
+    for (double const limit : {0.1, 1.0, 2.9, 8.0, 19.0, 100.0})
+        for (std::size_t const vms : {1U, 2U, 8U, 25U, 34U, 68U, 195U})
+        {
+            double const bound = 1.5 * limit + 5;
+            fleet_limit const strict(limit, bound);
+            std::size_t most = 0;
+            double rate = 0;
+            for (std::size_t n = 0; n < vms; ++n)
+            {
+                auto const interval = send_interval(strict, {n, vms});
+                if (interval == duration::max())
+                    continue;
+                most += 1 + std::size_t(1s / interval);
+                rate += 1 / to_seconds(interval);
+            }
+            EXPECT_LE(double(most), bound) << limit << ", " << vms << " VMs";
+            EXPECT_LE(rate, limit * 1.001) << limit << ", " << vms << " VMs";
+            EXPECT_GE(rate, limit * 0.9) << limit << ", " << vms << " VMs";
+        }
+}
+
 // A VM that has not read the list of VMs must not take the whole limit.
 TEST(rate_share, is_nothing_while_the_number_of_vms_is_not_known)
 {
--- a/packages/decision/tests/gateway/runner_directory_test.cpp
+++ b/packages/decision/tests/gateway/runner_directory_test.cpp
@@ -408,5 +408,65 @@
     EXPECT_EQ(usable(it.runners, start), (ids{"a", "b"}));
 }
 
+// A registration that was read late must not end the time too early.
+TEST(runner_directory, ends_the_cold_time_when_it_has_passed_since_it_was_read)
+{
+    two_runners it;
+    auto& a = *it.runners.find("a");
+    EXPECT_TRUE(runner_directory::record_cold_start(a, 3s, false, start));
+    a.cold->share.emplace();
+    EXPECT_EQ(usable(it.runners, start + 2s), ids{"b"});
+    EXPECT_EQ(usable(it.runners, start + 3s), (ids{"a", "b"}));
+    EXPECT_TRUE(it.runners.cold(start + 3s).empty());
+}
+
+// The copy of a store may show a registration of the time before.
+TEST(runner_directory, does_not_take_a_cold_runner_for_warm_from_a_copy)
+{
+    two_runners it;
+    auto& a = *it.runners.find("a");
+    runner_directory::record_cold_start(a, 3s, false, start);
+    EXPECT_FALSE(runner_directory::record_cold_start(a, 0s, true, start + 1s));
+    EXPECT_EQ(it.runners.cold(start + 1s).size(), 1U);
+    EXPECT_FALSE(runner_directory::record_cold_start(a, 0s, false, start + 1s));
+    EXPECT_TRUE(it.runners.cold(start + 1s).empty());
+}
+
+// Requests wait for their share or for the end of the cold time, whichever
+// comes first.
+TEST(runner_directory, lets_requests_wait_for_the_end_of_the_cold_time)
+{
+    two_runners it;
+    for (auto const* id : {"a", "b"})
+    {
+        auto& state = *it.runners.find(id);
+        runner_directory::record_cold_start(state, 3s, false, start);
+        state.cold->share.emplace();
+    }
+    EXPECT_EQ(it.runners.sends_until("s", start + 2s, start), 0U);
+    EXPECT_GT(it.runners.sends_until("s", start + 4s, start), 100U);
+    ASSERT_NE(it.runners.first_limited("s", start), nullptr);
+    EXPECT_EQ(next_send(*it.runners.first_limited("s", start), start),
+              start + 3s);
+    EXPECT_EQ(it.runners.first_limited("s", start + 3s), nullptr);
+}
+
+// A runner may name a limit while it is cold.
+TEST(runner_directory, obeys_the_smaller_one_of_two_limits)
+{
+    two_runners it;
+    auto& a = *it.runners.find("a");
+    it.runners.record_rate_limit("a", {named_rate_limit::kind::limit, 2},
+                                 start);
+    a.notice.rate_limit->share.set(2, {0, 1}, 0, start);
+    runner_directory::record_cold_start(a, 3s, false, start);
+    a.cold->share.emplace();
+    a.cold->share->set({19, 33.5}, {0, 1}, 0, start);
+    EXPECT_EQ(limit_per_s(a, start), 2);
+    count_send(a, start);
+    EXPECT_EQ(next_send(a, start), start + 500ms);
+    EXPECT_TRUE(is_share_used(a, start + 100ms));
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -45,6 +45,9 @@
     //! Sets the number of failure domains that the operator evacuates.
     void set_evacuated_domains(std::size_t n);
 
+    //! Sets the number of runners that are cold.
+    void set_cold_runners(std::size_t n);
+
     //! Serialises all metrics in the Prometheus text format.
     std::string to_text() const;
 
@@ -61,6 +64,7 @@
     prometheus::Gauge& connections_;
     prometheus::Gauge& limited_runners_;
     prometheus::Gauge& evacuated_domains_;
+    prometheus::Gauge& cold_runners_;
 };
 
 } // namespace buckthornvale::gateway::observe
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -62,6 +62,15 @@
     return out;
 }
 
+std::optional<model::cold_start_bounds>
+cold_starts_of(platform::node_settings const& settings)
+{
+    if (!settings.cold_rate_factor)
+        return std::nullopt;
+    return model::cold_start_bounds{*settings.cold_rate_factor,
+                                    settings.cold_slack};
+}
+
 } // namespace
 
 gateway_process::gateway_process(asio::io_context& loop,
@@ -76,7 +85,8 @@
                 {settings_.retry_budget_ratio, settings_.retry_budget_slack,
                  settings_.retry_budget_window},
                 settings_.first_start ? time_point() : now(),
-                settings_.evacuation_timeout}),
+                settings_.evacuation_timeout,
+                cold_starts_of(settings_)}),
       log_writer_(log_descriptor, settings_.vm_name),
       answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
                                                      answer_memory_divisor)),
@@ -258,6 +268,7 @@
         metrics_.set_active(requests_.size(), caller_server_.connections());
         metrics_.set_limited_runners(reducer_.rate_limited_runners());
         metrics_.set_evacuated_domains(reducer_.evacuated_domains());
+        metrics_.set_cold_runners(reducer_.cold_runners(at));
         log_writer_.flush();
     }
     drop_lapsed_members(at);
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -78,7 +78,9 @@
                     "Runners that name a limit on their requests")),
       evacuated_domains_(
           add_gauge(registry_, "buckthornvale_gateway_evacuated_domains",
-                    "Failure domains that the operator evacuates"))
+                    "Failure domains that the operator evacuates")),
+      cold_runners_(add_gauge(registry_, "buckthornvale_gateway_cold_runners",
+                              "Runners that are cold after a start"))
 {
 }
 
@@ -130,6 +132,11 @@
     evacuated_domains_.Set(double(n));
 }
 
+void gateway_metrics::set_cold_runners(std::size_t n)
+{
+    cold_runners_.Set(double(n));
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -41,8 +41,12 @@
     if (with_extra_route)
         routes.push_back(
             {"/extra/", request_kind::idempotent, "plain", 1, false, {}});
-    object_store.put_manifest(
-        standins::fleet_platform::manifest_of(version, routes));
+    auto manifest = standins::fleet_platform::manifest_of(version, routes);
+    if (cold_requests_per_s)
+        for (auto& it : manifest["services"])
+            if (it["name"] == "plain")
+                it["coldPerS"] = *cold_requests_per_s;
+    object_store.put_manifest(std::move(manifest));
 }
 
 std::unique_ptr<fleet_fixture::runner>
@@ -80,6 +84,11 @@
     settings.retry_budget_slack = 40;
     settings.retry_budget_window = 10s;
     settings.first_start = true;
+    if (cold_requests_per_s)
+    {
+        settings.cold_rate_factor = 1.5;
+        settings.cold_slack = 5;
+    }
     if (evacuation_timeout)
         settings.evacuation_timeout = *evacuation_timeout;
     callers_port = settings.caller_endpoint.port;
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -92,6 +92,8 @@
     int request_count = 0;
     //! Bound in the settings of the gateways that are started next.
     std::optional<std::chrono::seconds> evacuation_timeout;
+    //! Limit of the plain service for cold runners, in the next manifest.
+    std::optional<double> cold_requests_per_s;
 
 private:
     //! Returns a port on which only gateways of this test can listen. It stays
