--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -341,7 +341,10 @@
     for (auto it = released_.begin(); it != released_.end();)
     {
         auto* runner = runners.find_by_address(it->first);
-        if (runner != nullptr && !may_free(*runner, now))
+        // Results in an evacuated domain lapse by themselves.
+        bool const reachable =
+            runners.is_reachable_domain(runners.failure_domain_of(it->first));
+        if (!reachable || (runner != nullptr && !may_free(*runner, now)))
         {
             ++it;
             continue;
@@ -427,10 +430,9 @@
     {
         double slots = limits_.slots /
                        std::max(slowness_of(it->entry.id, now), min_slowness);
-        if (it->notice.rate_limit)
-            slots =
-                std::min(slots, it->notice.rate_limit->share.limit_per_s() *
-                                    to_seconds(nominal_time(limits_.batch)));
+        if (auto const per_s = limit_per_s(*it, now))
+            slots = std::min(slots,
+                             *per_s * to_seconds(nominal_time(limits_.batch)));
         out += slots;
     }
     return out;
