net: an answer without length that ends within the upload is incomplete

Cause: a body without length and chunks ends with its connection, and the client looked at the end of the connection only. A server that crashes while nothing is unread ends its connection in order; what the client still sends is reset. After the end, the kernel reports the reset of a connection no more to a read. A reset without such an end was not lost: the write that fails is handled before the read, and both end the call as broken off.

Callers would have seen the first part of a body as a complete answer with status 200, of a request that had a long body.

Change: tcp_stream reports an end as orderly only if the peer has acknowledged all that was written and the connection was not reset. An answer with a length or in chunks is complete as before, also when the server has not read the request.

--- a/packages/net/include/buckthornvale/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -30,7 +30,9 @@
         virtual void on_bytes(std::string_view bytes) = 0;
 
         //! The connection was closed by the peer or failed; called at most
-        //! once.
+        //! once. `asio::error::eof` only if the peer closed it in order and
+        //! has acknowledged all that was written: a peer that crashes may close
+        //! its connections in order too, and resets what is still sent to it.
         virtual void on_end(asio::error_code ec) = 0;
 
         //! All queued bytes were written.
@@ -90,6 +92,9 @@
 private:
     void read();
     void write_queued();
+
+    //! True when the peer has acknowledged all that was written.
+    bool has_delivered_all();
     void fail(asio::error_code ec);
 
     static constexpr std::size_t read_buffer_bytes = 8'192;
--- a/packages/net/src/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -3,7 +3,9 @@
 #include <asio/buffer.hpp>
 
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace buckthornvale::net
@@ -25,6 +27,22 @@
     static_cast<void>(::setsockopt(fd, level, name, &value, sizeof(value)));
 }
 
+bool has_pending_error(int fd)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return ::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+           error != 0;
+}
+
+//! Bytes that the kernel took and the peer has not acknowledged. After a reset
+//! they are still counted.
+int unacknowledged_bytes(int fd)
+{
+    int out = 0;
+    return ::ioctl(fd, SIOCOUTQ, &out) == 0 ? out : 0;
+}
+
 } // namespace
 
 tcp_stream::tcp_stream(asio::ip::tcp::socket socket)
@@ -167,8 +185,17 @@
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
+bool tcp_stream::has_delivered_all()
+{
+    int const fd = socket_.native_handle();
+    return queued() == 0 && unacknowledged_bytes(fd) == 0 &&
+           !has_pending_error(fd);
+}
+
 void tcp_stream::fail(asio::error_code ec)
 {
+    if (ec == asio::error::eof && !has_delivered_all())
+        ec = asio::error::connection_aborted;
     auto* owner = std::exchange(handler_, nullptr);
     close();
     if (owner != nullptr)
