http: a status outside of 100 to 599 is a malformed response

Cause: the parser accepts any status of one to three digits.

Callers would have seen an answer with status 000, 42 or 600, which no client can interpret, and an idempotent request would not have been sent again.

Change: the parser reports such a response as malformed before its head is delivered. The client closes the connection and the call ends without an answer: the request may have run. Each response that this system reads with its own parser passes here: of runners, stages, engines, peers and the fleet store. The object API client uses cpp-httplib, and takes a status that it does not know for an unknown result.

The server of fixed answers moved to a header of its own.

--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -18,6 +18,10 @@
 //! header_too_large.
 constexpr std::size_t max_headers = 200;
 
+//! Status codes outside of this range do not exist.
+constexpr int min_status = 100;
+constexpr int max_status = 599;
+
 constexpr std::string_view token_punctuation = "!#$%&'*+-.^_`|~";
 
 bool is_token(std::string_view name)
@@ -179,6 +183,8 @@
         {
             parser.upgrade = 0;
             response.status = static_cast<int>(parser.status_code);
+            if (response.status < min_status || response.status > max_status)
+                return fail(parse_error::malformed);
             response.keep_alive = http_should_keep_alive(&parser) != 0;
             response.chunked = chunked;
             response.body_ends_at_close = !expects_no_body && !chunked &&
--- a/packages/http/tests/message_parser_test.cpp
+++ b/packages/http/tests/message_parser_test.cpp
@@ -132,6 +132,27 @@
     EXPECT_EQ(truncated.parser.error(), parse_error::malformed);
 }
 
+// Guards against a response of a server in trouble that is taken for an answer.
+TEST(message_parser, rejects_an_invalid_status)
+{
+    for (std::string const status :
+         {"000", "0", "099", "1000", "600", "999", "42", "-1", "abc", ""})
+    {
+        parsed_message it("HTTP/1.1 " + status + " Text\r\n\r\n",
+                          message_type::response);
+        EXPECT_EQ(it.parser.error(), parse_error::malformed) << status;
+        EXPECT_EQ(it.sink.head_count, 0) << status;
+    }
+    for (auto const status : {100, 199, 200, 404, 599})
+    {
+        parsed_message it("HTTP/1.1 " + std::to_string(status) +
+                              " Text\r\nContent-Length: 0\r\n\r\n",
+                          message_type::response);
+        EXPECT_EQ(it.parser.error(), parse_error::none) << status;
+        EXPECT_EQ(it.parser.response().status, status);
+    }
+}
+
 // Guards against header values that another parser could read as two headers.
 TEST(message_parser, rejects_nul_in_header_values)
 {
--- a/packages/net/tests/loopback_test.cpp
+++ b/packages/net/tests/loopback_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_handler.hpp"
+#include "fixed_answer_server.hpp"
 #include <buckthornvale/net/endpoint.hpp>
 #include <buckthornvale/net/http_server.hpp>
 #include <buckthornvale/net/loop_thread.hpp>
@@ -9,7 +10,6 @@
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
 
-#include <array>
 #include <functional>
 #include <future>
 
@@ -280,47 +280,6 @@
     EXPECT_NE(answer.find("Connection: close"), std::string::npos);
 }
 
-//! A server that answers one request with fixed bytes and closes the
-//! connection.
-class cut_answer_server
-{
-public:
-    cut_answer_server(asio::io_context& loop, std::string bytes)
-        : bytes_(std::move(bytes)),
-          acceptor_(loop, {asio::ip::make_address("127.0.0.1"), 0}),
-          socket_(loop)
-    {
-        acceptor_.async_accept(socket_,
-                               [this](asio::error_code ec)
-                               {
-                                   if (!ec)
-                                       answer();
-                               });
-    }
-
-    std::string address() const
-    {
-        return endpoint_text("127.0.0.1", acceptor_.local_endpoint().port());
-    }
-
-private:
-    void answer()
-    {
-        socket_.async_read_some(asio::buffer(request_),
-                                [this](asio::error_code ec, std::size_t)
-                                {
-                                    asio::write(socket_, asio::buffer(bytes_),
-                                                ec);
-                                    socket_.close(ec);
-                                });
-    }
-
-    std::string const bytes_;
-    asio::ip::tcp::acceptor acceptor_;
-    asio::ip::tcp::socket socket_;
-    std::array<char, 1024> request_{};
-};
-
 // An answer that ended within its head was delivered as a complete one with an
 // empty or short body.
 TEST(http_client, takes_no_answer_that_ends_early_for_a_complete_one)
@@ -333,7 +292,7 @@
         for (std::size_t n = 0; n <= whole.size(); ++n)
         {
             asio::io_context loop;
-            cut_answer_server const server(loop, whole.substr(0, n));
+            fixed_answer_server const server(loop, whole.substr(0, n));
             http_client client(loop, steady_now);
             std::optional<call_result> result;
             make_call(client, server.address(),
