--- a/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner.hpp
@@ -30,6 +30,9 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    //! Time that work takes on its machine at the moment of the report,
+    //! relative to the usual time.
+    std::optional<double> slowdown{};
 };
 
 //! What an answer says of the requests that its runner takes from all VMs.
