decision: places prompts by the expected time to their first event

A model runner was chosen by a count of requests. Tokens that wait at a runner, the size of the prompt, the speed of the runner and its memory did not enter.

engine_load estimates one runner from own sends, its last report and own first events; engine_profile the usual speed of a service. choose_engine_runner stays with rendezvous hashing and the bound on requests, and compares the first three runners that are left. Memory is never exceeded by own sends. The report of a stream no longer counts as new when the stream ends. request_sent and a histogram show what decided.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -23,6 +23,8 @@
     std::string address;
     std::string organisation;
     std::optional<int> priority;
+    //! Expected time until the first event of a model runner.
+    std::optional<duration> expected_first_event;
     std::string inputs; //!< comma-separated handles of stage results
     std::string last_event_id;
     duration time_left{};
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -9,6 +9,7 @@
 #include <buckthornvale/decision/gateway/first_attempt_times.hpp>
 #include <buckthornvale/decision/gateway/member_table.hpp>
 #include <buckthornvale/decision/gateway/retry_budget.hpp>
+#include <buckthornvale/decision/gateway/runner_choice.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 #include <buckthornvale/decision/gateway/stage_pipeline.hpp>
 #include <buckthornvale/decision/gateway/stage_scheduler.hpp>
@@ -108,7 +109,19 @@
     void start_attempt(active_request& request, time_point now);
     refusal reason_without_runner(active_request const& request,
                                   time_point now);
-    runner_state* choose_runner(active_request& request, time_point now);
+    runner_choice choose_runner(active_request& request, time_point now);
+
+    //! Counts the request at the model runner and completes the message to it.
+    void place_on_engine(active_request const& request,
+                         runner_choice const& choice, send_attempt& out,
+                         time_point now);
+    void log_send(active_request const& request, runner_choice const& choice,
+                  time_point now);
+
+    //! Expected time from a send to a model runner of the service until the
+    //! first event, if the runner has to read this many tokens of the prompt.
+    duration expected_first_event(std::string const& service,
+                                  double unread_tokens) const;
     active_request* find_attempt(request_ref ref, std::uint32_t attempt);
     void release_runner(active_request& request);
     bool may_restart_stages(active_request const& request) const;
@@ -324,6 +337,8 @@
     std::map<std::string, known_backlog, std::less<>> backlogs_;
     //! Moving average of the time from a send to the first event, by service.
     std::map<std::string, duration, std::less<>> answer_times_;
+    //! Of the model services.
+    std::map<std::string, engine_profile, std::less<>> engine_profiles_;
     std::map<std::string, first_attempt_times, std::less<>>
         first_attempt_times_; //!< by route
     std::map<std::string, time_point, std::less<>> probed_at_;
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
@@ -1,7 +1,8 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_CHOICE_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_CHOICE_HPP
 
-#include <buckthornvale/decision/gateway/request.hpp>
+#include <buckthornvale/decision/gateway/engine_load.hpp>
+#include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 
 #include <absl/types/span.h>
@@ -25,20 +26,25 @@
                                     std::string_view own_domain,
                                     time_point now);
 
-//! Input for the choice of a model runner.
-struct engine_request
+//! The runner of a send, with what led to it.
+struct runner_choice
 {
-    absl::Span<prompt_part const> prompt;
-    //! Replaces the session for requests without a prompt.
-    std::uint64_t seed = 0;
+    runner_state* runner = nullptr; //!< nullptr if there is none
+    engine_expectation expected;    //!< of a model runner
+    double load = 0; //!< estimated number of requests at the runner
 };
 
 //! Chooses a model runner by rendezvous hashing of the session: the first
-//! runner in hash order whose load is within a bound of the mean. All VMs
-//! choose the same runner for a session without communication, so that its
-//! prompt is processed only once.
-runner_state* choose_engine_runner(absl::Span<runner_state* const> runners,
-                                   engine_request const& request,
+//! runner in hash order whose load is within a bound of the mean and at which
+//! the first event is not expected much later than elsewhere. All VMs choose
+//! the same runner for a session without communication, so that its prompt is
+//! processed only once; VMs that see the same loads still choose different
+//! runners for different sessions. Never returns a runner whose memory own
+//! requests would exceed.
+runner_choice choose_engine_runner(absl::Span<runner_state* const> runners,
+                                   engine_request const& work,
+                                   engine_limits const& limits,
+                                   engine_profile const& profile,
                                    time_point now);
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_RUNNER_DIRECTORY_HPP
 
+#include <buckthornvale/decision/gateway/engine_load.hpp>
 #include <buckthornvale/decision/gateway/rate_share.hpp>
 #include <buckthornvale/decision/gateway/runner.hpp>
 
@@ -54,6 +55,7 @@
     std::uint32_t outstanding = 0; //!< sends of this VM in progress
     std::optional<runner_load> load;
     time_point load_at{};
+    engine_load engine;   //!< of a model runner
     double latency_s = 0; //!< moving average of successful sends; 0: unknown
     double failure_share = 0; //!< moving average
     std::uint32_t consecutive_silent_sends = 0;
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -125,6 +125,8 @@
         request->last_event_id = in.last_event_id;
     if (auto* state = runners_.find(request->runner_id))
     {
+        if (auto const sample = state->engine.started(request->ref, now))
+            engine_profiles_[request->service].record_first_event(*sample);
         record_load(*state, in.load, now);
         runners_.record(*state, runner_signal::served, now - request->sent_at,
                         now);
@@ -228,7 +230,7 @@
     bool const too_late =
         request.matched_route->kind == request_kind::stream &&
         now + time_to_resume(request, now) >= request.deadline;
-    if (too_late || choose_runner(request, now) == nullptr ||
+    if (too_late || choose_runner(request, now).runner == nullptr ||
         !retry_budget_.try_consume(request.service, members_.count(), now))
     {
         request.last_progress = now;
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -32,6 +32,16 @@
                        std::to_string(traits.body_hash));
 }
 
+engine_request engine_request_of(request_traits const& traits)
+{
+    engine_request out;
+    out.prompt = traits.prompt;
+    out.seed = stable_hash(traits.id);
+    out.prompt_tokens = traits.prompt_tokens;
+    out.output_tokens = traits.output_tokens;
+    return out;
+}
+
 bool is_success(int status)
 {
     return status >= 200 && status < 300;
@@ -123,7 +133,7 @@
         now + found->target_latency - time_spent_before(*found, in.traits);
     request.pipeline = stage_pipeline(found->stages, in.traits.pieces);
     if (!request.pipeline.empty())
-        if (auto const* expected_runner = choose_runner(request, now))
+        if (auto const* expected_runner = choose_runner(request, now).runner)
             request.expected_domain = expected_runner->entry.failure_domain;
     retry_budget_.count_request(request.service, now);
     requests_[in.request] = std::move(entry);
@@ -186,7 +196,7 @@
     finish_request(request, now);
 }
 
-runner_state* reducer::choose_runner(active_request& request, time_point now)
+runner_choice reducer::choose_runner(active_request& request, time_point now)
 {
     std::vector<runner_state*> usable;
     runners_.usable(request.service, now, usable);
@@ -195,17 +205,26 @@
         if (request.tried_runners.count(state->entry.id) == 0)
             untried.push_back(state);
     if (auto* idle = find_idle_share(untried, now))
-        return idle;
+        untried = {idle};
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
-    if (service_settings == nullptr || !service_settings->engine)
-        return choose_service_runner(
-            untried, stable_hash(request.traits.id) + request.attempt,
-            settings_.failure_domain, now);
-    engine_request work;
-    work.prompt = request.traits.prompt;
-    work.seed = stable_hash(request.traits.id);
-    return choose_engine_runner(untried, work, now);
+    if (service_settings != nullptr && service_settings->engine)
+        return choose_engine_runner(untried, engine_request_of(request.traits),
+                                    *service_settings->engine,
+                                    engine_profiles_[request.service], now);
+    auto* state = choose_service_runner(
+        untried, stable_hash(request.traits.id) + request.attempt,
+        settings_.failure_domain, now);
+    return {state, {}, state != nullptr ? estimated_load(*state, now) : 0};
+}
+
+duration reducer::expected_first_event(std::string const& service,
+                                       double unread_tokens) const
+{
+    auto const found = engine_profiles_.find(service);
+    auto const& profile =
+        found == engine_profiles_.end() ? engine_profile() : found->second;
+    return profile.expected_first_event(unread_tokens);
 }
 
 bool reducer::are_runners_quiet(active_request const& request,
@@ -242,7 +261,8 @@
         fail_request(request, refusal::crashes_runners, now);
         return;
     }
-    auto* state = choose_runner(request, now);
+    auto const choice = choose_runner(request, now);
+    auto* state = choice.runner;
     if (state == nullptr)
     {
         if (!wait_for_share(request, now) && !plan_retry(request, now))
@@ -273,19 +293,49 @@
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
     if (service_settings != nullptr && service_settings->engine)
-        send.priority = std::min(urgent_priority + request.rank * priority_step,
-                                 last_priority);
+        place_on_engine(request, choice, send, now);
     for (auto const& handle : request.pipeline.final_results())
         send.inputs += (send.inputs.empty() ? "" : ",") + handle;
-    log("request_sent", &request,
-        {{"runner", request.runner_id},
-         {"service", request.service},
-         {"attempt", std::to_string(request.attempt)},
-         {"load", std::to_string(estimated_load(*state, now))},
-         {"left_ms", milliseconds_text(request.deadline - now)}});
+    log_send(request, choice, now);
     out_.push_back(std::move(send));
 }
 
+void reducer::place_on_engine(active_request const& request,
+                              runner_choice const& choice, send_attempt& out,
+                              time_point now)
+{
+    choice.runner->engine.sent(request.ref, engine_request_of(request.traits),
+                               choice.expected, now);
+    engine_profiles_[request.service].record_send(
+        choice.expected.unread_tokens);
+    out.priority =
+        std::min(urgent_priority + request.rank * priority_step, last_priority);
+    out.expected_first_event = choice.expected.first_event;
+}
+
+void reducer::log_send(active_request const& request,
+                       runner_choice const& choice, time_point now)
+{
+    std::vector<log_decision::field> fields = {
+        {"runner", request.runner_id},
+        {"service", request.service},
+        {"attempt", std::to_string(request.attempt)},
+        {"load", std::to_string(choice.load)},
+        {"left_ms", milliseconds_text(request.deadline - now)}};
+    auto const& expected = choice.expected;
+    if (expected.first_event > duration::zero())
+    {
+        fields.push_back(
+            {"expected_ms", milliseconds_text(expected.first_event)});
+        fields.push_back({"usual_ms", milliseconds_text(expected.usual_time)});
+        fields.push_back(
+            {"unread_tokens", std::to_string(expected.unread_tokens)});
+        fields.push_back(
+            {"tokens_before", std::to_string(expected.tokens_before)});
+    }
+    log("request_sent", &request, std::move(fields));
+}
+
 void reducer::record_signal(active_request const& request,
                             attempt_ended const& in, attempt_outcome outcome,
                             time_point now)
@@ -293,7 +343,9 @@
     auto* state = runners_.find(request.runner_id);
     if (state == nullptr)
         return;
-    record_load(*state, in.load, now);
+    // The report of a stream is as old as its first event, and is known.
+    if (!request.streaming)
+        record_load(*state, in.load, now);
     auto const elapsed = now - request.sent_at;
     bool const failed =
         in.transport == transport_end::complete && is_server_error(in.status);
@@ -334,8 +386,11 @@
 void reducer::release_runner(active_request& request)
 {
     request.in_flight = false;
-    if (auto* state = runners_.find(request.runner_id))
-        state->outstanding -= state->outstanding > 0 ? 1 : 0;
+    auto* state = runners_.find(request.runner_id);
+    if (state == nullptr)
+        return;
+    state->outstanding -= state->outstanding > 0 ? 1 : 0;
+    state->engine.ended(request.ref);
 }
 
 void reducer::on(attempt_ended const& in, time_point now)
--- a/packages/decision/src/gateway/reducer_retries.cpp
+++ b/packages/decision/src/gateway/reducer_retries.cpp
@@ -43,7 +43,8 @@
     if (request.possible_executions >= request.matched_route->max_attempts ||
         request.sends >= max_sends || request.attempt >= 2 * max_sends)
         return false;
-    if (is_blocked(request, now) || choose_runner(request, now) == nullptr)
+    if (is_blocked(request, now) ||
+        choose_runner(request, now).runner == nullptr)
         return false;
     if (request.sends > 0 &&
         !retry_budget_.try_consume(request.service, members_.count(), now))
@@ -106,7 +107,7 @@
     request.retry_at.reset();
     request.tried_runners.clear();
     bool const possible =
-        choose_runner(request, now) != nullptr &&
+        choose_runner(request, now).runner != nullptr &&
         retry_budget_.try_consume(request.service, members_.count(), now);
     if (possible)
         start_attempt(request, now);
--- a/packages/decision/src/gateway/runner_choice.cpp
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -24,10 +24,20 @@
 constexpr double load_factor = 1.6;
 constexpr double load_slack = 3;
 
+//! A session leaves its runner if it can expect its first event earlier by more
+//! than this time plus this share elsewhere. Smaller gains do not outweigh that
+//! its later requests find their prompts unread.
+constexpr duration move_slack = std::chrono::milliseconds(50);
+constexpr double move_slack_share = 0.5;
+
 //! A share of a runner's limit that was not used for this long is used by the
 //! next request. Nothing else tells what became of the limit.
 constexpr duration max_share_idle_time = std::chrono::seconds(2);
 
+//! A session has at most this many runners while their load is within the
+//! bound. More would each read the shared parts of its prompts.
+constexpr std::size_t max_session_runners = 3;
+
 double expected_time(runner_state const& it, std::string_view own_domain,
                      time_point now)
 {
@@ -44,14 +54,69 @@
 
 //! Identifies the session by the prompt segment that its requests share: the
 //! last but one, since the last segment belongs to the request itself.
-std::uint64_t session_of(engine_request const& request)
+std::uint64_t session_of(engine_request const& work)
 {
-    auto const& prompt = request.prompt;
+    auto const& prompt = work.prompt;
     if (prompt.empty())
-        return request.seed;
+        return work.seed;
     return prompt.size() == 1 ? prompt[0].id : prompt[prompt.size() - 2].id;
 }
 
+//! Mean over the runners that reported lately.
+other_requests mean_others(absl::Span<runner_state* const> runners,
+                           time_point now)
+{
+    other_requests sum;
+    std::size_t n = 0;
+    for (auto const* it : runners)
+    {
+        auto const reported = it->engine.reported_others(now);
+        if (!reported)
+            continue;
+        sum.running += reported->running;
+        sum.waiting += reported->waiting;
+        ++n;
+    }
+    return n == 0 ? sum
+                  : other_requests{sum.running / double(n),
+                                   sum.waiting / double(n)};
+}
+
+std::vector<runner_state*>
+in_session_order(absl::Span<runner_state* const> runners,
+                 engine_request const& work)
+{
+    auto const key = std::to_string(session_of(work));
+    std::vector<std::pair<std::uint64_t, runner_state*>> weighted;
+    for (auto* it : runners)
+        weighted.emplace_back(
+            fleet::rendezvous_weight(key, vm_id::of(it->entry.id)), it);
+    std::stable_sort(weighted.begin(), weighted.end(),
+                     [](auto const& a, auto const& b)
+                     { return a.first > b.first; });
+    std::vector<runner_state*> out;
+    for (auto const& it : weighted)
+        out.push_back(it.second);
+    return out;
+}
+
+//! Returns the first choice that is expected to be about as fast as the best
+//! one.
+runner_choice const& first_fast_one(absl::Span<runner_choice const> choices)
+{
+    auto const best = std::min_element(
+        choices.begin(), choices.end(),
+        [](runner_choice const& a, runner_choice const& b)
+        { return a.expected.first_event < b.expected.first_event; });
+    double const limit_s =
+        to_seconds(best->expected.first_event) * (1 + move_slack_share) +
+        to_seconds(move_slack);
+    return *std::find_if(
+        choices.begin(), choices.end(),
+        [&](runner_choice const& it)
+        { return to_seconds(it.expected.first_event) <= limit_s; });
+}
+
 } // namespace
 
 runner_state* find_idle_share(absl::Span<runner_state* const> runners,
@@ -87,41 +152,42 @@
                : a;
 }
 
-runner_state* choose_engine_runner(absl::Span<runner_state* const> runners,
-                                   engine_request const& request,
+runner_choice choose_engine_runner(absl::Span<runner_state* const> runners,
+                                   engine_request const& work,
+                                   engine_limits const& limits,
+                                   engine_profile const& profile,
                                    time_point now)
 {
-    if (runners.empty())
-        return nullptr;
-    auto const key = std::to_string(session_of(request));
+    auto const mean = mean_others(runners, now);
+    auto const ordered = in_session_order(runners, work);
     double total = 0;
-    struct candidate
-    {
-        std::uint64_t weight;
-        double load;
-        runner_state* runner;
-    };
-    std::vector<candidate> candidates;
-    for (auto* it : runners)
+    std::vector<runner_choice> with_room;
+    for (auto* it : ordered)
     {
-        auto const weight =
-            fleet::rendezvous_weight(key, vm_id::of(it->entry.id));
-        double const load = estimated_load(*it, now);
+        auto const others = it->engine.others(mean, now);
+        double const load = it->outstanding + others.total();
         total += load;
-        candidates.push_back({weight, load, it});
+        if (it->engine.has_room(work, limits.cache_tokens))
+            with_room.push_back({it,
+                                 it->engine.expect(work, it == ordered.front(),
+                                                   others, profile, now),
+                                 load});
     }
-    std::sort(candidates.begin(), candidates.end(),
-              [](candidate const& a, candidate const& b)
-              { return a.weight > b.weight; });
+    if (with_room.empty())
+        return {};
     double const bound =
         load_factor * total / double(runners.size()) + load_slack;
-    for (auto const& it : candidates)
-        if (it.load <= bound && it.load < it.runner->entry.slots)
-            return it.runner;
-    return std::min_element(candidates.begin(), candidates.end(),
-                            [](candidate const& a, candidate const& b)
-                            { return a.load < b.load; })
-        ->runner;
+    std::vector<runner_choice> within_bound;
+    for (auto const& it : with_room)
+        if (it.load <= bound && it.load < it.runner->entry.slots &&
+            within_bound.size() < max_session_runners)
+            within_bound.push_back(it);
+    if (!within_bound.empty())
+        return first_fast_one(within_bound);
+    // The fleet is overloaded. It must not read the prompts of each session
+    // everywhere now.
+    return first_fast_one(absl::MakeSpan(with_room).first(
+        std::min(with_room.size(), max_session_runners)));
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -392,6 +392,7 @@
         return;
     state.load = load;
     state.load_at = now;
+    state.engine.report(*load, now);
 }
 
 double estimated_load(runner_state const& state, time_point now)
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -26,6 +26,10 @@
     //! "caller_left", "malformed" or the name of a refusal.
     void count_request(char const* outcome, decision::duration elapsed);
     void count_send();
+
+    //! Records how soon a model runner is expected to start a request that is
+    //! sent to it.
+    void observe_expected_first_event(decision::duration expected);
     void count_stage_call(std::size_t pieces);
 
     //! Counts bytes of callers that were read and dropped.
@@ -50,6 +54,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Histogram& request_seconds_;
     prometheus::Counter& sends_;
+    prometheus::Histogram& expected_first_event_seconds_;
     prometheus::Counter& discarded_input_bytes_;
     prometheus::Counter& store_restores_;
     prometheus::Histogram& stage_call_pieces_;
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -60,6 +60,8 @@
     it->attempt->connection = http_client_.connection_of(it->attempt->call);
     it->used_connections.push_back(it->attempt->connection);
     metrics_.count_send();
+    if (effect.expected_first_event)
+        metrics_.observe_expected_first_event(*effect.expected_first_event);
 }
 
 void gateway_process::execute(model::cancel_attempt const& effect)
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -55,6 +55,10 @@
           {0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16})),
       sends_(add_counter(registry_, "buckthornvale_gateway_sends_total",
                          "Attempts to send a request to a runner")),
+      expected_first_event_seconds_(add_histogram(
+          registry_, "buckthornvale_gateway_expected_first_event_seconds",
+          "Expected time from a send to a model runner to its first event",
+          {0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8})),
       discarded_input_bytes_(add_counter(
           registry_, "buckthornvale_gateway_discarded_input_bytes_total",
           "Bytes of callers that were read and dropped")),
@@ -91,6 +95,11 @@
     sends_.Increment();
 }
 
+void gateway_metrics::observe_expected_first_event(decision::duration expected)
+{
+    expected_first_event_seconds_.Observe(decision::to_seconds(expected));
+}
+
 void gateway_metrics::count_stage_call(std::size_t pieces)
 {
     stage_call_pieces_.Observe(double(pieces));
