--- a/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
@@ -88,9 +88,9 @@
     //! Requests of other VMs by a report of the last few seconds.
     std::optional<other_requests> reported_others(time_point now) const;
 
-    //! Requests of other VMs. As the report ages, the mean of all runners
-    //! replaces it.
-    other_requests others(other_requests const& mean, time_point now) const;
+    //! Requests of other VMs. As the report ages, what is usual at the
+    //! runners of the service replaces it.
+    other_requests others(other_requests const& usual, time_point now) const;
 
     //! Time that work takes, relative to the usual time of the service. Returns
     //! to 1 while nothing is heard of the runner.
--- a/packages/decision/src/gateway/engine_load.cpp
+++ b/packages/decision/src/gateway/engine_load.cpp
@@ -15,7 +15,7 @@
 //! those of other VMs.
 constexpr duration report_fade_time = 700ms;
 
-//! Reports up to this age enter the mean of all runners.
+//! Reports up to this age tell what is usual at the runners of a service.
 constexpr duration max_report_age = 5s;
 
 //! A runner that was slow gets requests again in about this time.
@@ -241,14 +241,15 @@
     return reported_others_;
 }
 
-other_requests engine_load::others(other_requests const& mean,
+other_requests engine_load::others(other_requests const& usual,
                                    time_point now) const
 {
     if (!reported_others_)
-        return mean;
+        return usual;
     double const weight = fade(now - reported_at_, report_fade_time);
-    return {mean.running + weight * (reported_others_->running - mean.running),
-            mean.waiting + weight * (reported_others_->waiting - mean.waiting)};
+    return {
+        usual.running + weight * (reported_others_->running - usual.running),
+        usual.waiting + weight * (reported_others_->waiting - usual.waiting)};
 }
 
 double engine_load::observed_ratio(own_request const& it, time_point now) const
--- a/packages/decision/src/gateway/runner_choice.cpp
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -62,24 +62,32 @@
     return prompt.size() == 1 ? prompt[0].id : prompt[prompt.size() - 2].id;
 }
 
-//! Mean over the runners that reported lately.
-other_requests mean_others(absl::Span<runner_state* const> runners,
-                           time_point now)
+//! Returns the lower median, or 0 without values.
+double median(std::vector<double> values)
 {
-    other_requests sum;
-    std::size_t n = 0;
+    if (values.empty())
+        return 0;
+    auto const middle = values.begin() + std::ptrdiff_t(values.size() - 1) / 2;
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+//! What is usual among the runners that reported lately. A mean would follow a
+//! single absurd report.
+other_requests usual_others(absl::Span<runner_state* const> runners,
+                            time_point now)
+{
+    std::vector<double> running;
+    std::vector<double> waiting;
     for (auto const* it : runners)
     {
         auto const reported = it->engine.reported_others(now);
         if (!reported)
             continue;
-        sum.running += reported->running;
-        sum.waiting += reported->waiting;
-        ++n;
+        running.push_back(reported->running);
+        waiting.push_back(reported->waiting);
     }
-    return n == 0 ? sum
-                  : other_requests{sum.running / double(n),
-                                   sum.waiting / double(n)};
+    return {median(std::move(running)), median(std::move(waiting))};
 }
 
 std::vector<runner_state*>
@@ -158,13 +166,13 @@
                                    engine_profile const& profile,
                                    time_point now)
 {
-    auto const mean = mean_others(runners, now);
+    auto const usual = usual_others(runners, now);
     auto const ordered = in_session_order(runners, work);
     double total = 0;
     std::vector<runner_choice> with_room;
     for (auto* it : ordered)
     {
-        auto const others = it->engine.others(mean, now);
+        auto const others = it->engine.others(usual, now);
         double const load = it->outstanding + others.total();
         total += load;
         if (it->engine.has_room(work, limits.cache_tokens))
