--- a/standins/fleet_platform/settings.cpp
+++ b/standins/fleet_platform/settings.cpp
@@ -19,7 +19,7 @@
            "\nlimits.cpuShare=0.25\nlimits.linkMbps=1000"
            "\nlimits.memoryMb=" +
            std::to_string(vm.memory_mb) +
-           "\nlimits.fileDescriptors=4100"
+           "\nlimits.fileDescriptors=" + std::to_string(vm.file_descriptors) +
            "\nplatform.valueBytes=1048576\nheartbeatMs=1200"
            "\nbounds.contactMs=3000\nbounds.drainTimeoutMs=2000"
            "\nbounds.gracePeriodS=8"
--- a/standins/fleet_platform/settings.hpp
+++ b/standins/fleet_platform/settings.hpp
@@ -17,6 +17,7 @@
     std::uint16_t store_port = 0;
     bool first_start = true; //!< of the whole fleet
     int memory_mb = 120;     //!< a small VM
+    int file_descriptors = 4100;
 };
 
 //! The settings file that the platform writes for the VM.
--- a/tests/soak/gateway_vm.cpp
+++ b/tests/soak/gateway_vm.cpp
@@ -1,7 +1,9 @@
 #include "gateway_vm.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <string_view>
@@ -13,17 +15,16 @@
 {
 
 gateway_vm::gateway_vm(asio::io_context& loop, std::string program,
-                       std::string const& folder, std::string name,
-                       std::uint16_t store_port)
+                       std::string const& folder,
+                       standins::fleet_platform::vm_settings settings)
     : program_(std::move(program)),
-      settings_path_(folder + "/" + name + ".conf"),
-      log_path_(folder + "/" + name + ".log")
+      settings_path_(folder + "/" + settings.name + ".conf"),
+      log_path_(folder + "/" + settings.name + ".log"),
+      settings_(std::move(settings))
 {
-    settings_.name = std::move(name);
     settings_.caller_port = reserve_port(loop);
     settings_.readiness_port = reserve_port(loop);
     settings_.peer_port = reserve_port(loop);
-    settings_.store_port = store_port;
 }
 
 gateway_vm::~gateway_vm()
@@ -92,16 +93,36 @@
     return pid_ >= 0;
 }
 
-bool gateway_vm::exceeds_memory() const
+long gateway_vm::peak_memory_kb() const
 {
     constexpr std::string_view field = "VmHWM:";
     std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
     std::string line;
     while (std::getline(status, line))
         if (line.compare(0, field.size(), field) == 0)
-            return std::stol(line.substr(field.size())) >
-                   settings_.memory_mb * 1024L;
-    return false;
+            return std::stol(line.substr(field.size()));
+    return 0;
+}
+
+bool gateway_vm::exceeds_memory() const
+{
+    return peak_memory_kb() > settings_.memory_mb * 1024L;
+}
+
+std::size_t gateway_vm::open_sockets() const
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator const all(
+        "/proc/" + std::to_string(pid_) + "/fd", ec);
+    return std::count_if(begin(all), end(all),
+                         [](auto const& it)
+                         {
+                             std::error_code gone;
+                             auto const to =
+                                 read_symlink(it.path(), gone).string();
+                             return to.compare(0, 7, "socket:") == 0 ||
+                                    to.compare(0, 5, "pipe:") == 0;
+                         });
 }
 
 void gateway_vm::reap(int options)
--- a/tests/soak/gateway_vm.hpp
+++ b/tests/soak/gateway_vm.hpp
@@ -21,9 +21,10 @@
 class gateway_vm
 {
 public:
+    //! Chooses the listening ports; the other settings are taken as given.
     gateway_vm(asio::io_context& loop, std::string program,
-               std::string const& folder, std::string name,
-               std::uint16_t store_port);
+               std::string const& folder,
+               standins::fleet_platform::vm_settings settings);
     ~gateway_vm();
     gateway_vm(gateway_vm const&) = delete;
     gateway_vm& operator=(gateway_vm const&) = delete;
@@ -47,9 +48,20 @@
     //! has.
     std::string const& crash() const { return crash_; }
 
+    //! Most memory that the process that runs has used at a time; 0 if none
+    //! runs.
+    long peak_memory_kb() const;
+
     //! True if the process that runs has used more memory than the VM has.
     bool exceeds_memory() const;
 
+    //! Number of sockets and pipes that the process has open.
+    std::size_t open_sockets() const;
+
+    standins::fleet_platform::vm_settings const& settings() const
+    {
+        return settings_;
+    }
     std::uint16_t caller_port() const { return settings_.caller_port; }
     std::string const& name() const { return settings_.name; }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -82,9 +82,11 @@
     store_.save_copy();
     for (std::size_t n = 0; n < options_.vms; ++n)
     {
+        standins::fleet_platform::vm_settings settings;
+        settings.name = "vm-" + std::to_string(n);
+        settings.store_port = store_.port();
         vms_.push_back(std::make_unique<gateway_vm>(
-            loop_, options_.program, options_.folder, "vm-" + std::to_string(n),
-            store_.port()));
+            loop_, options_.program, options_.folder, std::move(settings)));
         vms_.back()->start();
     }
     for (std::size_t n = 0; n < options_.callers; ++n)
