net, gateway: bound what clients make a process hold

Cause: each connection had limits, but nothing bounded their sum. Bodies that stop short were kept for 60 s, answers piled up for clients that sent ahead without reading, memory of bodies and answers was kept after use, connections were not bounded, and the readiness address took bodies of 16 MB. A request inside the limits with more than 200 fields was refused.

Change: a memory_budget for each server counts what connections, requests in progress and unsent answers hold. When something does not fit, or a server has all its connections, the connection with the greatest product of bytes and time without progress is ended (connection_choice): 503 with Retry-After while its request is incomplete, otherwise closed. The shares follow from the memory and the descriptors in the settings (client_shares). The next request on a connection waits while answers do; bodies grow by half instead of double; large buffers are freed after use. Readiness takes no bodies. Fields of a request are bounded by the size of its head and are counted. Settings without these limits are served as before.

--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -60,10 +60,16 @@
     //! A request of a caller that has no final response yet.
     struct caller_request
     {
+        explicit caller_request(std::shared_ptr<net::memory_budget> budget)
+            : memory(std::move(budget))
+        {
+        }
+
         std::uint64_t connection_id = 0;
         bool caller_present = true;
         http::request_head head;
         std::shared_ptr<std::string const> body;
+        net::memory_budget::charge memory; //!< of head and body
         std::string request_id;
         time_point arrived_at{};
         std::unique_ptr<runner_attempt> attempt;
@@ -80,6 +86,8 @@
     void on_drained(net::server_connection& from) override;
     void on_discarded(net::server_connection& from, std::size_t bytes,
                       net::duration since_close) override;
+    void on_ended_for_others(net::server_connection& from,
+                             std::size_t bytes) override;
 
     // runner_attempt::listener
     void on_sse_events(runner_attempt& from, std::string_view events) override;
@@ -107,6 +115,10 @@
     void execute(decision::gateway::remove_member const& it);
     void execute(decision::gateway::log_decision const& it);
 
+    //! Counts a connection that was ended for others, and logs such ends, at
+    //! most one in a second.
+    void record_ended_connection(char const* server, std::size_t bytes);
+
     caller_request* find_request(request_ref ref);
     net::server_connection* find_connection(caller_request const& it);
     void erase_request(request_ref ref, char const* outcome);
@@ -156,6 +168,7 @@
     observe::log_writer log_writer_;
     observe::gateway_metrics metrics_;
     std::shared_ptr<answer_memory> answer_memory_;
+    std::shared_ptr<net::memory_budget> caller_memory_;
     net::http_client http_client_;
     peer::peer_sender peer_sender_;
     net::http_server caller_server_;
@@ -183,6 +196,8 @@
     time_point tick_due_at_{};
     time_point ticked_at_{}; //!< when the last tick began
     time_point delay_logged_at_{};
+    time_point ended_connection_logged_at_{};
+    std::size_t ended_connections_ = 0; //!< since the last such line
     time_point limits_checked_at_{};
     bool draining_ = false;
     bool listening_ = true;
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -42,6 +42,12 @@
     //! Sets the number of runners that name a limit on their requests.
     void set_limited_runners(std::size_t n);
 
+    //! Counts a connection that was ended for the sake of others.
+    void count_ended_connection();
+
+    //! Sets the bytes that callers make the process hold.
+    void set_caller_bytes(std::size_t n);
+
     //! Serialises all metrics in the Prometheus text format.
     std::string to_text() const;
 
@@ -57,6 +63,8 @@
     prometheus::Gauge& active_requests_;
     prometheus::Gauge& connections_;
     prometheus::Gauge& limited_runners_;
+    prometheus::Counter& ended_connections_;
+    prometheus::Gauge& caller_bytes_;
 };
 
 } // namespace buckthornvale::gateway::observe
--- a/packages/gateway/src/control_handler.cpp
+++ b/packages/gateway/src/control_handler.cpp
@@ -4,6 +4,8 @@
 #include <buckthornvale/http/text.hpp>
 #include <buckthornvale/platform/headers.hpp>
 
+#include <algorithm>
+
 namespace buckthornvale::gateway
 {
 
@@ -14,11 +16,16 @@
 
 constexpr std::string_view metrics_path = "/metrics";
 
-net::server_limits control_limits()
+constexpr std::size_t max_message_bytes = 16'777'216;
+
+net::server_limits control_limits(client_share const& share,
+                                  std::size_t max_body_bytes)
 {
     net::server_limits out;
-    out.max_body_bytes = 16'777'216;
+    out.max_body_bytes = std::min(max_body_bytes, share.memory_bytes / 2);
     out.idle_timeout = 120s;
+    out.max_connections = share.connections;
+    out.replace_connections = true;
     return out;
 }
 
@@ -35,10 +42,20 @@
 
 control_handler::control_handler(asio::io_context& loop,
                                  net::clock_function const& clock,
+                                 client_shares const& shares,
                                  callback_set callbacks)
     : callbacks_(std::move(callbacks)),
-      readiness_server_(loop, *this, control_limits, clock),
-      peer_server_(loop, *this, control_limits, clock)
+      readiness_server_(
+          loop, *this,
+          [share = shares.readiness] { return control_limits(share, 0); },
+          clock,
+          std::make_shared<net::memory_budget>(shares.readiness.memory_bytes)),
+      peer_server_(
+          loop, *this,
+          [share = shares.peers]
+          { return control_limits(share, max_message_bytes); },
+          clock,
+          std::make_shared<net::memory_budget>(shares.peers.memory_bytes))
 {
 }
 
--- a/packages/gateway/src/control_handler.hpp
+++ b/packages/gateway/src/control_handler.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
 #define BUCKTHORNVALE_GATEWAY_CONTROL_HANDLER_HPP
 
+#include "client_shares.hpp"
 #include <buckthornvale/gateway/peer/peer_codec.hpp>
 #include <buckthornvale/net/http_server.hpp>
 
@@ -28,10 +29,13 @@
 
         //! Processes the envelope of another VM and returns the encoded reply.
         std::function<std::string(peer::envelope)> receive_messages;
+
+        //! A client was ended for others; it held this number of bytes.
+        std::function<void(std::size_t bytes)> connection_ended;
     };
 
     control_handler(asio::io_context& loop, net::clock_function const& clock,
-                    callback_set callbacks);
+                    client_shares const& shares, callback_set callbacks);
 
     net::http_server& readiness() { return readiness_server_; }
     net::http_server& peers() { return peer_server_; }
@@ -43,6 +47,11 @@
                     std::string& body) override;
     void on_caller_left(net::server_connection&) override {}
     void on_drained(net::server_connection&) override {}
+    void on_ended_for_others(net::server_connection&,
+                             std::size_t bytes) override
+    {
+        callbacks_.connection_ended(bytes);
+    }
 
 private:
     callback_set callbacks_;
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -1,3 +1,4 @@
+#include "client_shares.hpp"
 #include "control_handler.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/gateway/gateway_process.hpp>
@@ -28,6 +29,8 @@
 constexpr duration max_tick_delay = 100ms;
 constexpr duration delay_log_interval = 1s;
 
+constexpr duration ended_connection_log_interval = 1s;
+
 //! Reading from a runner resumes when fewer bytes wait to be sent to the
 //! caller.
 constexpr std::size_t resume_queued_bytes = 65'536;
@@ -48,13 +51,29 @@
 //! between is for sending the last answers.
 constexpr duration exit_margin = 300ms;
 
+//! Counted for a request beside its content.
+constexpr std::size_t request_bytes = 4096;
+
+//! A body is held once, and again while the socket to a runner does not take
+//! it.
+constexpr std::size_t copies_of_body = 2;
+
 //! Part of the memory of the VM that large answers may take together. What is
 //! held of an answer takes up to twice its size, and again when it is sent.
 constexpr std::size_t answer_memory_divisor = 8;
 
-net::server_limits to_server_limits(model::caller_limits const& from)
+//! Limits that are not set by the manifest.
+client_shares shares_of(platform::node_settings const& settings)
+{
+    return divide_among_clients(settings.memory_bytes, settings.max_sockets);
+}
+
+net::server_limits to_server_limits(model::caller_limits const& from,
+                                    std::size_t max_connections)
 {
     net::server_limits out;
+    out.max_connections = max_connections;
+    out.replace_connections = true;
     out.max_header_bytes = from.max_header_bytes;
     out.max_body_bytes = from.max_body_bytes;
     out.header_timeout = from.header_timeout;
@@ -79,6 +98,8 @@
       log_writer_(log_descriptor, settings_.vm_name),
       answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
                                                      answer_memory_divisor)),
+      caller_memory_(std::make_shared<net::memory_budget>(
+          shares_of(settings_).callers.memory_bytes)),
       http_client_(loop, [this] { return now(); }),
       peer_sender_(
           http_client_, settings_.vm_name, incarnation,
@@ -91,14 +112,15 @@
            }}),
       caller_server_(
           loop, *this,
-          [this]
+          [this, max_connections = shares_of(settings_).callers.connections]
           {
               auto const* manifest = reducer_.current_manifest();
               return to_server_limits(manifest != nullptr
                                           ? manifest->limits
-                                          : model::caller_limits());
+                                          : model::caller_limits(),
+                                      max_connections);
           },
-          [this] { return now(); }),
+          [this] { return now(); }, caller_memory_),
       next_ref_(model::first_request_ref(incarnation)), tick_timer_(loop),
       registration_timer_(loop), runner_list_timer_(loop)
 {
@@ -126,8 +148,11 @@
         bool const newer = current != nullptr && current->version > after;
         return newer ? encoded_manifest_ : std::string();
     };
+    callbacks.connection_ended = [this](std::size_t bytes)
+    { record_ended_connection("control", bytes); };
     control_handler_ = std::make_unique<control_handler>(
-        loop, [this] { return now(); }, std::move(callbacks));
+        loop, [this] { return now(); }, shares_of(settings_),
+        std::move(callbacks));
 }
 
 gateway_process::~gateway_process() = default;
@@ -256,6 +281,7 @@
         control_handler_->check_limits(input_until);
         metrics_.set_active(requests_.size(), caller_server_.connections());
         metrics_.set_limited_runners(reducer_.rate_limited_runners());
+        metrics_.set_caller_bytes(caller_memory_->held());
         log_writer_.flush();
     }
     drop_lapsed_members(at);
@@ -317,20 +343,25 @@
     auto decoded = platform::decode_request(head);
     if (decoded.problem != platform::request_problem::none)
     {
+        log("request_malformed", {{"path", std::string(head.path())}});
         std::string answer;
         http::append_status_line(answer, 400);
         from.answer(std::move(answer), {});
         metrics_.count_request("malformed", {});
-        log("request_malformed", {{"path", std::string(head.path())}});
         return;
     }
     decoded.traits.body_hash = decision::stable_hash(body);
     decoded.traits.on_reused_connection = from.requests_received() > 1;
     auto const ref = next_ref_++;
-    auto& it = requests_[ref];
+    auto& it = requests_.try_emplace(ref, caller_memory_).first->second;
     it.connection_id = from.id();
+    // The connection still needs the rest of the head for its response.
+    auto headers = std::exchange(head.headers, {});
     it.head = head;
+    it.head.headers = std::move(headers);
     it.body = std::make_shared<std::string const>(std::move(body));
+    it.memory.resize(request_bytes + http::memory_of(it.head.headers) +
+                     copies_of_body * it.body->capacity());
     it.request_id = decoded.traits.id;
     it.arrived_at = now();
     ref_by_connection_[from.id()] = ref;
@@ -343,8 +374,8 @@
     if (found == ref_by_connection_.end())
         return;
     auto const ref = found->second;
-    auto& it = requests_[ref];
-    it.caller_present = false;
+    if (auto* it = find_request(ref))
+        it->caller_present = false;
     reduce(model::caller_left{ref});
     // The reducer lets some requests finish without their caller; these keep
     // their attempt.
@@ -358,16 +389,40 @@
     auto const found = ref_by_connection_.find(from.id());
     if (found == ref_by_connection_.end())
         return;
-    auto& it = requests_[found->second];
-    if (it.reading_paused && it.attempt != nullptr &&
+    auto* it = find_request(found->second);
+    if (it != nullptr && it->reading_paused && it->attempt != nullptr &&
         from.queued() < resume_queued_bytes)
     {
-        it.reading_paused = false;
-        http_client_.resume(it.attempt->call);
+        it->reading_paused = false;
+        http_client_.resume(it->attempt->call);
         reduce(model::delivery_blocked{found->second, false});
     }
 }
 
+void gateway_process::on_ended_for_others(net::server_connection&,
+                                          std::size_t bytes)
+{
+    record_ended_connection("callers", bytes);
+}
+
+void gateway_process::record_ended_connection(char const* server,
+                                              std::size_t bytes)
+{
+    metrics_.count_ended_connection();
+    ++ended_connections_;
+    auto const at = now();
+    if (at - ended_connection_logged_at_ < ended_connection_log_interval)
+        return;
+    ended_connection_logged_at_ = at;
+    log("connections_ended",
+        {{"server", server},
+         {"bytes", std::to_string(bytes)},
+         {"held_bytes", std::to_string(caller_memory_->held())},
+         {"connections", std::to_string(caller_server_.connections())},
+         {"count",
+          std::to_string(std::exchange(ended_connections_, std::size_t{0}))}});
+}
+
 void gateway_process::on_discarded(net::server_connection& from,
                                    std::size_t bytes, net::duration since_close)
 {
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -73,9 +73,14 @@
                                  "Requests without a final response")),
       connections_(add_gauge(registry_, "buckthornvale_gateway_connections",
                              "Open connections from callers")),
-      limited_runners_(add_gauge(registry_,
-                                 "buckthornvale_gateway_limited_runners",
-                                 "Runners that name a limit on their requests"))
+      limited_runners_(
+          add_gauge(registry_, "buckthornvale_gateway_limited_runners",
+                    "Runners that name a limit on their requests")),
+      ended_connections_(add_counter(
+          registry_, "buckthornvale_gateway_ended_connections_total",
+          "Connections that were ended because others needed what they held")),
+      caller_bytes_(add_gauge(registry_, "buckthornvale_gateway_caller_bytes",
+                              "Bytes held for callers and their requests"))
 {
 }
 
@@ -122,6 +127,16 @@
     limited_runners_.Set(double(n));
 }
 
+void gateway_metrics::count_ended_connection()
+{
+    ended_connections_.Increment();
+}
+
+void gateway_metrics::set_caller_bytes(std::size_t n)
+{
+    caller_bytes_.Set(double(n));
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
--- a/packages/http/include/buckthornvale/http/message.hpp
+++ b/packages/http/include/buckthornvale/http/message.hpp
@@ -48,6 +48,9 @@
     bool body_ends_at_close = false; //!< no Content-Length, not chunked
 };
 
+//! Memory that the headers take.
+std::size_t memory_of(header_list const& headers);
+
 //! Value of the first header with this name; nullopt when there is none.
 std::optional<std::string_view> find_header(header_view headers,
                                             std::string_view name);
--- a/packages/http/include/buckthornvale/http/message_parser.hpp
+++ b/packages/http/include/buckthornvale/http/message_parser.hpp
@@ -75,6 +75,9 @@
     bool complete() const; //!< a full message was parsed
     bool head_complete() const;
     bool started() const; //!< parsing of the message has begun
+
+    //! Memory that the head takes, complete or not.
+    std::size_t held_bytes() const;
     request_head& request();
     request_head const& request() const;
     response_head& response();
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -61,6 +61,14 @@
     return view.substr(0, view.find('?'));
 }
 
+std::size_t memory_of(header_list const& headers)
+{
+    auto out = headers.capacity() * sizeof(header);
+    for (auto const& it : headers)
+        out += it.name.capacity() + it.value.capacity();
+    return out;
+}
+
 std::optional<std::string_view> find_header(header_view headers,
                                             std::string_view name)
 {
--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -3,6 +3,8 @@
 
 #include <buckthornvale/http/message_parser.hpp>
 #include <buckthornvale/net/clock.hpp>
+#include <buckthornvale/net/connection_choice.hpp>
+#include <buckthornvale/net/memory_budget.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
 #include <buckthornvale/net/timer.hpp>
 
@@ -13,6 +15,7 @@
 #include <functional>
 #include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -37,6 +40,10 @@
     duration send_timeout = std::chrono::seconds(10);
 
     std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+
+    //! At `max_connections`, another connection is ended for a new one if its
+    //! client waits or reads slowly. Otherwise the new one is rejected.
+    bool replace_connections = false;
 };
 
 //! Reason for closing a connection without passing a request to the handler.
@@ -47,7 +54,8 @@
     body_too_large,
     header_too_slow,
     body_too_slow,
-    too_many_connections
+    too_many_connections,
+    out_of_memory //!< what clients may hold together is used up
 };
 
 //! Response sent to the client of a rejected connection.
@@ -56,6 +64,7 @@
     int status = 400;
     std::string content_type; //!< empty when there is no body
     std::string body;
+    std::string retry_after = {}; //!< seconds; empty for none
 };
 
 //! Response with the status for the reason and no body.
@@ -86,6 +95,12 @@
     {
     }
 
+    //! The connection is about to be ended, because others need the memory or
+    //! the place that it holds.
+    virtual void on_ended_for_others(server_connection&, std::size_t /*bytes*/)
+    {
+    }
+
     //! Chooses the response to a rejected connection. With nullopt the
     //! connection is closed without a response.
     virtual std::optional<rejection_answer> on_rejected(rejection reason)
@@ -141,6 +156,23 @@
     //! for a short time.
     void close_after_response();
 
+    //! What the connection holds, if it may be ended for others: it is idle,
+    //! its request is not complete, or its client does not take the response or
+    //! has sent further requests meanwhile.
+    std::optional<connection_load> load(time_point now) const;
+
+    //! True when a request may have arrived on the idle connection.
+    bool has_unread_request() const;
+
+    //! Rejects an incomplete request; otherwise closes the connection.
+    void end_for_others();
+
+    //! Closes the connection at once.
+    void close_now();
+
+    //! Counts nothing more, because the server has removed the connection.
+    void release_memory();
+
     //! Closes or rejects the connection when a timeout has expired by `now`.
     void check_limits(time_point now);
 
@@ -166,12 +198,18 @@
 
     void parse(std::string_view bytes);
     void parse_held_input();
+    void go_on_reading();
     bool is_idle() const;
     void finish_response();
     void close_gracefully();
     void close_idle();
-    void close_now();
     void close_stream();
+    void hold(std::string_view bytes);
+    bool can_parse() const;
+    void admit_body();
+    void count_memory();
+    void note_progress(std::size_t bytes);
+    void restart_progress();
     void check_receive_timeouts(server_limits const& limits, time_point now);
     bool is_send_stalled(server_limits const& limits, time_point now);
     void append_connection_headers(std::string& head) const;
@@ -182,6 +220,7 @@
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     std::string body_;
+    std::size_t max_body_bytes_ = 0; //!< length of the body, or its limit
     //! Received and not parsed yet. While there are any, later bytes are added
     //! here, so that all are parsed in the order of their arrival.
     std::string held_input_;
@@ -191,6 +230,10 @@
     //! The response has neither length nor chunks and ends with the connection.
     bool ends_at_close_ = false;
     bool response_started_ = false;
+    bool body_admitted_ = false;
+    bool expects_continue_ = false;
+    bool body_length_known_ = false;
+    bool removed_ = false;
     bool close_after_response_ = false;
 
     //! Start of the current state, or of the current request while reading.
@@ -203,14 +246,25 @@
     //! Total sent when is_send_stalled last saw progress, and the time of that.
     std::uint64_t last_bytes_sent_ = 0;
     time_point last_send_progress_{};
+
+    //! Time at which the client had last sent or taken a fair number of bytes,
+    //! and the bytes since then.
+    time_point progress_at_{};
+    std::size_t bytes_since_progress_ = 0;
+
+    memory_budget::charge charge_;
 };
 
 //! Accepts connections on one listening address.
 class http_server
 {
 public:
+    //! The connections are charged to the budget; at its end, those that hold
+    //! the most for the longest time are ended first.
     http_server(asio::io_context& loop, request_handler& handler,
-                limits_function limits, clock_function clock);
+                limits_function limits, clock_function clock,
+                std::shared_ptr<memory_budget> memory =
+                    std::make_shared<memory_budget>());
     ~http_server();
 
     //! Throws asio::system_error when it cannot listen on the address.
@@ -246,6 +300,10 @@
     void accept();
     void add_connection(asio::ip::tcp::socket socket);
     void remove(std::uint64_t id);
+    std::shared_ptr<server_connection> choose_connection_to_end();
+    bool make_room_for(server_connection& it, std::size_t bytes);
+    void make_room_later();
+    void make_place();
 
     asio::io_context& loop_;
     asio::ip::tcp::acceptor acceptor_;
@@ -253,6 +311,8 @@
     request_handler& handler_;
     limits_function limits_;
     clock_function clock_;
+    std::shared_ptr<memory_budget> memory_;
+    bool making_room_later_ = false;
     bool draining_ = false;
     std::uint64_t next_id_ = 1;
     //! Expires with the server, for handlers that are still queued then.
--- a/packages/net/include/buckthornvale/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -72,6 +72,14 @@
         return in_flight_.size() - in_flight_written_ + pending_.size();
     }
 
+    //! Memory of the queue.
+    std::size_t queue_capacity() const
+    {
+        return in_flight_.capacity() + pending_.capacity();
+    }
+
+    bool is_reading_paused() const { return paused_; }
+
     //! Total number of bytes written to the socket.
     std::uint64_t written() const { return written_; }
 
@@ -90,6 +98,7 @@
 private:
     void read();
     void write_queued();
+    void release_queue();
     void fail(asio::error_code ec);
 
     static constexpr std::size_t read_buffer_bytes = 8'192;
--- a/packages/net/src/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -18,6 +18,9 @@
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
 
+//! An empty queue keeps its memory up to this size, for the next message.
+constexpr std::size_t max_kept_capacity = 16'384;
+
 //! Ignores errors: without the option, failures are detected later, but the
 //! connection still works.
 void set_socket_option(int fd, int level, int name, int value)
@@ -151,6 +154,7 @@
                 self->write_queued();
                 return;
             }
+            self->release_queue();
             if (self->shutdown_pending_)
                 self->shutdown_after_write();
             if (self->handler_ != nullptr)
@@ -158,6 +162,16 @@
         });
 }
 
+//! Frees the memory of the empty queue if a large message has left it.
+void tcp_stream::release_queue()
+{
+    if (queue_capacity() <= max_kept_capacity)
+        return;
+    in_flight_ = std::string();
+    in_flight_written_ = 0;
+    pending_ = std::string();
+}
+
 void tcp_stream::shutdown_after_write()
 {
     shutdown_pending_ = true;
--- a/packages/serving/src/http/http_front.cpp
+++ b/packages/serving/src/http/http_front.cpp
@@ -51,6 +51,7 @@
                 "the request did not arrive within the time limit; send it "
                 "without pauses"};
     case net::rejection::too_many_connections:
+    case net::rejection::out_of_memory:
         return {error_kind::overloaded,
                 "this VM has no room left for a connection"};
     case net::rejection::malformed:
--- a/tests/clients/misbehaving_clients_test.cpp
+++ b/tests/clients/misbehaving_clients_test.cpp
@@ -156,6 +156,9 @@
                          " HTTP/1.1\r\nHost: h\r\n\r\n");
         EXPECT_EQ(ready.substr(0, 12), "HTTP/1.1 200") << ready;
         ASSERT_TRUE(vm->running()) << vm->crash();
+        testing::Test::RecordProperty("peak_memory_kb",
+                                      int(vm->peak_memory_kb()));
+        testing::Test::RecordProperty("most_sockets", int(most_sockets_));
         EXPECT_LE(vm->peak_memory_kb(), memory_mb * 1024L);
         EXPECT_LE(most_sockets_, file_descriptors - file_reserve);
     }
