--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -52,6 +52,12 @@
     //! Sets the number of runners that are cold.
     void set_cold_runners(std::size_t n);
 
+    //! Counts a connection that was ended for the sake of others.
+    void count_ended_connection();
+
+    //! Sets the bytes that callers make the process hold.
+    void set_caller_bytes(std::size_t n);
+
     //! Serialises all metrics in the Prometheus text format.
     std::string to_text() const;
 
@@ -70,6 +76,8 @@
     prometheus::Gauge& limited_runners_;
     prometheus::Gauge& evacuated_domains_;
     prometheus::Gauge& cold_runners_;
+    prometheus::Counter& ended_connections_;
+    prometheus::Gauge& caller_bytes_;
 };
 
 } // namespace buckthornvale::gateway::observe
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -84,7 +84,12 @@
           add_gauge(registry_, "buckthornvale_gateway_evacuated_domains",
                     "Failure domains that the operator evacuates")),
       cold_runners_(add_gauge(registry_, "buckthornvale_gateway_cold_runners",
-                              "Runners that are cold after a start"))
+                              "Runners that are cold after a start")),
+      ended_connections_(add_counter(
+          registry_, "buckthornvale_gateway_ended_connections_total",
+          "Connections that were ended because others needed what they held")),
+      caller_bytes_(add_gauge(registry_, "buckthornvale_gateway_caller_bytes",
+                              "Bytes held for callers and their requests"))
 {
 }
 
@@ -146,6 +151,16 @@
     cold_runners_.Set(double(n));
 }
 
+void gateway_metrics::count_ended_connection()
+{
+    ended_connections_.Increment();
+}
+
+void gateway_metrics::set_caller_bytes(std::size_t n)
+{
+    caller_bytes_.Set(double(n));
+}
+
 std::string gateway_metrics::to_text() const
 {
     std::ostringstream out;
--- a/packages/net/include/buckthornvale/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -74,6 +74,14 @@
         return in_flight_.size() - in_flight_written_ + pending_.size();
     }
 
+    //! Memory of the queue.
+    std::size_t queue_capacity() const
+    {
+        return in_flight_.capacity() + pending_.capacity();
+    }
+
+    bool is_reading_paused() const { return paused_; }
+
     //! Total number of bytes written to the socket.
     std::uint64_t written() const { return written_; }
 
@@ -92,6 +100,7 @@
 private:
     void read();
     void write_queued();
+    void release_queue();
 
     //! True when the peer has acknowledged all that was written.
     bool has_delivered_all();
