decision: ranks behind a flood keep a share of the places in calls of stages

Cause: (1) pieces are taken by rank, so a flood of an urgent rank left nothing to the ranks behind it, while the forecast promised each of them half of the capacity. (2) A call that left pieces behind counted as the largest that is possible, also when these only waited for a runner in their failure domain; the estimated capacity fell to the present load. (3) A piece with inputs was started until the deadline itself, although its later stages and the answer could not follow. Change: rank_shares gives each rank a tenth of the places of more urgent ones, divided by the number of ranks before it, earned over calls; the forecast of a rank is bounded by its wait in this share. Only a lack of room lowers the possible size of a call. Pieces with inputs are dropped after their latest start. Refused callers get the time of return_delay. The forecasts leave stage_scheduler.cpp. A refusal tells the rank of its route.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -51,6 +51,7 @@
     refusal reason = refusal::none;
     int status = 0;
     std::optional<duration> retry_after;
+    int route_rank = 0; //!< 0 if the request has no route
 };
 
 //! Terminates an incomplete stream in a way that the caller cannot mistake for
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_capacity.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_capacity.hpp
@@ -15,6 +15,10 @@
     //! that are served before all of them arrive at this rate.
     duration wait_behind(std::size_t pieces, double more_urgent_per_s) const;
 
+    //! Estimated wait of a piece behind this number of pieces of its rank, if
+    //! the rank gets only this share of the capacity.
+    duration wait_in_share(std::size_t pieces, double share) const;
+
     double slots = 1; //!< of usable runners, weighted by their speed
     bool has_free_slot = true;
     double batch = 1;          //!< pieces in a call while others wait
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -5,6 +5,7 @@
 #include <buckthornvale/decision/gateway/effect.hpp>
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/piece_queue.hpp>
+#include <buckthornvale/decision/gateway/rank_shares.hpp>
 #include <buckthornvale/decision/gateway/rate_meter.hpp>
 #include <buckthornvale/decision/gateway/result_history.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
@@ -46,7 +47,8 @@
 //!
 //! Pieces are dispatched by priority class, and within a class in the order of
 //! their due times. A piece that is already late is deferred behind all that
-//! can still be on time.
+//! can still be on time. While more urgent ranks would fill all calls, each
+//! rank keeps a small share of the places.
 //!
 //! A free runner immediately takes the pieces for its own failure domain, and
 //! pieces of other domains after a short wait: results are large, and keeping
@@ -202,6 +204,7 @@
                               std::string const& runner_id, time_point now);
     std::vector<queued_piece> take_batch(runner_state const& runner,
                                          time_point now);
+    void record_batch_size(std::size_t pieces, bool out_of_room);
     std::vector<runner_state*> free_runners(runner_directory& runners,
                                             time_point now);
     void exclude_slow_runners(std::vector<runner_state*> const& usable,
@@ -218,9 +221,11 @@
     std::string service_;
     piece_limits limits_;
     duration average_call_time_{};
-    //! Moving average of the pieces in a call while others wait.
+    //! Moving average of the pieces that a call can take: the maximum, or what
+    //! the room for results allows.
     double average_batch_size_ = 0;
     piece_queue queue_;
+    rank_shares shares_;
     announced_stage_table announced_;
     //! Arrivals of pieces, those of later stages when they are announced.
     std::map<dispatch_priority, rate_meter> arrivals_;
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -2,6 +2,7 @@
 #include "milliseconds_text.hpp"
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/decision/gateway/reducer.hpp>
+#include <buckthornvale/decision/gateway/return_delay.hpp>
 
 #include <algorithm>
 
@@ -52,10 +53,11 @@
         return std::max(min_retry_after,
                         from_seconds(to_seconds(*until - now) *
                                      (1 + max_quiet_jitter * jitter)));
-    duration wait = min_retry_after;
     if (reason == refusal::cannot_finish_in_time ||
         reason == refusal::stage_failed)
-        wait = forecast_stages(request, now).on_schedule;
+        return return_delay({request.deadline - now,
+                             forecast_stages(request, now).queue_wait, jitter});
+    duration wait = min_retry_after;
     if (auto const* limited = runners_.first_limited(request.service, now);
         limited != nullptr && reason == refusal::runners_limited)
         wait = std::min<duration>(
@@ -87,7 +89,11 @@
         out_.push_back(abort_stream{request.ref, reason});
     else if (!request.caller_gone)
     {
-        refuse_request answer{request.ref, reason, status, {}};
+        refuse_request answer;
+        answer.request = request.ref;
+        answer.reason = reason;
+        answer.status = status;
+        answer.route_rank = request.matched_route->rank;
         if (status == status_unavailable)
             answer.retry_after = retry_after(request, reason, now);
         out_.push_back(answer);
--- a/packages/decision/src/gateway/stage_capacity.cpp
+++ b/packages/decision/src/gateway/stage_capacity.cpp
@@ -24,4 +24,11 @@
     return from_seconds(calls * to_seconds(call) / slots / capacity_left);
 }
 
+duration stage_capacity::wait_in_share(std::size_t pieces, double share) const
+{
+    // The piece itself needs a place too, for which its rank has to wait.
+    double const calls = double(pieces + 1) / (batch * share) + 1;
+    return from_seconds(calls * to_seconds(batch_call) / slots);
+}
+
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -46,7 +46,7 @@
 //! target late.
 constexpr double domain_wait_share = 0.1;
 
-//! Weight of the newest call in the moving average of the batch size.
+//! Weight of the newest call in the moving average of the possible batch size.
 constexpr double batch_size_ewma_weight = 0.2;
 
 duration domain_wait(queued_piece const& it)
@@ -56,6 +56,27 @@
         from_seconds(domain_wait_share * to_seconds(it.due - it.queued_at)));
 }
 
+int rank_of(queued_piece const& it)
+{
+    return it.sort_priority.route_rank;
+}
+
+//! A piece that is late keeps no place: it would delay those that are not.
+bool has_share(queued_piece const& it)
+{
+    return !it.sort_priority.deferred;
+}
+
+template <class Range>
+rank_counts count_ranks(Range const& pieces)
+{
+    rank_counts out;
+    for (queued_piece const& it : pieces)
+        if (has_share(it))
+            ++out[rank_of(it)];
+    return out;
+}
+
 //! Key that identifies a piece across all VMs.
 std::uint64_t key_of(std::string const& member, request_ref request,
                      std::uint32_t round, std::uint32_t stage,
@@ -212,7 +233,9 @@
         auto const waited = now - it.queued_at;
         auto const max_wait = from_seconds(
             max_wait_share * to_seconds(it.deadline - it.queued_at));
-        return now + nominal_time(1) > it.deadline ||
+        bool const cannot_finish = !it.work.inputs.empty() &&
+                                   it.attempts == 0 && it.latest_start < now;
+        return now + nominal_time(1) > it.deadline || cannot_finish ||
                (not_started && it.due < now && waited > max_queue_wait) ||
                (not_started && waited > max_wait);
     };
@@ -237,7 +260,10 @@
     };
     auto const waited = [&](queued_piece const& it)
     { return now - it.queued_at >= domain_wait(it); };
+    auto const takeable_now = [&](queued_piece const& it)
+    { return in_domain(it) || waited(it); };
     std::vector<queued_piece> out;
+    bool out_of_room = false;
     // A piece that does not fit must not block smaller ones behind it.
     auto const reserve_room = [&](queued_piece const& it)
     {
@@ -246,10 +272,20 @@
                           it.work.result_bytes <= room;
         if (fits)
             room -= it.work.result_bytes;
+        out_of_room = out_of_room || !fits;
         return fits;
     };
+    for (auto const& share : shares_.places())
+        queue_.take(
+            std::min(share.second, limits_.batch - out.size()),
+            [&](queued_piece const& it)
+            {
+                return has_share(it) && rank_of(it) == share.first &&
+                       takeable_now(it) && reserve_room(it);
+            },
+            out);
     queue_.take(
-        limits_.batch,
+        limits_.batch - out.size(),
         [&](queued_piece const& it)
         { return in_domain(it) && reserve_room(it); },
         out);
@@ -257,9 +293,21 @@
         limits_.batch - out.size(),
         [&](queued_piece const& it) { return waited(it) && reserve_room(it); },
         out);
+    if (out.empty())
+        return out;
+    record_batch_size(out.size(), out_of_room);
+    shares_.record_call(count_ranks(out), count_ranks(queue_));
     return out;
 }
 
+void stage_scheduler::record_batch_size(std::size_t pieces, bool out_of_room)
+{
+    // A call that takes all there is tells only that room is no limit.
+    auto const possible = out_of_room ? pieces : limits_.batch;
+    average_batch_size_ +=
+        batch_size_ewma_weight * (double(possible) - average_batch_size_);
+}
+
 void stage_scheduler::exclude_slow_runners(
     std::vector<runner_state*> const& usable, std::vector<runner_state*>& free,
     time_point now) const
@@ -378,10 +426,6 @@
         auto pieces = take_batch(*runner, now);
         if (pieces.empty())
             continue;
-        if (!queue_.empty())
-            average_batch_size_ +=
-                batch_size_ewma_weight *
-                (double(pieces.size()) - average_batch_size_);
         start_call(*runner, std::move(pieces), next_call++, now, out);
     }
 }
@@ -418,91 +462,4 @@
     return std::exchange(results_, {});
 }
 
-double stage_scheduler::effective_slots(absl::Span<runner_state* const> usable,
-                                        time_point now) const
-{
-    constexpr double min_slowness = 0.1;
-    double out = 0;
-    for (auto const* it : usable)
-    {
-        double slots = limits_.slots /
-                       std::max(slowness_of(it->entry.id, now), min_slowness);
-        if (it->notice.rate_limit)
-            slots =
-                std::min(slots, it->notice.rate_limit->share.limit_per_s() *
-                                    to_seconds(nominal_time(limits_.batch)));
-        out += slots;
-    }
-    return out;
-}
-
-stage_capacity stage_scheduler::capacity(runner_directory& runners,
-                                         time_point now) const
-{
-    constexpr double min_effective_slots = 0.1;
-    std::vector<runner_state*> usable;
-    runners.usable_with_limited(service_, now, usable);
-    stage_capacity out;
-    out.slots = std::max(effective_slots(usable, now), min_effective_slots);
-    out.has_free_slot = calls_.size() < usable.size() * limits_.slots;
-    out.batch = std::max(average_batch_size_, 1.0);
-    out.short_call = std::max(average_call_time_, limits_.call_time);
-    out.batch_call =
-        std::max(average_call_time_, nominal_time(std::size_t(out.batch)));
-    out.max_pieces_per_s =
-        limits_.batch * out.slots / to_seconds(nominal_time(limits_.batch));
-    return out;
-}
-
-queue_forecast stage_scheduler::expected_waits(runner_directory& runners,
-                                               time_point now) const
-{
-    auto const available = capacity(runners, now);
-    double more_urgent_per_s = 0;
-    queue_forecast out;
-    out.without_queue = available.wait_behind(0, more_urgent_per_s);
-    std::size_t ahead = 0;
-    for (auto const& it : pieces_by_due_time(now))
-    {
-        queue_forecast::class_waits entry;
-        entry.priority = it.first;
-        for (std::size_t n = 0; n < wait_profile::size; ++n)
-            entry.waits.waits[n] =
-                available.wait_behind(ahead + it.second[n], more_urgent_per_s);
-        ahead += it.second.back();
-        // Pieces of this class that arrive later are served before those of
-        // the classes behind it.
-        auto const arrived = arrivals_.find(it.first);
-        if (arrived != arrivals_.end())
-            more_urgent_per_s += arrived->second.rate(now);
-        entry.behind = available.wait_behind(ahead, more_urgent_per_s);
-        out.classes.push_back(entry);
-    }
-    return out;
-}
-
-std::map<dispatch_priority, stage_scheduler::due_counts>
-stage_scheduler::pieces_by_due_time(time_point now) const
-{
-    std::map<dispatch_priority, due_counts> out;
-    auto const add =
-        [&](dispatch_priority priority, duration due_in, std::size_t pieces)
-    {
-        auto& counts = out.try_emplace(priority, due_counts{}).first->second;
-        for (std::size_t n = 0; n < counts.size(); ++n)
-            if (n + 1 == counts.size() || due_in <= wait_profile::due_times[n])
-                counts[n] += pieces;
-    };
-    for (auto const& it : queue_)
-    {
-        auto const priority = priority_of(it, now);
-        add(priority, sort_time_of(it, priority.deferred) - now, 1);
-    }
-    for (auto const& it : arrivals_)
-        add(it.first, duration::zero(), 0);
-    for (auto const& it : announced_)
-        add(it.second.priority, it.second.due - now, it.second.pieces);
-    return out;
-}
-
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/load_simulation.cpp
+++ b/packages/decision/tests/gateway/load_simulation.cpp
@@ -56,7 +56,8 @@
     feed(listed);
 }
 
-void load_simulation::add_load(route_load const& load, duration length)
+void load_simulation::add_load(route_load const& load, duration length,
+                               duration start_in)
 {
     auto const* route = manifest_->find_route("h", load.path);
     auto const count = std::int64_t(to_seconds(length) * load.per_second);
@@ -72,8 +73,8 @@
             from_seconds(to_seconds(route->timeout) *
                          (1 - patience_spread * uniform(random_)));
         traits.on_reused_connection = uniform(random_) < reused_share;
-        from.arrived_at =
-            now_ + from_seconds(to_seconds(length) * uniform(random_));
+        from.arrived_at = now_ + start_in +
+                          from_seconds(to_seconds(length) * uniform(random_));
         ++outcomes_[load.path].callers;
         arrive(from, from.arrived_at);
     }
--- a/packages/decision/tests/gateway/load_simulation.hpp
+++ b/packages/decision/tests/gateway/load_simulation.hpp
@@ -34,6 +34,8 @@
     {
         return callers == 0 ? 0 : double(on_time) / callers;
     }
+
+    int not_served() const { return callers - on_time - late; }
 };
 
 //! Callers, stage runners and model runners around one reducer, in virtual
@@ -45,8 +47,9 @@
     load_simulation(std::shared_ptr<manifest const> routes,
                     std::map<std::string, std::size_t> const& runner_counts);
 
-    //! Adds arrivals from the present time on, for this long.
-    void add_load(route_load const& load, duration length);
+    //! Adds arrivals for this long, from `start_in` after the present time on.
+    void add_load(route_load const& load, duration length,
+                  duration start_in = {});
 
     //! Runs until all callers have an answer.
     void run();
--- a/packages/decision/tests/gateway/stage_capacity_test.cpp
+++ b/packages/decision/tests/gateway/stage_capacity_test.cpp
@@ -52,5 +52,12 @@
     EXPECT_EQ(make_capacity().wait_behind(40, 1000), 1200ms);
 }
 
+// Two slots that start ten pieces every 150 ms: a tenth is a place each 150 ms.
+TEST(stage_capacity, waits_for_the_places_of_a_rank)
+{
+    EXPECT_EQ(make_capacity().wait_in_share(0, 0.1), 300ms);
+    EXPECT_EQ(make_capacity().wait_in_share(3, 0.1), 750ms);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/stage_overload_test.cpp
+++ b/packages/decision/tests/gateway/stage_overload_test.cpp
@@ -123,6 +123,34 @@
               all);
 }
 
+// Calm load of two failure domains, half of what the runners can process. Some
+// pieces always wait for a runner in their domain; calls that leave them behind
+// were taken for the largest that are possible, so that a service with half of
+// its capacity free counted as full.
+TEST(stage_scheduler, does_not_take_waiting_for_a_domain_for_lack_of_room)
+{
+    fake_pool pool(5);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    constexpr int pieces = pool_pieces_per_s / 2 * 4;
+    for (int n = 0; n < pieces; ++n)
+    {
+        pool.run(scheduler, start + duration(4s) * n / pieces, true);
+        auto work =
+            make_piece(request_ref(n + 1), n % 2 == 0 ? "north" : "south");
+        scheduler.submit("vm", {std::move(work)}, pool.now);
+        pool.dispatch(scheduler, true);
+    }
+    announced_stage announced;
+    announced.service = "s";
+    announced.request = pieces + 1;
+    announced.pieces = pool_pieces_per_s;
+    announced.due_in = 1s;
+    scheduler.announce("vm", announced, pool.now);
+    EXPECT_LT(scheduler.expected_waits(pool.runners, pool.now).at({}, 1s),
+              1500ms);
+}
+
 // More would be admitted than a later stage can process if its forecast did not
 // count the pieces that are on their way.
 TEST(stage_scheduler, counts_announced_pieces_until_they_are_submitted)
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -138,6 +138,24 @@
     EXPECT_GT(pool.outcomes[piece_outcome::late], 100);
 }
 
+// A piece with inputs was started until its deadline, although what follows it
+// could not end in time any more: its result was never used.
+TEST(stage_scheduler, drops_pieces_whose_later_stages_cannot_end_in_time)
+{
+    fake_pool pool(1);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    scheduler.submit("vm", {make_piece(1)}, start);
+    pool.run(scheduler, start, true);
+    auto work = make_piece(2);
+    work.inputs = {"10.0.0.9:80/1"};
+    work.latest_start_in = 100ms;
+    scheduler.submit("vm", {std::move(work)}, start);
+    pool.run(scheduler, start + 1s, true);
+    EXPECT_EQ(pool.outcomes[piece_outcome::done], 1);
+    EXPECT_EQ(pool.outcomes[piece_outcome::late], 1);
+}
+
 // Pieces must not be lost with the runner that processed them.
 TEST(stage_scheduler, retries_pieces_on_another_runner)
 {
