gateway: count refusals by reason and rank

Cause: requests_total told the reason of a refusal, but not which class it met. Change: refusals_total{reason,rank}.

--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -25,6 +25,9 @@
     //! Counts a finished request. `outcome` is "answered", "aborted",
     //! "caller_left", "malformed" or the name of a refusal.
     void count_request(char const* outcome, decision::duration elapsed);
+
+    //! Counts an answer of the gateway itself by the rank of the route.
+    void count_refusal(char const* reason, int route_rank);
     void count_send();
     void count_stage_call(std::size_t pieces);
 
@@ -48,6 +51,7 @@
 private:
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Counter>& refusals_;
     prometheus::Histogram& request_seconds_;
     prometheus::Counter& sends_;
     prometheus::Counter& discarded_input_bytes_;
--- a/packages/gateway/src/gateway_effects.cpp
+++ b/packages/gateway/src/gateway_effects.cpp
@@ -207,6 +207,7 @@
     if (it == nullptr)
         return;
     auto const* name = model::traits_of(effect.reason).name;
+    metrics_.count_refusal(name, effect.route_rank);
     if (auto* to = find_connection(*it))
     {
         std::string head;
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -49,6 +49,10 @@
                     .Name("buckthornvale_gateway_requests_total")
                     .Help("Finished requests by outcome")
                     .Register(registry_)),
+      refusals_(prometheus::BuildCounter()
+                    .Name("buckthornvale_gateway_refusals_total")
+                    .Help("Refused requests by reason and rank of the route")
+                    .Register(registry_)),
       request_seconds_(add_histogram(
           registry_, "buckthornvale_gateway_request_seconds",
           "Time from the arrival of a request to its final response",
@@ -86,6 +90,12 @@
     request_seconds_.Observe(decision::to_seconds(elapsed));
 }
 
+void gateway_metrics::count_refusal(char const* reason, int route_rank)
+{
+    refusals_.Add({{"reason", reason}, {"rank", std::to_string(route_rank)}})
+        .Increment();
+}
+
 void gateway_metrics::count_send()
 {
     sends_.Increment();
