net: frees bodies and sent responses, and counts the copy of a body on admission

Cause: assigning an empty string keeps the memory of a string, so that refused bodies and sent responses were held and counted until their connection ended. A stated body was admitted although it would not fit together with its copy.

Change: swap with an empty string; the copy counts on admission. client_memory tests the server with a budget on loopback: a stated body that does not fit, a stopped body that gives way, responses that wait, a replaced connection.

--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -158,8 +158,9 @@
 void server_connection::admit_body()
 {
     body_admitted_ = true;
+    // The handler may have to copy the body, as on its arrival.
     auto const missing_bytes =
-        body_length_known_ ? max_body_bytes_ - body_.size() : 0;
+        body_length_known_ ? 2 * max_body_bytes_ - body_.size() : 0;
     count_memory();
     if (!server_.make_room_for(*this, missing_bytes) || !expects_continue_)
         return;
@@ -259,7 +260,7 @@
         return;
     }
     state_ = state::reading;
-    body_ = std::string();
+    std::string().swap(body_);
     parser_.next();
     idle_timeout_ = server_.limits_().idle_timeout;
     count_memory();
@@ -328,7 +329,7 @@
     if (!held_input_.empty())
         server_.handler_.on_discarded(
             *this, std::exchange(held_input_, {}).size(), duration::zero());
-    body_ = std::string();
+    std::string().swap(body_);
     parser_.next();
     count_memory();
     server_.make_room_later();
--- a/packages/net/src/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -162,14 +162,15 @@
         });
 }
 
-//! Frees the memory of the empty queue if a large message has left it.
+//! Frees the memory of the empty queue if a large message has left it. To
+//! assign an empty string would keep it.
 void tcp_stream::release_queue()
 {
     if (queue_capacity() <= max_kept_capacity)
         return;
-    in_flight_ = std::string();
+    std::string().swap(in_flight_);
     in_flight_written_ = 0;
-    pending_ = std::string();
+    std::string().swap(pending_);
 }
 
 void tcp_stream::shutdown_after_write()
--- /dev/null
+++ b/packages/net/tests/client_memory_test.cpp
@@ -0,0 +1,134 @@
+#include "fake_handler.hpp"
+#include <buckthornvale/net/endpoint.hpp>
+
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace buckthornvale::net
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+//! A server whose clients may hold 200 KB together, with a settable clock.
+class client_memory : public testing::Test
+{
+protected:
+    client_memory() { server.listen("127.0.0.1", 0); }
+
+    //! Connects a client that sends these bytes, and lets the server read them.
+    asio::ip::tcp::socket send(std::string const& bytes)
+    {
+        asio::ip::tcp::socket out(loop);
+        out.connect(*parse_endpoint(endpoint_text("127.0.0.1", server.port())));
+        asio::error_code ec;
+        asio::write(out, asio::buffer(bytes), ec);
+        out.non_blocking(true);
+        run();
+        return out;
+    }
+
+    void run()
+    {
+        loop.restart();
+        loop.run_for(50ms);
+    }
+
+    static std::string received(asio::ip::tcp::socket& client)
+    {
+        std::string out(1024, ' ');
+        asio::error_code ec;
+        out.resize(client.read_some(asio::buffer(out), ec));
+        return out;
+    }
+
+    static std::string head(std::size_t length)
+    {
+        return "POST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+               std::to_string(length) + "\r\n\r\n";
+    }
+
+    asio::io_context loop;
+    fake_handler handler;
+    server_limits limits;
+    time_point now{};
+    std::shared_ptr<memory_budget> budget =
+        std::make_shared<memory_budget>(200'000);
+    http_server server{loop, handler, [this] { return limits; },
+                       [this] { return now; }, budget};
+};
+
+// Guards against reading a body that does not fit, and against a refusal that
+// does not say when to return or whose request was run.
+TEST_F(client_memory, refuses_a_stated_body_that_does_not_fit)
+{
+    auto client = send(head(300'000));
+    auto const response = received(client);
+    EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 503");
+    EXPECT_NE(response.find("Retry-After: 1\r\n"), std::string::npos);
+    EXPECT_EQ(handler.requests, 0);
+}
+
+// Guards against a refused body whose memory is kept until its connection ends.
+TEST_F(client_memory, frees_the_memory_of_a_refused_body)
+{
+    auto client = send(head(300'000) + std::string(50'000, 'b'));
+    EXPECT_LT(budget->held(), 20'000U);
+}
+
+// Guards against stopped bodies that keep another request from being served.
+TEST_F(client_memory, ends_a_stopped_body_for_another_request)
+{
+    auto stopped = send(head(70'000) + std::string(69'999, 'b'));
+    EXPECT_GT(budget->held(), 69'999U);
+    now += 3s;
+    auto other = send(head(70'000) + std::string(70'000, 'b'));
+    EXPECT_EQ(received(other).substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(received(stopped).substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(handler.requests, 1);
+}
+
+// Guards against responses that pile up for a client that sends ahead without
+// reading them.
+TEST_F(client_memory, serves_no_further_request_while_responses_wait)
+{
+    std::string requests;
+    for (int n = 0; n < 100; ++n)
+        requests += "GET /100000 HTTP/1.1\r\nHost: a\r\n\r\n";
+    http_server unbounded(
+        loop, handler, [this] { return limits; }, [this] { return now; });
+    unbounded.listen("127.0.0.1", 0);
+    asio::ip::tcp::socket client(loop, asio::ip::tcp::v4());
+    client.set_option(asio::socket_base::receive_buffer_size(4096));
+    client.connect(
+        *parse_endpoint(endpoint_text("127.0.0.1", unbounded.port())));
+    asio::write(client, asio::buffer(requests));
+    run();
+    EXPECT_GT(handler.requests, 0);
+    EXPECT_LT(handler.requests, 100);
+}
+
+// Guards against a connection of an ordinary client that finds no place while
+// silent ones hold all.
+TEST_F(client_memory, replaces_the_longest_idle_connection)
+{
+    limits.max_connections = 2;
+    limits.replace_connections = true;
+    auto first = send({});
+    now += 1s;
+    auto second = send({});
+    now += 1s;
+    auto third = send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(received(third).substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(server.connections(), 2U);
+    asio::error_code ec;
+    char buf = 0;
+    first.read_some(asio::buffer(&buf, 1), ec);
+    EXPECT_EQ(ec, asio::error::eof);
+    second.read_some(asio::buffer(&buf, 1), ec);
+    EXPECT_EQ(ec, asio::error::would_block);
+}
+
+} // namespace
+} // namespace buckthornvale::net
