--- a/packages/net/include/buckthornvale/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -39,7 +39,18 @@
         virtual void on_written() = 0;
     };
 
+    //! What happens when the peer is alive but takes no bytes for the send
+    //! timeout.
+    enum class paused_peer
+    {
+        fails,     //!< the connection fails
+        is_awaited //!< the connection goes on until the owner closes it
+    };
+
     explicit tcp_stream(asio::ip::tcp::socket socket);
+    ~tcp_stream();
+    tcp_stream(tcp_stream const&) = delete;
+    tcp_stream& operator=(tcp_stream const&) = delete;
 
     void attach(handler& owner) { handler_ = &owner; }
     void detach() { handler_ = nullptr; }
@@ -49,9 +60,10 @@
                  std::function<void(asio::error_code)> done);
 
     //! Sets the socket options of a connected socket and starts reading. The
-    //! connection fails when written bytes stay unacknowledged, or the peer
-    //! takes none, for the send timeout.
-    void start(duration send_timeout = std::chrono::seconds(3));
+    //! connection fails when written bytes, or probes of a peer that takes
+    //! none, stay unacknowledged for the send timeout.
+    void start(duration send_timeout = std::chrono::seconds(3),
+               paused_peer policy = paused_peer::fails);
 
     //! Writes what the socket accepts without blocking and queues the rest.
     //! Returns false when the stream is closed, or the write failed before the
@@ -90,7 +102,11 @@
     asio::ip::address remote_address() const;
 
 private:
+    struct window_checker;
+
     void read();
+    void start_window_checks();
+    void check_window();
     void write_queued();
 
     //! True when the peer has acknowledged all that was written.
@@ -111,6 +127,7 @@
     bool reading_ = false;
     bool writing_ = false;
     bool shutdown_pending_ = false;
+    std::unique_ptr<window_checker> window_checker_; //!< unset: no checks
 };
 
 } // namespace buckthornvale::net
--- a/packages/net/include/buckthornvale/net/timer.hpp
+++ b/packages/net/include/buckthornvale/net/timer.hpp
@@ -3,6 +3,7 @@
 
 #include <buckthornvale/net/clock.hpp>
 
+#include <asio/any_io_executor.hpp>
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
@@ -21,6 +22,7 @@
     using handler = std::function<void()>;
 
     explicit timer(asio::io_context& loop) : timer_(loop) {}
+    explicit timer(asio::any_io_executor const& executor) : timer_(executor) {}
 
     //! Calls the handler once after the delay. Replaces the previous handler.
     void start(duration delay, handler on_expiry);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -22,6 +22,10 @@
 //! the server could close one just as a request is sent.
 constexpr duration idle_timeout_margin = 700ms;
 
+//! A server that acknowledges nothing for this long is taken for dead. One that
+//! takes no bytes, but is alive, has the timeout of the call.
+constexpr duration send_timeout = 3s;
+
 //! Limits on a response; a larger one is treated as a server error.
 constexpr http::parser_limits response_limits = {65'536, 67'108'864};
 
@@ -217,7 +221,7 @@
             return;
         }
         connected_ = true;
-        stream_->start();
+        stream_->start(send_timeout, tcp_stream::paused_peer::is_awaited);
         send();
     }
 
--- a/packages/net/src/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -1,4 +1,6 @@
+#include "window_watch.hpp"
 #include <buckthornvale/net/tcp_stream.hpp>
+#include <buckthornvale/net/timer.hpp>
 
 #include <asio/buffer.hpp>
 
@@ -20,6 +22,12 @@
 constexpr int keep_alive_interval_s = 1;
 constexpr int keep_alive_probes = 2;
 
+//! The receive window is checked several times within a send timeout.
+constexpr int window_checks = 4;
+
+//! Shorter writes fit into the receive buffer of any peer.
+constexpr std::size_t unwatched_bytes = 16'384;
+
 //! Ignores errors: without the option, failures are detected later, but the
 //! connection still works.
 void set_socket_option(int fd, int level, int name, int value)
@@ -43,13 +51,47 @@
     return ::ioctl(fd, SIOCOUTQ, &out) == 0 ? out : 0;
 }
 
+void set_send_timeout(int fd, duration timeout)
+{
+    set_socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      int(timeout / std::chrono::milliseconds(1)));
+}
+
+//! Nothing is unacknowledged when the kernel does not tell.
+send_state read_send_state(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (::getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return {};
+    return {unacknowledged_bytes(fd), info.tcpi_unacked, info.tcpi_probes,
+            std::chrono::milliseconds(info.tcpi_last_ack_recv)};
+}
+
 } // namespace
 
+//! Checks the receive window of the peer while bytes are unacknowledged.
+struct tcp_stream::window_checker
+{
+    window_checker(asio::any_io_executor const& executor, duration timeout)
+        : interval(timeout / window_checks), watch(timeout),
+          check_timer(executor)
+    {
+    }
+
+    duration const interval;
+    window_watch watch;
+    timer check_timer;
+    bool is_running = false;
+};
+
 tcp_stream::tcp_stream(asio::ip::tcp::socket socket)
     : socket_(std::move(socket))
 {
 }
 
+tcp_stream::~tcp_stream() = default;
+
 void tcp_stream::connect(asio::ip::tcp::endpoint const& to,
                          std::function<void(asio::error_code)> done)
 {
@@ -64,7 +106,7 @@
         });
 }
 
-void tcp_stream::start(duration send_timeout)
+void tcp_stream::start(duration send_timeout, paused_peer policy)
 {
     asio::error_code ec;
     socket_.non_blocking(true, ec);
@@ -74,11 +116,35 @@
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, keep_alive_idle_s);
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, keep_alive_interval_s);
     set_socket_option(fd, IPPROTO_TCP, TCP_KEEPCNT, keep_alive_probes);
-    set_socket_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-                      int(send_timeout / std::chrono::milliseconds(1)));
+    set_send_timeout(fd, send_timeout);
+    if (policy == paused_peer::is_awaited)
+        window_checker_ = std::make_unique<window_checker>(
+            socket_.get_executor(), send_timeout);
     read();
 }
 
+void tcp_stream::start_window_checks()
+{
+    if (!window_checker_ || window_checker_->is_running)
+        return;
+    window_checker_->is_running = true;
+    window_checker_->check_timer.start(window_checker_->interval,
+                                       [this] { check_window(); });
+}
+
+void tcp_stream::check_window()
+{
+    window_checker_->is_running = false;
+    if (!open_)
+        return;
+    int const fd = socket_.native_handle();
+    auto const state = read_send_state(fd);
+    if (auto const limit = window_checker_->watch.limit(state, steady_now()))
+        set_send_timeout(fd, *limit);
+    if (state.unacknowledged_bytes > 0 || queued() > 0)
+        start_window_checks();
+}
+
 void tcp_stream::read()
 {
     if (!open_ || paused_ || reading_)
@@ -112,6 +178,8 @@
 {
     if (!open_)
         return false;
+    if (first.size() + second.size() > unwatched_bytes)
+        start_window_checks();
     if (queued() > 0 || writing_)
     {
         pending_.append(first);
@@ -237,6 +305,7 @@
     if (!open_)
         return;
     open_ = false;
+    window_checker_.reset();
     asio::error_code ec;
     socket_.close(ec);
 }
--- a/packages/net/tests/unread_upload.hpp
+++ b/packages/net/tests/unread_upload.hpp
@@ -70,16 +70,25 @@
         server.shutdown(asio::ip::tcp::socket::shutdown_send);
     }
 
+    //! Reads what has arrived of the request.
+    void read_some()
+    {
+        std::string buf(server.available(), ' ');
+        if (!buf.empty())
+            unread -= server.read_some(asio::buffer(buf));
+    }
+
+    //! Reads the rest of the request.
     void read_upload()
     {
-        std::string buf(1'000'000, ' ');
-        while (unread > 0)
+        auto const end = std::chrono::steady_clock::now() + hang_timeout;
+        while (unread > 0 && !result && std::chrono::steady_clock::now() < end)
         {
             loop.restart();
             loop.poll();
-            if (server.available() > 0)
-                unread -= server.read_some(asio::buffer(buf));
+            read_some();
         }
+        EXPECT_EQ(unread, 0U);
     }
 
     //! Lets the client read what has arrived.
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -74,9 +74,9 @@
             auto const n = parser_.feed(bytes);
             text_.append(bytes.substr(0, n));
             bytes.remove_prefix(n);
-            if (!parser_.complete())
+            if (!parser_.complete() || answered_early_)
                 return;
-            respond();
+            respond(owner_.answer_to(record_request()));
             parser_.next();
             text_.clear();
             body_.clear();
@@ -90,14 +90,22 @@
             owner_.on_connection_end(number_);
     }
     void on_written() override {}
-    void on_head() override {}
+    void on_head() override
+    {
+        if (!owner_.early_answer)
+            return;
+        answered_early_ = true;
+        stream_->pause_reading();
+        respond(owner_.early_answer(record_request()));
+    }
     void on_body(std::string_view bytes) override { body_.append(bytes); }
     void on_complete() override {}
 
     void write(std::string_view bytes) { stream_->write(bytes); }
+    void reset() { stream_->reset(); }
 
 private:
-    void respond()
+    received_request const& record_request()
     {
         received_request request;
         request.text = text_;
@@ -117,7 +125,11 @@
         request.last_event_id = header("Last-Event-Id");
         request.connection = number_;
         owner_.received.push_back(request);
-        auto const answer = owner_.answer_to(request);
+        return owner_.received.back();
+    }
+
+    void respond(scripted_answer const& answer)
+    {
         if (answer.silent)
             return;
         stream_->write(answer.bytes);
@@ -153,6 +165,7 @@
     std::string text_;
     std::string body_;
     std::string endless_; //!< rest of the current answer
+    bool answered_early_ = false;
 };
 
 runner_standin::runner_standin(asio::io_context& loop, std::string id)
@@ -168,6 +181,11 @@
     connections_[connection_number]->write(bytes);
 }
 
+void runner_standin::reset(std::size_t connection_number)
+{
+    connections_[connection_number]->reset();
+}
+
 std::string runner_standin::address() const
 {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -73,12 +73,19 @@
     //! Answers to the next requests, in their order.
     std::deque<std::function<scripted_answer(received_request const&)>> script;
 
+    //! Answer to each request as soon as its head has arrived; its body is not
+    //! read.
+    std::function<scripted_answer(received_request const&)> early_answer;
+
     std::vector<received_request> received;
 
     //! Writes bytes to a connection, given by its number, in addition to its
     //! answers.
     void write(std::size_t connection_number, std::string_view bytes);
 
+    //! Closes a connection, given by its number, with a TCP reset.
+    void reset(std::size_t connection_number);
+
     //! Called when a connection, given by its number, has ended.
     std::function<void(std::size_t)> on_connection_end;
 
