decision: keeps domains out of use until their runners are known

Two gaps in the order in which a VM learns things: - A VM that had not listed the evacuations was not ready, but still sent what callers and peers gave it. All runners are excluded now until the first list, so that requests get 503 and pieces wait. - Evacuations and runners are watched separately, so that the end of an evacuation could be known before the runners that turned cold shortly before it. Where cold runners are limited, a domain now stays out of use after the end, by change, list or expiry, until the runners are read again (effect `list_runners`), for 30 s at most if the store is out. The list of a copy does not release it. Both are logged.

Tests: `unread_evacuations` (2) and five of the six `end_of_evacuation` failed with the exclusion taken out of `evacuation_table` and pass with it; `is_followed_by_another_one` passes with both, and guards the new state. Measured: none.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -100,6 +100,11 @@
     std::string member;
 };
 
+//! Reads all registered runners again, and not only their changes.
+struct list_runners
+{
+};
+
 //! A decision to be logged.
 struct log_decision
 {
@@ -116,7 +121,7 @@
 using effect =
     std::variant<send_attempt, cancel_attempt, deliver_answer, refuse_request,
                  abort_stream, call_stage, free_results, close_idle_connections,
-                 send_to_peer, remove_member, log_decision>;
+                 send_to_peer, remove_member, list_runners, log_decision>;
 
 using effects = std::vector<effect>;
 
--- a/packages/decision/include/buckthornvale/decision/gateway/evacuation_table.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/evacuation_table.hpp
@@ -24,10 +24,18 @@
 };
 
 //! The failure domains that the operator evacuates. Nothing is sent to their
-//! runners; what these work on already is left to end.
+//! runners; what these work on already is left to end. Nothing is sent to any
+//! runner while a first list is awaited, nor to a domain whose evacuation has
+//! ended while its runners are read afresh.
 class evacuation_table
 {
 public:
+    //! Excludes all domains until the first list.
+    void await_first_list() { known_ = false; }
+
+    //! False while the first list is awaited.
+    bool is_known() const { return known_; }
+
     //! Replaces the evacuated domains, but for those that are held, and returns
     //! the changes.
     std::vector<evacuation_change>
@@ -51,11 +59,28 @@
     //! Ends the evacuations that a copy lacks and that nobody wrote anew.
     std::vector<evacuation_change> expire(time_point now);
 
+    //! Keeps a domain out of use whose evacuation has ended, until it is
+    //! released, at `until` by itself. Evacuating it again ends this.
+    void hold_ended(std::string_view failure_domain, time_point until);
+
+    //! Releases the ended domains and returns them.
+    std::vector<std::string> release_ended();
+
+    //! Same for those whose time has passed.
+    std::vector<std::string> release_overdue(time_point now);
+
     bool contains(std::string_view failure_domain) const
     {
         return entries_.find(failure_domain) != entries_.end();
     }
 
+    //! True if nothing may be sent to the runners of the domain.
+    bool excludes(std::string_view failure_domain) const;
+
+    //! True if there is a domain that is excluded.
+    bool excludes_any() const;
+
+    //! Number of evacuated domains.
     std::size_t size() const { return entries_.size(); }
 
 private:
@@ -72,7 +97,10 @@
     static evacuation_change change_to(entry_map::const_iterator it,
                                        bool started, time_point now);
 
+    bool known_ = true;
     entry_map entries_;
+    //! Domains that are held after the end, and until when.
+    std::map<std::string, time_point, std::less<>> ended_;
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -124,7 +124,11 @@
     void on(drain_started const& in, time_point now);
     void on(timer_fired const& in, time_point now);
 
+    void apply_evacuations(std::vector<evacuation_change> const& changes,
+                           time_point now);
     void log_evacuation(evacuation_change const& change);
+    void log_released(std::vector<std::string> const& failure_domains,
+                      bool listed);
     void resume_after_pause(duration pause, time_point now);
     void give_up_requests(time_point now);
 
@@ -390,7 +394,6 @@
     //! Pieces that arrive before may have been sent before a pause.
     time_point pieces_stale_until_{};
     bool runners_known_ = false;
-    bool evacuations_known_ = false;
     bool dispatch_needed_ = false;
     effects out_;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -203,7 +203,7 @@
     evacuation_table const& evacuations() const { return evacuations_; }
 
     //! True if runners of the failure domain may receive messages. While one is
-    //! evacuated, an unknown domain, an empty string, may be that one.
+    //! excluded, an unknown domain, an empty string, may be that one.
     bool is_reachable_domain(std::string_view failure_domain) const;
 
     void record(runner_state& state, runner_signal signal, duration elapsed,
--- a/packages/decision/src/gateway/evacuation_table.cpp
+++ b/packages/decision/src/gateway/evacuation_table.cpp
@@ -1,5 +1,8 @@
 #include <buckthornvale/decision/gateway/evacuation_table.hpp>
 
+#include <iterator>
+#include <utility>
+
 namespace buckthornvale::decision::gateway
 {
 
@@ -34,6 +37,7 @@
 evacuation_table::start_all(absl::Span<std::string const> failure_domains,
                             time_point now)
 {
+    known_ = true;
     std::vector<evacuation_change> out;
     for (auto const& it : failure_domains)
         if (auto const change = start(it, now))
@@ -47,6 +51,8 @@
     auto const [it, added] =
         entries_.try_emplace(std::string(failure_domain), entry{now, {}});
     it->second.expires_at.reset();
+    if (auto const held = ended_.find(failure_domain); held != ended_.end())
+        ended_.erase(held);
     if (!added)
         return std::nullopt;
     return change_to(it, true, now);
@@ -80,4 +86,39 @@
     return out;
 }
 
+void evacuation_table::hold_ended(std::string_view failure_domain,
+                                  time_point until)
+{
+    ended_.insert_or_assign(std::string(failure_domain), until);
+}
+
+std::vector<std::string> evacuation_table::release_ended()
+{
+    return release_overdue(time_point::max());
+}
+
+std::vector<std::string> evacuation_table::release_overdue(time_point now)
+{
+    std::vector<std::string> out;
+    for (auto it = ended_.begin(); it != ended_.end();)
+    {
+        auto const next = std::next(it);
+        if (it->second <= now)
+            out.push_back(std::move(ended_.extract(it).key()));
+        it = next;
+    }
+    return out;
+}
+
+bool evacuation_table::excludes(std::string_view failure_domain) const
+{
+    return !known_ || contains(failure_domain) ||
+           ended_.find(failure_domain) != ended_.end();
+}
+
+bool evacuation_table::excludes_any() const
+{
+    return !known_ || !entries_.empty() || !ended_.empty();
+}
+
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -21,6 +21,12 @@
 //! Time within which messages that were received during a pause are read.
 constexpr duration stale_message_time = 50ms;
 
+//! A failure domain whose evacuation has ended is used after this time although
+//! its runners were not read again, because the store is out. The others bore
+//! the load until then. Its runners may be cold for longer, which is the risk
+//! against that of losing the domain for the whole outage.
+constexpr duration max_ended_hold_time = 30s;
+
 } // namespace
 
 reducer::reducer(gateway_settings settings)
@@ -30,6 +36,8 @@
       members_(settings_.vm_name),
       retry_budget_(settings_.retries, settings_.started_at)
 {
+    if (settings_.evacuation_timeout)
+        runners_.evacuations().await_first_list();
 }
 
 reducer::~reducer() = default;
@@ -47,10 +55,8 @@
 
 bool reducer::ready() const
 {
-    bool const evacuations_known =
-        evacuations_known_ || !settings_.evacuation_timeout;
-    return manifest_ != nullptr && runners_known_ && evacuations_known &&
-           !draining_;
+    return manifest_ != nullptr && runners_known_ &&
+           runners_.evacuations().is_known() && !draining_;
 }
 
 bool reducer::busy() const
@@ -93,6 +99,9 @@
     else
         runners_.assign(in.runners, in.store_failed_after, now);
     record_cold_starts(in.restored, now);
+    // A copy may show the runners as they were before they turned cold.
+    if (!in.restored)
+        log_released(runners_.evacuations().release_ended(), true);
     runners_known_ = true;
     dispatch_needed_ = true;
     log("runners_listed", nullptr,
@@ -130,9 +139,8 @@
     auto const changes =
         in.restored ? known.assign_restored(in.failure_domains, hold_until, now)
                     : known.assign(in.failure_domains, now);
-    evacuations_known_ = true;
-    for (auto const& it : changes)
-        log_evacuation(it);
+    dispatch_needed_ = true;
+    apply_evacuations(changes, now);
 }
 
 void reducer::on(evacuation_changed const& in, time_point now)
@@ -141,7 +149,24 @@
     auto const change = in.evacuated ? known.start(in.failure_domain, now)
                                      : known.end(in.failure_domain, now);
     if (change)
-        log_evacuation(*change);
+        apply_evacuations({*change}, now);
+}
+
+void reducer::apply_evacuations(std::vector<evacuation_change> const& changes,
+                                time_point now)
+{
+    bool any_held = false;
+    for (auto const& it : changes)
+    {
+        log_evacuation(it);
+        if (it.started || !settings_.cold_starts)
+            continue;
+        runners_.evacuations().hold_ended(it.failure_domain,
+                                          now + max_ended_hold_time);
+        any_held = true;
+    }
+    if (any_held)
+        out_.push_back(list_runners());
 }
 
 void reducer::log_evacuation(evacuation_change const& change)
@@ -156,6 +181,17 @@
              {"known_ms", milliseconds_text(change.held_for)}});
 }
 
+void reducer::log_released(std::vector<std::string> const& failure_domains,
+                           bool listed)
+{
+    for (auto const& it : failure_domains)
+    {
+        dispatch_needed_ = true;
+        log("failure_domain_released", nullptr,
+            {{"failure_domain", it}, {"listed", listed ? "true" : "false"}});
+    }
+}
+
 void reducer::on(runner_notified const& in, time_point now)
 {
     record_rate_limit(in, now);
@@ -213,8 +249,8 @@
 void reducer::on(timer_fired const& in, time_point now)
 {
     runners_.expire(now);
-    for (auto const& it : runners_.evacuations().expire(now))
-        log_evacuation(it);
+    apply_evacuations(runners_.evacuations().expire(now), now);
+    log_released(runners_.evacuations().release_overdue(now), false);
     crashes_.expire(now);
     judge_.expire(now);
     suspects_.expire(now);
--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -233,7 +233,7 @@
 bool runner_directory::is_excluded(runner_state const& state,
                                    time_point now) const
 {
-    return evacuations_.contains(state.entry.failure_domain) ||
+    return evacuations_.excludes(state.entry.failure_domain) ||
            is_gone(state, now);
 }
 
@@ -241,8 +241,8 @@
     std::string_view failure_domain) const
 {
     if (failure_domain.empty())
-        return evacuations_.size() == 0;
-    return !evacuations_.contains(failure_domain);
+        return !evacuations_.excludes_any();
+    return !evacuations_.excludes(failure_domain);
 }
 
 void runner_directory::usable(std::string_view service, time_point now,
--- a/packages/decision/tests/gateway/evacuation_test.cpp
+++ b/packages/decision/tests/gateway/evacuation_test.cpp
@@ -208,6 +208,45 @@
     EXPECT_EQ(starting.evacuated_domains(), 1U);
 }
 
+//! A VM that has not read the evacuations.
+class unread_evacuations : public reducer_fixture
+{
+protected:
+    unread_evacuations() : reducer_fixture(settings()) {}
+
+    static gateway_settings settings()
+    {
+        auto out = default_settings();
+        out.evacuation_timeout = 5s;
+        return out;
+    }
+
+    static piece make_stage_piece()
+    {
+        auto out = make_piece(1);
+        out.service = "stage";
+        return out;
+    }
+};
+
+// Callers may reach a VM that is not ready. It sent their requests to any
+// domain.
+TEST_F(unread_evacuations, keep_requests_from_all_runners)
+{
+    auto const refused = only<refuse_request>(arrive("/book/x"));
+    EXPECT_EQ(refused.status, 503);
+    feed(evacuations_listed{});
+    EXPECT_EQ(all<send_attempt>(arrive("/book/x")).size(), 1U);
+}
+
+TEST_F(unread_evacuations, keep_the_pieces_of_peers_from_all_runners)
+{
+    auto const out =
+        feed(peer_sent{"vm-1", {submit_pieces{{make_stage_piece()}}}});
+    EXPECT_TRUE(all<call_stage>(out).empty());
+    EXPECT_EQ(all<call_stage>(feed(evacuations_listed{})).size(), 1U);
+}
+
 // A store that came back from a copy of the time before the evacuation showed
 // none.
 TEST_F(evacuation, holds_on_after_the_store_has_come_back_from_a_copy)
@@ -219,5 +258,108 @@
     EXPECT_EQ(runners_for("/read/x").count("plain-1"), 1U);
 }
 
+//! A fleet whose cold runners take few requests. The first plain runner is in
+//! an evacuated domain.
+class end_of_evacuation : public reducer_fixture
+{
+protected:
+    end_of_evacuation() : reducer_fixture(settings())
+    {
+        auto next = std::make_shared<manifest>(*make_manifest(2));
+        next->services["plain"].cold_requests_per_s = 2;
+        feed(manifest_changed{next});
+        feed(evacuations_listed{{"north"}});
+        feed(runners_listed{runners(0s)});
+    }
+
+    static gateway_settings settings()
+    {
+        auto out = default_settings();
+        out.evacuation_timeout = 5s;
+        out.cold_starts = cold_start_bounds{1.5, 5};
+        return out;
+    }
+
+    static std::vector<runner> runners(duration cold_time_left)
+    {
+        std::vector<runner> out;
+        for (auto const* id : {"plain-1", "plain-2"})
+            out.push_back(make_runner(id, "plain"));
+        out[1].failure_domain = "south";
+        out[0].cold_time_left = cold_time_left;
+        return out;
+    }
+
+    //! Number of requests out of many that the runner of the domain gets.
+    std::size_t sends_to_domain()
+    {
+        std::size_t out = 0;
+        for (int n = 0; n < 30; ++n)
+        {
+            for (auto const& it : all<send_attempt>(arrive("/book/x")))
+                out += it.runner_id == "plain-1" ? 1 : 0;
+            end_attempt(attempt_outcome::answered, 200, true);
+        }
+        return out;
+    }
+};
+
+// The change of the evacuation may arrive before that of the runners, which
+// turned cold shortly before. They got requests as if they were warm.
+TEST_F(end_of_evacuation, sends_nothing_before_the_cold_runners_are_known)
+{
+    auto const effects = feed(evacuation_changed{"north", false});
+    EXPECT_EQ(all<list_runners>(effects).size(), 1U);
+    EXPECT_EQ(sends_to_domain(), 0U);
+    feed(runners_listed{runners(10s)});
+    EXPECT_LE(sends_to_domain(), 1U);
+    feed(runners_listed{runners(0s)});
+    EXPECT_GT(sends_to_domain(), 1U);
+}
+
+TEST_F(end_of_evacuation, sends_nothing_after_a_list_lacks_it)
+{
+    auto const effects = feed(evacuations_listed{});
+    EXPECT_EQ(all<list_runners>(effects).size(), 1U);
+    EXPECT_EQ(sends_to_domain(), 0U);
+    feed(runners_listed{runners(0s)});
+    EXPECT_GT(sends_to_domain(), 1U);
+}
+
+TEST_F(end_of_evacuation, sends_nothing_after_it_was_held_for_a_copy)
+{
+    feed(evacuations_listed{{}, true});
+    auto const effects = advance(8s);
+    EXPECT_EQ(all<list_runners>(effects).size(), 1U);
+    EXPECT_EQ(sends_to_domain(), 0U);
+}
+
+// A copy may show the runners as they were before they turned cold.
+TEST_F(end_of_evacuation, does_not_rely_on_runners_of_a_copy)
+{
+    feed(evacuation_changed{"north", false});
+    feed(runners_listed{runners(0s), {}, true});
+    EXPECT_EQ(sends_to_domain(), 0U);
+}
+
+// A store that is out must not keep the domain from use for ever.
+TEST_F(end_of_evacuation, waits_a_limited_time_for_the_runners)
+{
+    feed(evacuation_changed{"north", false});
+    advance(29s);
+    EXPECT_EQ(sends_to_domain(), 0U);
+    advance(1s);
+    EXPECT_GT(sends_to_domain(), 1U);
+}
+
+TEST_F(end_of_evacuation, is_followed_by_another_one)
+{
+    feed(evacuation_changed{"north", false});
+    feed(evacuation_changed{"north", true});
+    feed(runners_listed{runners(0s)});
+    advance(30s);
+    EXPECT_EQ(sends_to_domain(), 0U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/reducer_fixture.cpp
+++ b/packages/decision/tests/gateway/reducer_fixture.cpp
@@ -27,8 +27,13 @@
 
 } // namespace
 
-reducer_fixture::reducer_fixture()
-    : gateway({"vm-0", "north", 2s, 0s, 3s, {0.2, 40, 10s}})
+gateway_settings reducer_fixture::default_settings()
+{
+    return {"vm-0", "north", 2s, 0s, 3s, {0.2, 40, 10s}};
+}
+
+reducer_fixture::reducer_fixture(gateway_settings settings)
+    : gateway(std::move(settings))
 {
     feed(manifest_changed{make_manifest(1)});
     feed(members_listed{{{"vm-0", "10.0.1.1:80", "north", 1, 1}}});
--- a/packages/decision/tests/gateway/reducer_fixture.hpp
+++ b/packages/decision/tests/gateway/reducer_fixture.hpp
@@ -15,7 +15,9 @@
 class reducer_fixture : public testing::Test
 {
 protected:
-    reducer_fixture();
+    explicit reducer_fixture(gateway_settings settings = default_settings());
+
+    static gateway_settings default_settings();
 
     effects feed(event const& input);
     effects advance(duration by);
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -113,6 +113,7 @@
     void execute(decision::gateway::close_idle_connections const& it);
     void execute(decision::gateway::send_to_peer const& it);
     void execute(decision::gateway::remove_member const& it);
+    void execute(decision::gateway::list_runners const& it);
     void execute(decision::gateway::log_decision const& it);
 
     //! Counts a connection that was ended for others, and logs such ends, at
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -231,6 +231,11 @@
                [](net::call_result const&) {});
 }
 
+void gateway_process::execute(model::list_runners const&)
+{
+    runner_watcher_->list_anew();
+}
+
 void gateway_process::call_store(platform::store_request call,
                                  net::call_done done)
 {
