decision: forgets results that lapse before they can be freed

Handles of results in an evacuated domain, or at an address that is no longer known, were kept until the end of the evacuation and freed in one call long after the runner had dropped them; their memory counted as used. They are forgotten when the result lifetime has passed since the last one was released.

Tests: `forgets_them_when_they_have_lapsed` and `returns_the_memory_of_those_that_have_lapsed` failed without the expiry.

--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -170,6 +171,9 @@
         std::string runner_id;
         double bytes = 0;
         std::vector<std::string> handles;
+        //! Time from which the runner holds none of them; set when they are
+        //! kept back.
+        std::optional<time_point> lapse_at;
     };
 
     //! Pieces that are due within each of `wait_profile::due_times`.
@@ -212,6 +216,9 @@
     void expire_results(time_point now);
     //! True if the runner may get a call now that frees results.
     bool may_free(runner_state const& runner, time_point now) const;
+    //! Forgets results that were kept back until they have lapsed.
+    void expire_released(time_point now);
+    void return_memory(released_results const& of);
     void flush_released(runner_directory& runners, call_ref& next_call,
                         time_point now, effects& out);
 
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
 
 namespace buckthornvale::decision::gateway
@@ -148,6 +149,7 @@
     {
         auto& out = released_[std::string(address_of(handle))];
         out.handles.push_back(handle);
+        out.lapse_at.reset();
         auto const found = held_.find(handle);
         if (found == held_.end())
             continue;
@@ -162,12 +164,17 @@
     auto const found = freeing_.find(call);
     if (found == freeing_.end())
         return;
-    auto const usage = usage_.find(found->second.runner_id);
-    if (usage != usage_.end())
-        usage->second.held_bytes -= found->second.bytes;
+    return_memory(found->second);
     freeing_.erase(found);
 }
 
+void stage_scheduler::return_memory(released_results const& of)
+{
+    auto const usage = usage_.find(of.runner_id);
+    if (usage != usage_.end())
+        usage->second.held_bytes -= of.bytes;
+}
+
 void stage_scheduler::finish_piece(queued_piece& it, piece_outcome outcome,
                                    std::string handle)
 {
@@ -334,6 +341,21 @@
                scarce_memory_share * limits_.result_memory_bytes;
 }
 
+void stage_scheduler::expire_released(time_point now)
+{
+    for (auto it = released_.begin(); it != released_.end();)
+    {
+        auto const next = std::next(it);
+        auto const& lapse_at = it->second.lapse_at;
+        if (lapse_at && *lapse_at <= now)
+        {
+            return_memory(it->second);
+            released_.erase(it);
+        }
+        it = next;
+    }
+}
+
 void stage_scheduler::flush_released(runner_directory& runners,
                                      call_ref& next_call, time_point now,
                                      effects& out)
@@ -346,6 +368,8 @@
             runners.is_reachable_domain(runners.failure_domain_of(it->first));
         if (!reachable || (runner != nullptr && !may_free(*runner, now)))
         {
+            auto& lapse_at = it->second.lapse_at;
+            lapse_at = lapse_at.value_or(now + limits_.result_lifetime);
             ++it;
             continue;
         }
@@ -365,6 +389,7 @@
 void stage_scheduler::dispatch(runner_directory& runners, call_ref& next_call,
                                time_point now, effects& out)
 {
+    expire_released(now);
     flush_released(runners, next_call, now, out);
     if (now - last_check_ >= check_interval)
         check_timeouts(now);
--- a/packages/decision/tests/gateway/evacuation_test.cpp
+++ b/packages/decision/tests/gateway/evacuation_test.cpp
@@ -172,6 +172,57 @@
     EXPECT_EQ(out.size(), 2U);
 }
 
+// Handles that cannot be freed piled up as long as the evacuation lasted, and
+// went out in one call long after the runner had dropped the results.
+TEST(evacuation_of_results, forgets_them_when_they_have_lapsed)
+{
+    fake_pool pool(2);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    pool.runners.evacuations().start("north", start);
+    effects out;
+    auto const dispatch_at = [&](duration elapsed)
+    { scheduler.dispatch(pool.runners, pool.next_call, start + elapsed, out); };
+    scheduler.release({"10.0.0.1:80/a", "10.9.9.9:80/b"});
+    dispatch_at(0s);
+    dispatch_at(3s);
+    scheduler.release({"10.0.0.1:80/c"});
+    dispatch_at(3s);
+    dispatch_at(4s);
+    pool.runners.evacuations().end("north", start + 5s);
+    dispatch_at(5s);
+    ASSERT_EQ(out.size(), 1U);
+    EXPECT_EQ(std::get<free_results>(out[0]).address, "10.0.0.1:80");
+    pool.runners.evacuations().start("north", start + 6s);
+    scheduler.release({"10.0.0.1:80/d"});
+    dispatch_at(6s);
+    dispatch_at(10s);
+    pool.runners.evacuations().end("north", start + 11s);
+    dispatch_at(11s);
+    EXPECT_EQ(out.size(), 1U);
+}
+
+// Memory of results that lapsed must not count as used.
+TEST(evacuation_of_results, returns_the_memory_of_those_that_have_lapsed)
+{
+    fake_pool pool(1);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    scheduler.submit("vm", {make_piece(1)}, start);
+    pool.dispatch(scheduler, false);
+    pool.now = start + 1s;
+    pool.end_call(scheduler, 1);
+    auto const results = scheduler.take_results();
+    ASSERT_FALSE(results.empty());
+    EXPECT_GT(scheduler.result_memory_share(), 0);
+    pool.runners.evacuations().start("north", pool.now);
+    scheduler.release({results.back().result.handle});
+    pool.dispatch(scheduler, false);
+    pool.now += 4s;
+    pool.dispatch(scheduler, false);
+    EXPECT_EQ(scheduler.result_memory_share(), 0);
+}
+
 // Forecasts counted runners that get nothing.
 TEST(evacuation_of_results, leaves_evacuated_runners_out_of_forecasts)
 {
