decision: counts cold times of listed runners only

Each list of the runners began the cold time anew also for runners that the list lacked. The metrics built two lists of runners to count those that are cold; they are counted directly.

Test: `counts_the_cold_time_of_listed_runners_only` failed with the loop over all cold runners.

--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -84,9 +84,9 @@
     std::size_t rate_limited_runners() { return runners_.limited().size(); }
 
     //! Number of runners that are cold.
-    std::size_t cold_runners(time_point now)
+    std::size_t cold_runners(time_point now) const
     {
-        return runners_.cold(now).size();
+        return runners_.cold_count(now);
     }
 
     //! Number of failure domains that the operator evacuates.
@@ -234,7 +234,7 @@
     //! Limit on the requests of all VMs to a cold runner of the service.
     std::optional<fleet_limit> cold_limit(std::string_view service) const;
     void record_cold_start(runner_state& state, bool restored, time_point now);
-    void record_cold_starts(bool restored, time_point now);
+    void record_cold_starts(runners_listed const& in, time_point now);
 
     // Stages.
 
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -181,8 +181,8 @@
     //! Runners of all services that are cold.
     std::vector<runner_state*> cold(time_point now);
 
-    //! All runners, in order of their ids.
-    std::vector<runner_state*> all();
+    //! Number of these.
+    std::size_t cold_count(time_point now) const;
 
     //! Number of requests that this VM may send to the service until `until`.
     //! Returns nullopt if nothing limits it.
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -98,7 +98,7 @@
         runners_.assign_restored(in.runners, in.store_failed_after, now);
     else
         runners_.assign(in.runners, in.store_failed_after, now);
-    record_cold_starts(in.restored, now);
+    record_cold_starts(in, now);
     // A copy may show the runners as they were before they turned cold.
     if (!in.restored)
         log_released(runners_.evacuations().release_ended(), true);
--- a/packages/decision/src/gateway/reducer_cold_starts.cpp
+++ b/packages/decision/src/gateway/reducer_cold_starts.cpp
@@ -48,10 +48,11 @@
           sends ? milliseconds_text(share->interval()) : ""}});
 }
 
-void reducer::record_cold_starts(bool restored, time_point now)
+void reducer::record_cold_starts(runners_listed const& in, time_point now)
 {
-    for (auto* it : runners_.all())
-        record_cold_start(*it, restored, now);
+    for (auto const& it : in.runners)
+        if (auto* state = runners_.find(it.id))
+            record_cold_start(*state, in.restored, now);
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/runner_directory_limits.cpp
+++ b/packages/decision/src/gateway/runner_directory_limits.cpp
@@ -108,20 +108,18 @@
 
 std::vector<runner_state*> runner_directory::cold(time_point now)
 {
-    auto out = all();
-    out.erase(std::remove_if(out.begin(), out.end(),
-                             [now](runner_state const* it)
-                             { return !is_cold(*it, now); }),
-              out.end());
+    std::vector<runner_state*> out;
+    for (auto& it : runners_)
+        if (is_cold(it.second, now))
+            out.push_back(&it.second);
     return out;
 }
 
-std::vector<runner_state*> runner_directory::all()
+std::size_t runner_directory::cold_count(time_point now) const
 {
-    std::vector<runner_state*> out;
-    for (auto& it : runners_)
-        out.push_back(&it.second);
-    return out;
+    return std::size_t(std::count_if(runners_.begin(), runners_.end(),
+                                     [now](auto const& it)
+                                     { return is_cold(it.second, now); }));
 }
 
 std::vector<runner_state*> runner_directory::limited()
--- a/packages/decision/tests/gateway/evacuation_test.cpp
+++ b/packages/decision/tests/gateway/evacuation_test.cpp
@@ -412,5 +412,18 @@
     EXPECT_EQ(sends_to_domain(), 0U);
 }
 
+// A runner that a list lacks was not read again: its cold time began anew with
+// each list.
+TEST_F(end_of_evacuation, counts_the_cold_time_of_listed_runners_only)
+{
+    feed(runners_listed{runners(1500ms)});
+    now += 900ms;
+    auto others = runners(0s);
+    others.erase(others.begin());
+    feed(runners_listed{others, now});
+    now += 700ms;
+    EXPECT_EQ(gateway.cold_runners(now), 0U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
