decision: tests what evacuations leave alone and what they refuse

The test of retries had no counter-case, and that of refusals knew plain requests only. A stream is refused at once; a request with stages is refused when its pieces are dropped, not at once.

--- a/packages/decision/tests/gateway/evacuation_test.cpp
+++ b/packages/decision/tests/gateway/evacuation_test.cpp
@@ -89,6 +89,19 @@
     EXPECT_TRUE(all<send_attempt>(advance(2s)).empty());
 }
 
+// What the test above relies on: without an evacuation the retry goes there.
+TEST_F(evacuation, leaves_retries_alone_after_its_end)
+{
+    evacuate("south");
+    EXPECT_EQ(only<send_attempt>(arrive("/read/x")).runner_id, "plain-1");
+    feed(evacuation_changed{"south", false});
+    auto retried = all<send_attempt>(end_attempt(attempt_outcome::not_sent));
+    if (retried.empty())
+        retried = all<send_attempt>(advance(2s));
+    ASSERT_EQ(retried.size(), 1U);
+    EXPECT_NE(retried[0].runner_id, "plain-1");
+}
+
 TEST_F(evacuation, keeps_resumed_streams_away_until_it_ends)
 {
     evacuate("south");
@@ -129,6 +142,20 @@
     auto const refused = only<refuse_request>(arrive("/book/x"));
     EXPECT_EQ(refused.status, 503);
     EXPECT_TRUE(refused.retry_after);
+    EXPECT_EQ(only<refuse_request>(arrive("/stream/x", 5s)).status, 503);
+}
+
+// Pieces wait for a while for a runner that may come back. Their request is
+// refused in time, without a call.
+TEST_F(evacuation, refuses_stages_in_time_when_nothing_is_left)
+{
+    evacuate("north");
+    evacuate("south");
+    auto out = call_stages();
+    auto const later = advance(2s);
+    out.insert(out.end(), later.begin(), later.end());
+    EXPECT_TRUE(all<call_stage>(out).empty());
+    EXPECT_EQ(only<refuse_request>(out).status, 503);
 }
 
 // Pieces are requests too, for whichever VM they are sent.
