gateway: notices a lost evacuation within the bound alone

The watch of evacuations waited for settle time and bound, less a margin. The bound counts from the acknowledgement for a VM in touch with the store, also right after a lost answer, so that the settle time must not be added. With a bound below 2.35 s (pause, margin, time to catch up and the shortest wait of 0.5 s) it cannot be met after a loss. The wait is shorter by the settle time, so each VM calls the store more often.

Test: `notices_a_lost_evacuation_within_the_bound_alone` failed with the former timing for each of its bounds. The former test stays as it was. Measured: none.

--- a/packages/gateway/src/store/store_timing.cpp
+++ b/packages/gateway/src/store/store_timing.cpp
@@ -73,11 +73,12 @@
 
 watch_timing evacuation_watch_timing(platform::node_settings const& settings)
 {
-    auto const longest =
-        longest_wait(settings, settings.evacuation_timeout.value_or(duration()),
-                     evacuation_pause);
-    return {std::min(longest, max_evacuation_wait), evacuation_pause,
-            evacuation_pause};
+    // The bound counts from the acknowledgement, also right after a loss.
+    auto const longest = settings.evacuation_timeout.value_or(duration()) -
+                         evacuation_pause - watch_timeout_margin -
+                         catch_up_time;
+    return {std::clamp(longest, min_wait, max_evacuation_wait),
+            evacuation_pause, evacuation_pause};
 }
 
 watch_timing member_watch_timing()
--- a/packages/gateway/tests/store_timing_test.cpp
+++ b/packages/gateway/tests/store_timing_test.cpp
@@ -68,6 +68,23 @@
     }
 }
 
+// The bound of an evacuation counts for a VM in touch with the store whatever
+// answer was lost before; the settle time does not put it off.
+TEST(store_timing, notices_a_lost_evacuation_within_the_bound_alone)
+{
+    constexpr duration retry = 200ms;
+    constexpr duration send_delay = 400ms;
+    for (duration const bound : {3s, 5s, 30s})
+    {
+        auto settings = settings_of(2s, 2s);
+        settings.evacuation_timeout = bound;
+        auto const timing = evacuation_watch_timing(settings);
+        EXPECT_LE(timing.pause + timing.max_wait + watch_timeout_margin +
+                      retry + send_delay,
+                  bound);
+    }
+}
+
 // A manifest that is missed because a connection went silent must not stay
 // missed for long.
 TEST(store_timing, notices_a_silent_store_soon)
