--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -84,9 +84,9 @@
     std::size_t rate_limited_runners() { return runners_.limited().size(); }
 
     //! Number of runners that are cold.
-    std::size_t cold_runners(time_point now)
+    std::size_t cold_runners(time_point now) const
     {
-        return runners_.cold(now).size();
+        return runners_.cold_count(now);
     }
 
     //! Number of failure domains that the operator evacuates.
@@ -124,7 +124,11 @@
     void on(drain_started const& in, time_point now);
     void on(timer_fired const& in, time_point now);
 
+    void apply_evacuations(std::vector<evacuation_change> const& changes,
+                           time_point now);
     void log_evacuation(evacuation_change const& change);
+    void log_released(std::vector<std::string> const& failure_domains,
+                      bool listed);
     void resume_after_pause(duration pause, time_point now);
     void give_up_requests(time_point now);
 
@@ -230,7 +234,7 @@
     //! Limit on the requests of all VMs to a cold runner of the service.
     std::optional<fleet_limit> cold_limit(std::string_view service) const;
     void record_cold_start(runner_state& state, bool restored, time_point now);
-    void record_cold_starts(bool restored, time_point now);
+    void record_cold_starts(runners_listed const& in, time_point now);
 
     // Stages.
 
@@ -390,7 +394,6 @@
     //! Pieces that arrive before may have been sent before a pause.
     time_point pieces_stale_until_{};
     bool runners_known_ = false;
-    bool evacuations_known_ = false;
     bool dispatch_needed_ = false;
     effects out_;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_directory.hpp
@@ -181,8 +181,8 @@
     //! Runners of all services that are cold.
     std::vector<runner_state*> cold(time_point now);
 
-    //! All runners, in order of their ids.
-    std::vector<runner_state*> all();
+    //! Number of these.
+    std::size_t cold_count(time_point now) const;
 
     //! Number of requests that this VM may send to the service until `until`.
     //! Returns nullopt if nothing limits it.
@@ -203,7 +203,7 @@
     evacuation_table const& evacuations() const { return evacuations_; }
 
     //! True if runners of the failure domain may receive messages. While one is
-    //! evacuated, an unknown domain, an empty string, may be that one.
+    //! excluded, an unknown domain, an empty string, may be that one.
     bool is_reachable_domain(std::string_view failure_domain) const;
 
     void record(runner_state& state, runner_signal signal, duration elapsed,
