net: keep a running request whose client sent a few bytes ahead

A single byte sent ahead, or a part of a response that waited for a moment, was enough to end a running request for others. Now only a client that has sent more than is held, or that has taken none of the queued response for one second, counts as one to end. The time counts from when the queue began.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -157,8 +157,8 @@
     void close_after_response();
 
     //! What the connection holds, if it may be ended for others: it is idle,
-    //! its request is not complete, or its client does not take the response or
-    //! has sent further requests meanwhile.
+    //! its request is not complete, or its client has stopped taking the
+    //! response or has sent more ahead than is held.
     std::optional<connection_load> load(time_point now) const;
 
     //! True when a request may have arrived on the idle connection.
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -29,6 +29,10 @@
 //! A client that sends or takes fewer bytes makes no progress.
 constexpr std::size_t min_progress_bytes = 4096;
 
+//! A client that has not taken queued bytes of a response for this time may be
+//! ended for others.
+constexpr duration min_stopped_time = 1s;
+
 //! Time that a client has to read its response and close the connection before
 //! the server closes it, which can reset it and discard unread bytes.
 constexpr duration linger_timeout = 1s;
@@ -230,6 +234,9 @@
 
 void server_connection::send_part(std::string_view bytes)
 {
+    // Until now the client had taken all that there was.
+    if (stream_->queued() == 0)
+        restart_progress();
     if (chunked_)
     {
         std::string chunk;
@@ -354,9 +361,10 @@
 
 std::optional<connection_load> server_connection::load(time_point now) const
 {
-    bool const waits_for_client =
-        state_ != state::serving || stream_->queued() > 0;
-    if (!waits_for_client && held_input_.empty())
+    bool const stopped_reading =
+        stream_->queued() > 0 && now - progress_at_ >= min_stopped_time;
+    if (state_ == state::serving && !stopped_reading &&
+        held_input_.size() <= max_held_bytes)
         return std::nullopt;
     return connection_load{id_, charge_.bytes(), now - progress_at_};
 }
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -19,9 +19,15 @@
 
     //! Connects a client that sends these bytes, and lets the server read them.
     asio::ip::tcp::socket send(std::string const& bytes)
+    {
+        return send_to(server, bytes);
+    }
+
+    asio::ip::tcp::socket send_to(http_server const& to,
+                                  std::string const& bytes)
     {
         asio::ip::tcp::socket out(loop);
-        out.connect(*parse_endpoint(endpoint_text("127.0.0.1", server.port())));
+        out.connect(*parse_endpoint(endpoint_text("127.0.0.1", to.port())));
         asio::error_code ec;
         asio::write(out, asio::buffer(bytes), ec);
         out.non_blocking(true);
@@ -130,5 +136,45 @@
     EXPECT_EQ(ec, asio::error::would_block);
 }
 
+// Guards against a running request that is ended for a new connection because
+// its client has sent a few bytes ahead.
+TEST_F(client_memory, spares_a_running_request_with_some_bytes_ahead)
+{
+    limits.max_connections = 1;
+    limits.replace_connections = true;
+    auto running = send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n\r\n");
+    EXPECT_EQ(received(running).substr(0, 12), "HTTP/1.1 200");
+    now += 3s;
+    auto other = send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    EXPECT_EQ(received(other).substr(0, 12), "HTTP/1.1 503");
+    asio::error_code ec;
+    char buf = 0;
+    running.read_some(asio::buffer(&buf, 1), ec);
+    EXPECT_EQ(ec, asio::error::would_block);
+}
+
+// Guards against a running request that is ended as soon as a part of its
+// response waits in the server, and against one that is never ended.
+TEST_F(client_memory, ends_a_running_request_only_if_its_client_has_stopped)
+{
+    handler.unfinished_bytes = 20'000'000;
+    http_server one(
+        loop, handler, [this] { return limits; }, [this] { return now; });
+    one.listen("127.0.0.1", 0);
+    limits.max_connections = 1;
+    limits.replace_connections = true;
+    auto const request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    auto running = send_to(one, request);
+    now += 500ms;
+    auto early = send_to(one, request);
+    EXPECT_EQ(received(early).substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(one.serving(), 1U);
+    now += 2s;
+    early.close();
+    run();
+    auto late = send_to(one, request);
+    EXPECT_EQ(received(late).substr(0, 12), "HTTP/1.1 200");
+}
+
 } // namespace
 } // namespace buckthornvale::net
