net: refuse a body that cannot fit before ending others

A body that was too large for the budget ended every other connection that may be ended and was then refused itself. What could be freed is counted first. The loop that ends connections stands once.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -301,6 +301,8 @@
     void add_connection(asio::ip::tcp::socket socket);
     void remove(std::uint64_t id);
     std::shared_ptr<server_connection> choose_connection_to_end();
+    bool can_fit(server_connection const& asker, std::size_t bytes) const;
+    bool end_connections_for(server_connection const* asker, std::size_t bytes);
     bool make_room_for(server_connection& it, std::size_t bytes);
     void make_room_later();
     void make_place();
--- a/packages/net/include/buckthornvale/net/memory_budget.hpp
+++ b/packages/net/include/buckthornvale/net/memory_budget.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_NET_MEMORY_BUDGET_HPP
 #define BUCKTHORNVALE_NET_MEMORY_BUDGET_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <limits>
 #include <memory>
@@ -50,6 +51,13 @@
         return held_ <= max_bytes_ && bytes <= max_bytes_ - held_;
     }
 
+    //! True if so many bytes are left once the holders have returned `freed`.
+    bool fits_after(std::size_t freed, std::size_t bytes) const
+    {
+        auto const held = held_ - std::min(freed, held_);
+        return held <= max_bytes_ && bytes <= max_bytes_ - held;
+    }
+
     //! Bytes of all holders; more than the maximum if a holder did not ask.
     std::size_t held() const { return held_; }
     std::size_t max_bytes() const { return max_bytes_; }
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -113,9 +113,26 @@
     return nullptr;
 }
 
-//! Ends connections until the bytes fit. Returns false if this connection is
-//! one of them.
-bool http_server::make_room_for(server_connection& it, std::size_t bytes)
+//! Bytes that are left once all other connections that may be ended are.
+bool http_server::can_fit(server_connection const& asker,
+                          std::size_t bytes) const
+{
+    auto const now = clock_();
+    std::size_t freed = 0;
+    for (auto const& it : connections_)
+    {
+        if (it.first == asker.id() || it.second->has_unread_request())
+            continue;
+        if (auto const load = it.second->load(now))
+            freed += load->bytes;
+    }
+    return memory_->fits_after(freed, bytes);
+}
+
+//! Ends connections until the bytes fit or none may be ended. Returns false if
+//! the asker is one of them.
+bool http_server::end_connections_for(server_connection const* asker,
+                                      std::size_t bytes)
 {
     while (!memory_->fits(bytes))
     {
@@ -123,12 +140,22 @@
         if (chosen == nullptr)
             break;
         chosen->end_for_others();
-        if (chosen.get() == &it)
+        if (chosen.get() == asker)
             return false;
     }
     return true;
 }
 
+//! Ends connections until the bytes fit. Returns false if this connection is
+//! one of them. It is the only one if its bytes would not fit in any case.
+bool http_server::make_room_for(server_connection& it, std::size_t bytes)
+{
+    if (bytes == 0 || memory_->fits(bytes) || can_fit(it, bytes))
+        return end_connections_for(&it, bytes);
+    it.end_for_others();
+    return false;
+}
+
 //! Posted, because a handler may be about to use a connection that would be
 //! ended.
 void http_server::make_room_later()
@@ -142,13 +169,7 @@
                    if (server.expired())
                        return;
                    making_room_later_ = false;
-                   while (!memory_->fits(0))
-                   {
-                       auto const chosen = choose_connection_to_end();
-                       if (chosen == nullptr)
-                           return;
-                       chosen->end_for_others();
-                   }
+                   end_connections_for(nullptr, 0);
                });
 }
 
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -76,6 +76,19 @@
     EXPECT_EQ(handler.requests, 0);
 }
 
+// Guards against a body that cannot fit and ends the requests of others before
+// it is refused.
+TEST_F(client_memory, ends_no_other_request_for_a_body_that_cannot_fit)
+{
+    auto other = send(head(20'000) + std::string(19'999, 'b'));
+    auto client = send(head(300'000));
+    EXPECT_EQ(received(client).substr(0, 12), "HTTP/1.1 503");
+    EXPECT_EQ(received(other), "");
+    asio::write(other, asio::buffer("b", 1));
+    run();
+    EXPECT_EQ(received(other).substr(0, 12), "HTTP/1.1 200");
+}
+
 // Guards against a refused body whose memory is kept until its connection ends.
 TEST_F(client_memory, frees_the_memory_of_a_refused_body)
 {
