net: keep a quarter of the budget for requests without large bodies

Whole bodies at slow routes used the budget up, and every small request got 503 until they ended. Bodies over 16 KB now leave a quarter free, when they are asked for and when they are complete. The check at completion covers the whole charge of the handler instead of the body alone. No reserve without a budget. Memory that is counted for a body already is no longer asked for again.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -207,6 +207,7 @@
     void hold(std::string_view bytes);
     bool can_parse() const;
     void admit_body();
+    std::size_t reserve_beside(std::size_t body_bytes) const;
     void count_memory();
     void note_progress(std::size_t bytes);
     void restart_progress();
--- a/packages/net/include/buckthornvale/net/memory_budget.hpp
+++ b/packages/net/include/buckthornvale/net/memory_budget.hpp
@@ -62,6 +62,12 @@
     std::size_t held() const { return held_; }
     std::size_t max_bytes() const { return max_bytes_; }
 
+    //! What large messages leave free for small ones.
+    std::size_t reserve() const
+    {
+        return max_bytes_ == unlimited ? 0 : max_bytes_ / 4;
+    }
+
 private:
     std::size_t const max_bytes_;
     std::size_t held_ = 0;
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -29,6 +29,12 @@
 //! A client that sends or takes fewer bytes makes no progress.
 constexpr std::size_t min_progress_bytes = 4096;
 
+//! Larger bodies leave the reserve of the budget to other requests.
+constexpr std::size_t max_small_body_bytes = 16'384;
+
+//! Left for what the handler keeps of a request beside its head and body.
+constexpr std::size_t request_bytes = 4096;
+
 //! A client that has not taken queued bytes of a response for this time may be
 //! ended for others.
 constexpr duration min_stopped_time = 1s;
@@ -148,7 +154,9 @@
     }
     // The handler may have to copy the body for the network.
     count_memory();
-    if (!server_.make_room_for(*this, body_.capacity()))
+    if (!server_.make_room_for(*this, request_bytes + parser_.held_bytes() +
+                                          body_.capacity() +
+                                          reserve_beside(body_.size())))
         return;
     held_input_.assign(bytes.substr(n));
     state_ = state::serving;
@@ -163,8 +171,11 @@
 {
     body_admitted_ = true;
     // The handler may have to copy the body, as on its arrival.
-    auto const missing_bytes =
-        body_length_known_ ? 2 * max_body_bytes_ - body_.size() : 0;
+    auto const counted_bytes = std::min(body_.capacity(), max_body_bytes_);
+    auto const missing_bytes = body_length_known_
+                                   ? 2 * max_body_bytes_ - counted_bytes +
+                                         reserve_beside(max_body_bytes_)
+                                   : 0;
     count_memory();
     if (!server_.make_room_for(*this, missing_bytes) || !expects_continue_)
         return;
@@ -174,6 +185,11 @@
     stream_->write(interim_response);
 }
 
+std::size_t server_connection::reserve_beside(std::size_t body_bytes) const
+{
+    return body_bytes > max_small_body_bytes ? server_.memory_->reserve() : 0;
+}
+
 void server_connection::on_head()
 {
     auto const& head = parser_.request();
