net: linger after a refusal while its body arrives

The refusal of a body that still arrived was reset after one second. The server now waits for one second without input, and at most for the receive timeout.

The first new test failed before; the second guards the one second, which held before. Measured: none.

--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -240,6 +240,9 @@
     //! Start of the current state, or of the current request while reading.
     time_point phase_start_{};
 
+    //! While lingering: when bytes were last dropped, or the start.
+    time_point last_discarded_{};
+
     //! Idle timeout when the connection became idle. The client may rely on it
     //! although a shorter one holds by now.
     duration idle_timeout_;
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -39,8 +39,9 @@
 //! ended for others.
 constexpr duration min_stopped_time = 1s;
 
-//! Time that a client has to read its response and close the connection before
-//! the server closes it, which can reset it and discard unread bytes.
+//! Time without input that a client has to read its response and close the
+//! connection before the server closes it, which can reset it and discard
+//! unread bytes.
 constexpr duration linger_timeout = 1s;
 
 http::parser_limits to_parser_limits(server_limits const& limits)
@@ -79,6 +80,7 @@
 {
     if (state_ == state::lingering)
     {
+        last_discarded_ = server_.clock_();
         server_.handler_.on_discarded(*this, bytes.size(),
                                       server_.clock_() - phase_start_);
         return;
@@ -349,6 +351,7 @@
 {
     state_ = state::lingering;
     phase_start_ = server_.clock_();
+    last_discarded_ = phase_start_;
     if (!held_input_.empty())
         server_.handler_.on_discarded(
             *this, std::exchange(held_input_, {}).size(), duration::zero());
@@ -464,8 +467,9 @@
             server_.handler_.on_caller_left(*this);
         close_now();
     }
-    else if (state_ == state::lingering &&
-             now - phase_start_ > linger_timeout && stream_->queued() == 0)
+    else if (state_ == state::lingering && stream_->queued() == 0 &&
+             (now - last_discarded_ > linger_timeout ||
+              now - phase_start_ > limits.receive_timeout))
         close_now();
     else if (state_ == state::reading && held_input_.empty())
         check_receive_timeouts(limits, now);
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -121,6 +121,37 @@
     EXPECT_EQ(received(small).substr(0, 12), "HTTP/1.1 200");
 }
 
+// Guards against a refusal that is reset after a second because its body still
+// arrives, and against one that keeps a connection for as long as bytes come.
+TEST_F(client_memory, reads_on_after_a_refusal_while_the_body_arrives)
+{
+    limits.receive_timeout = 3s;
+    auto client = send(head(300'000));
+    for (int n = 0; n < 4; ++n)
+    {
+        now += 700ms;
+        asio::write(client, asio::buffer("body"));
+        run();
+        server.check_limits(now);
+        ASSERT_EQ(server.connections(), 1U);
+    }
+    now += 300ms;
+    server.check_limits(now);
+    EXPECT_EQ(server.connections(), 0U);
+}
+
+// Guards against a refusal that keeps its connection though no more arrives.
+TEST_F(client_memory, closes_a_refused_connection_that_sends_nothing_more)
+{
+    auto client = send(head(300'000));
+    now += 700ms;
+    asio::write(client, asio::buffer("body"));
+    run();
+    now += 1100ms;
+    server.check_limits(now);
+    EXPECT_EQ(server.connections(), 0U);
+}
+
 // Guards against responses that pile up for a client that sends ahead without
 // reading them.
 TEST_F(client_memory, serves_no_further_request_while_responses_wait)
