net: answer requests sent ahead of unread responses, read before closing

A request that was held behind unread responses got no response when its connection was ended: it is refused like an incomplete one. A paused socket kept unread bytes when its connection lingered, and these reset it.

--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -357,6 +357,8 @@
             *this, std::exchange(held_input_, {}).size(), duration::zero());
     std::string().swap(body_);
     parser_.next();
+    // Unread bytes would reset the connection when it is closed.
+    stream_->resume_reading();
     count_memory();
     server_.make_room_later();
     stream_->shutdown_after_write();
@@ -396,7 +398,7 @@
 void server_connection::end_for_others()
 {
     server_.handler_.on_ended_for_others(*this, charge_.bytes());
-    if (state_ == state::reading && parser_.started())
+    if (state_ == state::reading && (parser_.started() || !held_input_.empty()))
     {
         reject(rejection::out_of_memory);
         return;
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -49,6 +49,24 @@
         return out;
     }
 
+    //! Reads to the end of the connection.
+    std::string received_to_end(asio::ip::tcp::socket& client,
+                                asio::error_code& ec)
+    {
+        std::string out;
+        client.non_blocking(true);
+        for (int n = 0; n < 1000; ++n)
+        {
+            std::string buf(65'536, ' ');
+            out.append(buf, 0, client.read_some(asio::buffer(buf), ec));
+            if (ec && ec != asio::error::would_block)
+                break;
+            loop.restart();
+            loop.run_for(1ms);
+        }
+        return out;
+    }
+
     static std::string head(std::size_t length)
     {
         return "POST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: " +
@@ -172,6 +190,47 @@
     EXPECT_LT(handler.requests, 100);
 }
 
+// Guards against requests sent ahead that get no response when their connection
+// is ended: their client could not tell that they were not run.
+TEST_F(client_memory, refuses_a_request_sent_ahead_of_unread_responses)
+{
+    std::string requests;
+    for (int n = 0; n < 100; ++n)
+        requests += "GET /100000 HTTP/1.1\r\nHost: a\r\n\r\n";
+    http_server unbounded(
+        loop, handler, [this] { return limits; }, [this] { return now; });
+    unbounded.listen("127.0.0.1", 0);
+    asio::ip::tcp::socket client(loop, asio::ip::tcp::v4());
+    client.set_option(asio::socket_base::receive_buffer_size(4096));
+    client.connect(
+        *parse_endpoint(endpoint_text("127.0.0.1", unbounded.port())));
+    asio::write(client, asio::buffer(requests));
+    run();
+    ASSERT_LT(handler.requests, 100);
+    unbounded.find(1)->end_for_others();
+    asio::error_code ec;
+    auto const responses = received_to_end(client, ec);
+    EXPECT_EQ(ec, asio::error::eof);
+    EXPECT_NE(responses.find("HTTP/1.1 503"), std::string::npos);
+}
+
+// Guards against bytes that a paused socket still holds when its connection is
+// closed: they reset it, and its response may be lost.
+TEST_F(client_memory, reads_what_was_sent_ahead_before_it_closes)
+{
+    auto client =
+        send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n" + std::string(60'000, 'b'));
+    server.find(1)->abort();
+    run();
+    now += 2s;
+    server.check_limits(now);
+    EXPECT_EQ(handler.discarded_bytes, 60'000U);
+    asio::error_code ec;
+    auto const response = received_to_end(client, ec);
+    EXPECT_EQ(response.substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(ec, asio::error::eof);
+}
+
 // Guards against a connection of an ordinary client that finds no place while
 // silent ones hold all.
 TEST_F(client_memory, replaces_the_longest_idle_connection)
