net: do not end the connection whose complete request asks for room

A request that had arrived whole was itself the heaviest connection and was refused, although stopped ones could have made room.

The new test failed with the sources before this commit.

--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -384,8 +384,9 @@
 {
     bool const stopped_reading =
         stream_->queued() > 0 && now - progress_at_ >= min_stopped_time;
-    if (state_ == state::serving && !stopped_reading &&
-        held_input_.size() <= max_held_bytes)
+    bool const has_request = state_ == state::serving ||
+                             (state_ == state::reading && parser_.complete());
+    if (has_request && !stopped_reading && held_input_.size() <= max_held_bytes)
         return std::nullopt;
     return connection_load{id_, charge_.bytes(), now - progress_at_};
 }
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -170,6 +170,20 @@
     EXPECT_EQ(server.connections(), 0U);
 }
 
+// Guards against a whole request that is refused because it is larger than the
+// stopped ones that it needs room from.
+TEST_F(client_memory, ends_a_stopped_body_before_a_larger_whole_request)
+{
+    memory_budget::charge running(budget);
+    running.resize(80'000);
+    auto stopped = send(head(20'000) + std::string(19'999, 'b'));
+    auto whole = send("POST /3 HTTP/1.1\r\nHost: a\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n7530\r\n" +
+                      std::string(30'000, 'b') + "\r\n0\r\n\r\n");
+    EXPECT_EQ(received(whole).substr(0, 12), "HTTP/1.1 200");
+    EXPECT_EQ(received(stopped).substr(0, 12), "HTTP/1.1 503");
+}
+
 // Guards against responses that pile up for a client that sends ahead without
 // reading them.
 TEST_F(client_memory, serves_no_further_request_while_responses_wait)
