net, gateway: ask only for the copies that a handler makes of a body

The server for other VMs asked for twice the stated length, although nothing is copied there, so that with the reserve a message of the legal size would be refused.

The new test needs the new limit; with a copy its body is refused, without one it was served.

--- a/packages/gateway/src/control_handler.cpp
+++ b/packages/gateway/src/control_handler.cpp
@@ -23,6 +23,7 @@
 {
     net::server_limits out;
     out.max_body_bytes = std::min(max_body_bytes, share.memory_bytes / 2);
+    out.body_copies = 0;
     out.idle_timeout = 120s;
     out.max_connections = share.connections;
     out.replace_connections = true;
--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -30,6 +30,10 @@
 {
     std::size_t max_header_bytes = 16'384;
     std::size_t max_body_bytes = 4'194'304;
+
+    //! Copies of a body that the handler makes beside the one it receives.
+    std::size_t body_copies = 1;
+
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
 
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -157,7 +157,8 @@
     // The handler may have to copy the body for the network.
     count_memory();
     if (!server_.make_room_for(*this, request_bytes + parser_.held_bytes() +
-                                          body_.capacity() +
+                                          server_.limits_().body_copies *
+                                              body_.capacity() +
                                           reserve_beside(body_.size())))
         return;
     held_input_.assign(bytes.substr(n));
@@ -174,10 +175,11 @@
     body_admitted_ = true;
     // The handler may have to copy the body, as on its arrival.
     auto const counted_bytes = std::min(body_.capacity(), max_body_bytes_);
-    auto const missing_bytes = body_length_known_
-                                   ? 2 * max_body_bytes_ - counted_bytes +
-                                         reserve_beside(max_body_bytes_)
-                                   : 0;
+    auto const wanted_bytes =
+        (1 + server_.limits_().body_copies) * max_body_bytes_ +
+        reserve_beside(max_body_bytes_);
+    auto const missing_bytes =
+        body_length_known_ ? wanted_bytes - counted_bytes : 0;
     count_memory();
     if (!server_.make_room_for(*this, missing_bytes) || !expects_continue_)
         return;
--- a/packages/net/tests/client_memory_test.cpp
+++ b/packages/net/tests/client_memory_test.cpp
@@ -126,6 +126,18 @@
     EXPECT_EQ(handler.requests, 1);
 }
 
+// Guards against a body that is refused for a copy that its handler does not
+// make.
+TEST_F(client_memory, asks_for_the_copies_that_are_made)
+{
+    limits.body_copies = 0;
+    auto client = send(head(100'000) + std::string(100'000, 'b'));
+    EXPECT_EQ(received(client).substr(0, 12), "HTTP/1.1 200");
+    limits.body_copies = 1;
+    auto other = send(head(100'000));
+    EXPECT_EQ(received(other).substr(0, 12), "HTTP/1.1 503");
+}
+
 // Guards against running requests with large bodies that take all the room, so
 // that every small request is refused until they end.
 TEST_F(client_memory, keeps_a_reserve_for_small_requests)
