--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -30,6 +30,10 @@
 {
     std::size_t max_header_bytes = 16'384;
     std::size_t max_body_bytes = 4'194'304;
+
+    //! Copies of a body that the handler makes beside the one it receives.
+    std::size_t body_copies = 1;
+
     duration header_timeout = std::chrono::seconds(3);
     duration idle_timeout = std::chrono::seconds(15);
 
@@ -157,8 +161,8 @@
     void close_after_response();
 
     //! What the connection holds, if it may be ended for others: it is idle,
-    //! its request is not complete, or its client does not take the response or
-    //! has sent further requests meanwhile.
+    //! its request is not complete, or its client has stopped taking the
+    //! response or has sent more ahead than is held.
     std::optional<connection_load> load(time_point now) const;
 
     //! True when a request may have arrived on the idle connection.
@@ -207,6 +211,7 @@
     void hold(std::string_view bytes);
     bool can_parse() const;
     void admit_body();
+    std::size_t reserve_beside(std::size_t body_bytes) const;
     void count_memory();
     void note_progress(std::size_t bytes);
     void restart_progress();
@@ -239,6 +244,9 @@
     //! Start of the current state, or of the current request while reading.
     time_point phase_start_{};
 
+    //! While lingering: when bytes were last dropped, or the start.
+    time_point last_discarded_{};
+
     //! Idle timeout when the connection became idle. The client may rely on it
     //! although a shorter one holds by now.
     duration idle_timeout_;
@@ -301,6 +309,8 @@
     void add_connection(asio::ip::tcp::socket socket);
     void remove(std::uint64_t id);
     std::shared_ptr<server_connection> choose_connection_to_end();
+    bool can_fit(server_connection const& asker, std::size_t bytes) const;
+    bool end_connections_for(server_connection const* asker, std::size_t bytes);
     bool make_room_for(server_connection& it, std::size_t bytes);
     void make_room_later();
     void make_place();
--- a/packages/net/include/buckthornvale/net/memory_budget.hpp
+++ b/packages/net/include/buckthornvale/net/memory_budget.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_NET_MEMORY_BUDGET_HPP
 #define BUCKTHORNVALE_NET_MEMORY_BUDGET_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <limits>
 #include <memory>
@@ -50,10 +51,23 @@
         return held_ <= max_bytes_ && bytes <= max_bytes_ - held_;
     }
 
+    //! True if so many bytes are left once the holders have returned `freed`.
+    bool fits_after(std::size_t freed, std::size_t bytes) const
+    {
+        auto const held = held_ - std::min(freed, held_);
+        return held <= max_bytes_ && bytes <= max_bytes_ - held;
+    }
+
     //! Bytes of all holders; more than the maximum if a holder did not ask.
     std::size_t held() const { return held_; }
     std::size_t max_bytes() const { return max_bytes_; }
 
+    //! What large messages leave free for small ones.
+    std::size_t reserve() const
+    {
+        return max_bytes_ == unlimited ? 0 : max_bytes_ / 4;
+    }
+
 private:
     std::size_t const max_bytes_;
     std::size_t held_ = 0;
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -29,9 +29,15 @@
 //! A client that sends or takes fewer bytes makes no progress.
 constexpr std::size_t min_progress_bytes = 4096;
 
-//! Time that a client has to read its response and close the connection before
-//! the server closes it, which can reset it and discard unread bytes.
-constexpr duration linger_timeout = 1s;
+//! Larger bodies leave the reserve of the budget to other requests.
+constexpr std::size_t max_small_body_bytes = 16'384;
+
+//! Left for what the handler keeps of a request beside its head and body.
+constexpr std::size_t request_bytes = 4096;
+
+//! A client that has not taken queued bytes of a response for this time may be
+//! ended for others.
+constexpr duration min_stopped_time = 1s;
 
 http::parser_limits to_parser_limits(server_limits const& limits)
 {
@@ -69,6 +75,7 @@
 {
     if (state_ == state::lingering)
     {
+        last_discarded_ = server_.clock_();
         server_.handler_.on_discarded(*this, bytes.size(),
                                       server_.clock_() - phase_start_);
         return;
@@ -144,7 +151,10 @@
     }
     // The handler may have to copy the body for the network.
     count_memory();
-    if (!server_.make_room_for(*this, body_.capacity()))
+    if (!server_.make_room_for(*this, request_bytes + parser_.held_bytes() +
+                                          server_.limits_().body_copies *
+                                              body_.capacity() +
+                                          reserve_beside(body_.size())))
         return;
     held_input_.assign(bytes.substr(n));
     state_ = state::serving;
@@ -159,8 +169,12 @@
 {
     body_admitted_ = true;
     // The handler may have to copy the body, as on its arrival.
+    auto const counted_bytes = std::min(body_.capacity(), max_body_bytes_);
+    auto const wanted_bytes =
+        (1 + server_.limits_().body_copies) * max_body_bytes_ +
+        reserve_beside(max_body_bytes_);
     auto const missing_bytes =
-        body_length_known_ ? 2 * max_body_bytes_ - body_.size() : 0;
+        body_length_known_ ? wanted_bytes - counted_bytes : 0;
     count_memory();
     if (!server_.make_room_for(*this, missing_bytes) || !expects_continue_)
         return;
@@ -170,6 +184,11 @@
     stream_->write(interim_response);
 }
 
+std::size_t server_connection::reserve_beside(std::size_t body_bytes) const
+{
+    return body_bytes > max_small_body_bytes ? server_.memory_->reserve() : 0;
+}
+
 void server_connection::on_head()
 {
     auto const& head = parser_.request();
@@ -230,6 +249,9 @@
 
 void server_connection::send_part(std::string_view bytes)
 {
+    // Until now the client had taken all that there was.
+    if (stream_->queued() == 0)
+        restart_progress();
     if (chunked_)
     {
         std::string chunk;
@@ -326,11 +348,14 @@
 {
     state_ = state::lingering;
     phase_start_ = server_.clock_();
+    last_discarded_ = phase_start_;
     if (!held_input_.empty())
         server_.handler_.on_discarded(
             *this, std::exchange(held_input_, {}).size(), duration::zero());
     std::string().swap(body_);
     parser_.next();
+    // Unread bytes would reset the connection when it is closed.
+    stream_->resume_reading();
     count_memory();
     server_.make_room_later();
     stream_->shutdown_after_write();
@@ -354,9 +379,11 @@
 
 std::optional<connection_load> server_connection::load(time_point now) const
 {
-    bool const waits_for_client =
-        state_ != state::serving || stream_->queued() > 0;
-    if (!waits_for_client && held_input_.empty())
+    bool const stopped_reading =
+        stream_->queued() > 0 && now - progress_at_ >= min_stopped_time;
+    bool const has_request = state_ == state::serving ||
+                             (state_ == state::reading && parser_.complete());
+    if (has_request && !stopped_reading && held_input_.size() <= max_held_bytes)
         return std::nullopt;
     return connection_load{id_, charge_.bytes(), now - progress_at_};
 }
@@ -369,7 +396,7 @@
 void server_connection::end_for_others()
 {
     server_.handler_.on_ended_for_others(*this, charge_.bytes());
-    if (state_ == state::reading && parser_.started())
+    if (state_ == state::reading && (parser_.started() || !held_input_.empty()))
     {
         reject(rejection::out_of_memory);
         return;
@@ -431,58 +458,6 @@
         close_idle();
 }
 
-void server_connection::check_limits(time_point now)
-{
-    auto const limits = server_.limits_();
-    if (is_send_stalled(limits, now))
-    {
-        if (state_ == state::serving)
-            server_.handler_.on_caller_left(*this);
-        close_now();
-    }
-    else if (state_ == state::lingering &&
-             now - phase_start_ > linger_timeout && stream_->queued() == 0)
-        close_now();
-    else if (state_ == state::reading && held_input_.empty())
-        check_receive_timeouts(limits, now);
-}
-
-void server_connection::check_receive_timeouts(server_limits const& limits,
-                                               time_point now)
-{
-    auto const elapsed = now - phase_start_;
-    if (!parser_.started())
-    {
-        auto const timeout = close_after_response_
-                                 ? linger_timeout
-                                 : std::max(idle_timeout_, limits.idle_timeout);
-        if (elapsed > timeout)
-            close_idle();
-    }
-    else if (!parser_.head_complete())
-    {
-        if (elapsed > limits.header_timeout)
-            reject(rejection::header_too_slow);
-    }
-    else if (elapsed > limits.receive_timeout)
-        reject(rejection::body_too_slow);
-}
-
-bool server_connection::is_send_stalled(server_limits const& limits,
-                                        time_point now)
-{
-    auto const bytes_sent = stream_->written();
-    if (stream_->queued() == 0 || bytes_sent != last_bytes_sent_)
-    {
-        if (stream_->queued() > 0)
-            note_progress(bytes_sent - last_bytes_sent_);
-        last_bytes_sent_ = bytes_sent;
-        last_send_progress_ = now;
-        return false;
-    }
-    return now - last_send_progress_ > limits.send_timeout;
-}
-
 void server_connection::on_end(asio::error_code)
 {
     if (state_ == state::serving)
