decision: records the first event of a resumed stream at its runner

The first event from a second runner arrives as stream_advanced, since the answer to the caller has begun. Its runner counted the prompt as unread and looked stalled until the stream ended; so did the runner of a request whose answer has no events.

stream_advanced with a new event and stream_started share record_first_event; a comment does not count. A request that is no stream never counts as overdue; its prompt counts as unread until it ends.

--- a/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
@@ -24,6 +24,7 @@
     std::uint64_t seed = 0;
     double prompt_tokens = 0;
     double output_tokens = 0; //!< maximum
+    bool streams = true;      //!< its answer begins with a first event
 };
 
 //! Number of requests of other VMs at a model runner.
@@ -115,6 +116,7 @@
         std::vector<std::uint64_t> shared_parts;
         engine_expectation expected;
         time_point sent_at{};
+        bool streams = true;
         bool started = false;
     };
 
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -143,6 +143,9 @@
     void place_on_engine(active_request const& request,
                          runner_choice const& choice, send_attempt& out,
                          time_point now);
+
+    //! Records the first event of the current attempt, and ignores later ones.
+    void record_first_event(active_request const& request, time_point now);
     void log_send(active_request const& request, runner_choice const& choice,
                   time_point now);
 
--- a/packages/decision/src/gateway/engine_load.cpp
+++ b/packages/decision/src/gateway/engine_load.cpp
@@ -111,6 +111,7 @@
     it.held_tokens = unshared_tokens(work);
     it.expected = expected;
     it.sent_at = now;
+    it.streams = work.streams;
     for (auto const& part : shared_parts(work))
     {
         it.shared_parts.push_back(part.id);
@@ -263,7 +264,7 @@
     double observed = observed_slowdown_.at(now);
     // A request that is overdue tells of a stalled runner before its answer.
     for (auto const& it : requests_)
-        if (!it.second.started)
+        if (it.second.streams && !it.second.started)
             observed = std::max(observed, observed_ratio(it.second, now));
     return std::clamp(reported_slowdown_.at(now) * observed, min_slowdown,
                       max_slowdown);
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -128,10 +128,9 @@
     request->last_progress = now;
     if (!in.last_event_id.empty())
         request->last_event_id = in.last_event_id;
+    record_first_event(*request, now);
     if (auto* state = runners_.find(request->runner_id))
     {
-        if (auto const sample = state->engine.started(request->ref, now))
-            engine_profiles_[request->service].record_first_event(*sample);
         record_load(*state, in.load, now);
         runners_.record(*state, runner_signal::served, now - request->sent_at,
                         now);
@@ -140,6 +139,15 @@
     release_stage_results(request->pipeline.take_all_results(), now);
 }
 
+void reducer::record_first_event(active_request const& request, time_point now)
+{
+    auto* state = runners_.find(request.runner_id);
+    if (state == nullptr)
+        return;
+    if (auto const sample = state->engine.started(request.ref, now))
+        engine_profiles_[request.service].record_first_event(*sample);
+}
+
 void reducer::on(stream_advanced const& in, time_point now)
 {
     auto* request = find_attempt(in.request, in.attempt);
@@ -149,7 +157,12 @@
     bool const advanced =
         in.last_event_id.empty() || in.last_event_id != request->last_event_id;
     if (advanced)
+    {
         request->last_progress = now;
+        // The first event of a resumed stream continues those of another
+        // runner.
+        record_first_event(*request, now);
+    }
     if (!in.last_event_id.empty())
         request->last_event_id = in.last_event_id;
 }
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -32,9 +32,11 @@
                        std::to_string(traits.body_hash));
 }
 
-engine_request engine_request_of(request_traits const& traits)
+engine_request engine_request_of(request_traits const& traits,
+                                 route const& matched_route)
 {
     engine_request out;
+    out.streams = matched_route.kind == request_kind::stream;
     out.prompt = traits.prompt;
     out.seed = stable_hash(traits.id);
     out.prompt_tokens = traits.prompt_tokens;
@@ -209,9 +211,9 @@
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
     if (service_settings != nullptr && service_settings->engine)
-        return choose_engine_runner(untried, engine_request_of(request.traits),
-                                    *service_settings->engine,
-                                    engine_profiles_[request.service], now);
+        return choose_engine_runner(
+            untried, engine_request_of(request.traits, *request.matched_route),
+            *service_settings->engine, engine_profiles_[request.service], now);
     auto* state = choose_service_runner(
         untried, stable_hash(request.traits.id) + request.attempt,
         settings_.failure_domain, now);
@@ -304,8 +306,9 @@
                               runner_choice const& choice, send_attempt& out,
                               time_point now)
 {
-    choice.runner->engine.sent(request.ref, engine_request_of(request.traits),
-                               choice.expected, now);
+    choice.runner->engine.sent(
+        request.ref, engine_request_of(request.traits, *request.matched_route),
+        choice.expected, now);
     engine_profiles_[request.service].record_send(
         choice.expected.unread_tokens);
     out.priority =
