decision: places engine requests soundly at full, tried and claimed runners

- The runner whose share of a limit is unused was the only candidate; without memory there it had none.
It is now preferred while it has room, and takes its place in the order of the session.
- The first runner that was left after a send counted as having read the shared parts.
It counts so only for the first send.
- A request that states more than a whole memory took a runner for this VM.
Its memory is no longer counted; the runner judges it.
One that states slightly less still takes one runner.
- Without memory at any runner a request was refused as no_runner after its stages.
It is now refused as runners_full at arrival, with a Retry-After from the expected first event (the value is not tested).
- Only parts that no request uses count towards their limit.
- Sums are 0 without requests.
The median is not cached, and a retry still makes a whole choice.

Failed before, with objects of the unchanged sources: engine_load.limits_only_ the_parts_that_no_request_uses, engine_load.is_zero_without_requests, gateway_placement.no_stage_runs_while_no_runner_has_memory and stated_tokens_do_not_take_all_runners. Run: 68 tests of engine_load, runner_choice, placement_load, gateway_placement and reducer_requests_test pass, linked alone; the whole of decision_tests was not built.

--- a/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
@@ -25,6 +25,7 @@
     double prompt_tokens = 0;
     double output_tokens = 0; //!< maximum
     bool streams = true;      //!< its answer begins with a first event
+    bool was_sent = false;    //!< to another runner before
 };
 
 //! Number of requests of other VMs at a model runner.
@@ -40,6 +41,9 @@
 struct engine_expectation
 {
     double unread_tokens = 0; //!< of the prompt, that the runner has to read
+    //! The request states that it needs more than a whole memory. The runner
+    //! judges it, and its memory is not counted.
+    bool exceeds_memory = false;
     double tokens_before = 0; //!< that it reads before the first event
     duration usual_time{};    //!< to the first event, at the usual speed
     duration first_event{};   //!< same at the present speed of the runner
@@ -82,10 +86,13 @@
     double own_held_tokens() const { return held_tokens_; }
 
     //! True if the memory of the runner suffices for the request beside the
-    //! other requests of this VM. A runner that holds none of them decides
-    //! itself.
+    //! other requests of this VM. A runner that holds none of them, or that
+    //! never has room for the request, decides itself.
     bool has_room(engine_request const& work, double cache_tokens) const;
 
+    //! True if the request states that it needs more than a whole memory.
+    static bool exceeds_memory(engine_request const& work, double cache_tokens);
+
     //! Requests of other VMs by a report of the last few seconds.
     std::optional<other_requests> reported_others(time_point now) const;
 
@@ -130,6 +137,7 @@
 
     void hold_part(prompt_part const& part, time_point now);
     void release_part(std::uint64_t id);
+    void hold(own_request& it, engine_request const& work, time_point now);
     void forget_old_parts();
     double tokens_to_read(engine_request const& work, bool is_first,
                           time_point now) const;
@@ -137,6 +145,7 @@
 
     std::map<request_ref, own_request> requests_;
     std::map<std::uint64_t, shared_part> parts_;
+    std::size_t unused_parts_ = 0;
     double held_tokens_ = 0;
     double unread_tokens_ = 0;
     std::size_t waiting_ = 0; //!< own requests without a first event
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -137,6 +137,10 @@
     void start_attempt(active_request& request, time_point now);
     refusal reason_without_runner(active_request const& request,
                                   time_point now);
+
+    //! True if model runners may get the request at all. If none can be chosen
+    //! then, their memory is full.
+    bool has_usable_engine(active_request const& request, time_point now);
     runner_choice choose_runner(active_request& request, time_point now);
 
     //! Counts the request at the model runner and completes the message to it.
--- a/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/runner_choice.hpp
@@ -40,12 +40,14 @@
 //! the same runner for a session without communication, so that its prompt is
 //! processed only once; VMs that see the same loads still choose different
 //! runners for different sessions. Never returns a runner whose memory own
-//! requests would exceed.
+//! requests would exceed. Takes the preferred runner, which is one of them, if
+//! it has room.
 runner_choice choose_engine_runner(absl::Span<runner_state* const> runners,
                                    engine_request const& work,
                                    engine_limits const& limits,
                                    engine_profile const& profile,
-                                   time_point now);
+                                   time_point now,
+                                   runner_state* preferred = nullptr);
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/src/gateway/engine_load.cpp
+++ b/packages/decision/src/gateway/engine_load.cpp
@@ -108,27 +108,36 @@
 {
     ended(request);
     own_request it;
-    it.held_tokens = unshared_tokens(work);
     it.expected = expected;
     it.sent_at = now;
     it.streams = work.streams;
+    if (!expected.exceeds_memory)
+        hold(it, work, now);
+    unread_tokens_ += expected.unread_tokens;
+    ++waiting_;
+    requests_[request] = std::move(it);
+    forget_old_parts();
+}
+
+void engine_load::hold(own_request& it, engine_request const& work,
+                       time_point now)
+{
+    it.held_tokens = unshared_tokens(work);
+    held_tokens_ += it.held_tokens;
     for (auto const& part : shared_parts(work))
     {
         it.shared_parts.push_back(part.id);
         hold_part(part, now);
     }
-    held_tokens_ += it.held_tokens;
-    unread_tokens_ += expected.unread_tokens;
-    ++waiting_;
-    requests_[request] = std::move(it);
-    forget_old_parts();
 }
 
 void engine_load::hold_part(prompt_part const& part, time_point now)
 {
-    auto& it = parts_[part.id];
+    auto const [found, is_new] = parts_.try_emplace(part.id);
+    auto& it = found->second;
     if (it.users++ == 0)
     {
+        unused_parts_ -= is_new ? 0 : 1;
         it.tokens = tokens_of(part);
         held_tokens_ += it.tokens;
     }
@@ -138,13 +147,15 @@
 void engine_load::release_part(std::uint64_t id)
 {
     auto& it = parts_[id];
-    if (--it.users == 0)
-        held_tokens_ -= it.tokens;
+    if (--it.users > 0)
+        return;
+    held_tokens_ -= it.tokens;
+    ++unused_parts_;
 }
 
 void engine_load::forget_old_parts()
 {
-    while (parts_.size() > max_unused_parts)
+    while (unused_parts_ > max_unused_parts)
     {
         auto oldest = parts_.end();
         for (auto it = parts_.begin(); it != parts_.end(); ++it)
@@ -152,9 +163,8 @@
                 (oldest == parts_.end() ||
                  it->second.used_at < oldest->second.used_at))
                 oldest = it;
-        if (oldest == parts_.end())
-            return;
         parts_.erase(oldest);
+        --unused_parts_;
     }
 }
 
@@ -189,6 +199,11 @@
         --waiting_;
     }
     requests_.erase(found);
+    if (!requests_.empty())
+        return;
+    // Sums of floating-point numbers drift.
+    held_tokens_ = 0;
+    unread_tokens_ = 0;
 }
 
 void engine_load::report(runner_load const& load, time_point now)
@@ -204,10 +219,18 @@
             std::clamp(*load.slowdown, min_slowdown, max_slowdown), now);
 }
 
+bool engine_load::exceeds_memory(engine_request const& work,
+                                 double cache_tokens)
+{
+    return cache_tokens > 0 &&
+           unshared_tokens(work) + tokens_of(shared_parts(work)) > cache_tokens;
+}
+
 bool engine_load::has_room(engine_request const& work,
                            double cache_tokens) const
 {
-    if (requests_.empty() || cache_tokens <= 0)
+    if (requests_.empty() || cache_tokens <= 0 ||
+        exceeds_memory(work, cache_tokens))
         return true;
     double needed = unshared_tokens(work);
     for (auto const& part : shared_parts(work))
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -40,6 +40,34 @@
 
 } // namespace
 
+bool reducer::has_usable_engine(active_request const& request, time_point now)
+{
+    auto const* it = request.arrival_manifest->find_service(request.service);
+    std::vector<runner_state*> usable;
+    runners_.usable(request.service, now, usable);
+    return it != nullptr && it->engine && !usable.empty();
+}
+
+refusal reducer::reason_without_runner(active_request const& request,
+                                       time_point now)
+{
+    if (request.sends > 0 || has_usable_engine(request, now))
+        return refusal::runners_full;
+    if (runners_.first_limited(request.service, now) == nullptr)
+        return refusal::no_runner;
+    log_rate_limit(request, now);
+    return refusal::runners_limited;
+}
+
+duration reducer::expected_first_event(std::string const& service,
+                                       double unread_tokens) const
+{
+    auto const found = engine_profiles_.find(service);
+    auto const& profile =
+        found == engine_profiles_.end() ? engine_profile() : found->second;
+    return profile.expected_first_event(unread_tokens);
+}
+
 std::optional<duration> reducer::retry_after(active_request const& request,
                                              refusal reason,
                                              time_point now) const
@@ -62,6 +90,13 @@
         limited != nullptr && reason == refusal::runners_limited)
         wait =
             std::min<duration>(next_send(*limited, now) - now, max_retry_after);
+    // Memory of a model runner is free when others have been served.
+    auto const* served =
+        request.arrival_manifest->find_service(request.service);
+    if (reason == refusal::runners_full && served != nullptr && served->engine)
+        wait =
+            std::max(wait, expected_first_event(request.service,
+                                                request.traits.prompt_tokens));
     wait = from_seconds(to_seconds(wait) * (0.75 + 0.5 * jitter));
     return std::clamp(wait, min_retry_after, max_retry_after);
 }
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -134,9 +134,11 @@
     request.due =
         now + found->target_latency - time_spent_before(*found, in.traits);
     request.pipeline = stage_pipeline(found->stages, in.traits.pieces);
+    runner_state const* expected_runner = nullptr;
     if (!request.pipeline.empty())
-        if (auto const* expected_runner = choose_runner(request, now).runner)
-            request.expected_domain = expected_runner->entry.failure_domain;
+        expected_runner = choose_runner(request, now).runner;
+    if (expected_runner != nullptr)
+        request.expected_domain = expected_runner->entry.failure_domain;
     retry_budget_.count_request(request.service, now);
     requests_[in.request] = std::move(entry);
     if (is_blocked(request, now))
@@ -155,6 +157,12 @@
         fail_request(request, refusal::runners_limited, now);
         return;
     }
+    if (!request.pipeline.empty() && expected_runner == nullptr &&
+        has_usable_engine(request, now))
+    {
+        fail_request(request, refusal::runners_full, now);
+        return;
+    }
     if (!request.pipeline.empty() && !admit_stages(request, now))
     {
         fail_request(request, refusal::cannot_finish_in_time, now);
@@ -206,29 +214,26 @@
     for (auto* state : usable)
         if (request.tried_runners.count(state->entry.id) == 0)
             untried.push_back(state);
-    if (auto* idle = find_idle_share(untried, now))
-        untried = {idle};
+    auto* idle = find_idle_share(untried, now);
     auto const* service_settings =
         request.arrival_manifest->find_service(request.service);
     if (service_settings != nullptr && service_settings->engine)
-        return choose_engine_runner(
-            untried, engine_request_of(request.traits, *request.matched_route),
-            *service_settings->engine, engine_profiles_[request.service], now);
-    auto* state = choose_service_runner(
-        untried, stable_hash(request.traits.id) + request.attempt,
-        settings_.failure_domain, now);
+    {
+        auto work = engine_request_of(request.traits, *request.matched_route);
+        work.was_sent = request.attempt > 0;
+        return choose_engine_runner(untried, work, *service_settings->engine,
+                                    engine_profiles_[request.service], now,
+                                    idle);
+    }
+    auto* state = idle != nullptr
+                      ? idle
+                      : choose_service_runner(untried,
+                                              stable_hash(request.traits.id) +
+                                                  request.attempt,
+                                              settings_.failure_domain, now);
     return {state, {}, state != nullptr ? estimated_load(*state, now) : 0};
 }
 
-duration reducer::expected_first_event(std::string const& service,
-                                       double unread_tokens) const
-{
-    auto const found = engine_profiles_.find(service);
-    auto const& profile =
-        found == engine_profiles_.end() ? engine_profile() : found->second;
-    return profile.expected_first_event(unread_tokens);
-}
-
 bool reducer::are_runners_quiet(active_request const& request,
                                 time_point now) const
 {
@@ -241,17 +246,6 @@
            *until;
 }
 
-refusal reducer::reason_without_runner(active_request const& request,
-                                       time_point now)
-{
-    if (request.sends > 0)
-        return refusal::runners_full;
-    if (runners_.first_limited(request.service, now) == nullptr)
-        return refusal::no_runner;
-    log_rate_limit(request, now);
-    return refusal::runners_limited;
-}
-
 void reducer::start_attempt(active_request& request, time_point now)
 {
     // On a VM that is short of processor time, results can be handled before
--- a/packages/decision/src/gateway/runner_choice.cpp
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -164,38 +164,52 @@
                                    engine_request const& work,
                                    engine_limits const& limits,
                                    engine_profile const& profile,
-                                   time_point now)
+                                   time_point now, runner_state* preferred)
 {
     auto const usual = usual_others(runners, now);
     auto const ordered = in_session_order(runners, work);
+    auto const has_room = [&](runner_state const* it)
+    { return it->engine.has_room(work, limits.cache_tokens); };
+    auto const load_of = [&](runner_state const* it)
+    { return it->outstanding + it->engine.others(usual, now).total(); };
+    auto const expect = [&](runner_state* it)
+    {
+        // Other VMs send the session to its first runner, but not what that
+        // runner has refused.
+        bool const is_first = !work.was_sent && it == ordered.front();
+        runner_choice out{it,
+                          it->engine.expect(work, is_first,
+                                            it->engine.others(usual, now),
+                                            profile, now),
+                          load_of(it)};
+        out.expected.exceeds_memory =
+            engine_load::exceeds_memory(work, limits.cache_tokens);
+        return out;
+    };
+    if (preferred != nullptr && has_room(preferred))
+        return expect(preferred);
     double total = 0;
-    std::vector<runner_choice> with_room;
+    for (auto const* it : ordered)
+        total += load_of(it);
+    double const bound =
+        load_factor * total / double(runners.size()) + load_slack;
+    std::vector<runner_choice> candidates;
     for (auto* it : ordered)
     {
-        auto const others = it->engine.others(usual, now);
-        double const load = it->outstanding + others.total();
-        total += load;
-        if (it->engine.has_room(work, limits.cache_tokens))
-            with_room.push_back({it,
-                                 it->engine.expect(work, it == ordered.front(),
-                                                   others, profile, now),
-                                 load});
+        double const load = load_of(it);
+        if (load <= bound && load < it->entry.slots && has_room(it))
+            candidates.push_back(expect(it));
+        if (candidates.size() == max_session_runners)
+            break;
     }
-    if (with_room.empty())
-        return {};
-    double const bound =
-        load_factor * total / double(runners.size()) + load_slack;
-    std::vector<runner_choice> within_bound;
-    for (auto const& it : with_room)
-        if (it.load <= bound && it.load < it.runner->entry.slots &&
-            within_bound.size() < max_session_runners)
-            within_bound.push_back(it);
-    if (!within_bound.empty())
-        return first_fast_one(within_bound);
+    if (!candidates.empty())
+        return first_fast_one(candidates);
     // The fleet is overloaded. It must not read the prompts of each session
     // everywhere now.
-    return first_fast_one(absl::MakeSpan(with_room).first(
-        std::min(with_room.size(), max_session_runners)));
+    for (auto* it : ordered)
+        if (candidates.size() < max_session_runners && has_room(it))
+            candidates.push_back(expect(it));
+    return candidates.empty() ? runner_choice() : first_fast_one(candidates);
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/engine_load_test.cpp
+++ b/packages/decision/tests/gateway/engine_load_test.cpp
@@ -64,16 +64,48 @@
     EXPECT_DOUBLE_EQ(it.send(3, start + 60s).unread_tokens, 2000);
 }
 
+// Guards against parts in use that push out those which are read and unused.
+TEST(engine_load, limits_only_the_parts_that_no_request_uses)
+{
+    sent_prompt it;
+    it.send(1, start);
+    it.load.ended(1);
+    for (request_ref ref = 100; ref < 400; ++ref)
+    {
+        std::vector<prompt_part> const other = {{ref, 100}, {3, 700}};
+        engine_request work;
+        work.prompt = other;
+        it.load.sent(ref, work, {}, start);
+    }
+    EXPECT_DOUBLE_EQ(it.send(2, start + 1s).unread_tokens, 700);
+}
+
+// Guards against sums that drift from zero over the life of a runner.
+TEST(engine_load, is_zero_without_requests)
+{
+    engine_load it;
+    engine_request work;
+    for (request_ref ref = 1; ref <= 3; ++ref)
+    {
+        work.prompt_tokens = 0.1 * double(ref);
+        it.sent(ref, work, it.expect(work, false, {}, {}, start), start);
+    }
+    for (request_ref ref = 1; ref <= 3; ++ref)
+        it.ended(ref);
+    EXPECT_EQ(it.own_held_tokens(), 0);
+    EXPECT_EQ(it.own_unread_tokens(), 0);
+}
+
 // Guards against VMs that all follow one old report.
-TEST(engine_load, replaces_an_old_report_by_the_mean)
+TEST(engine_load, replaces_an_old_report_by_the_usual)
 {
     engine_load it;
-    other_requests const mean{4, 1};
-    EXPECT_DOUBLE_EQ(it.others(mean, start).running, 4);
+    other_requests const usual{4, 1};
+    EXPECT_DOUBLE_EQ(it.others(usual, start).running, 4);
     it.report({20, 6, 48}, start);
-    EXPECT_DOUBLE_EQ(it.others(mean, start).running, 20);
-    EXPECT_NEAR(it.others(mean, start + 700ms).waiting, 2.84, 0.01);
-    EXPECT_NEAR(it.others(mean, start + 10s).running, 4, 0.01);
+    EXPECT_DOUBLE_EQ(it.others(usual, start).running, 20);
+    EXPECT_NEAR(it.others(usual, start + 700ms).waiting, 2.84, 0.01);
+    EXPECT_NEAR(it.others(usual, start + 10s).running, 4, 0.01);
     EXPECT_FALSE(it.reported_others(start + 10s));
 }
 
--- a/packages/decision/tests/gateway/reducer_placement_test.cpp
+++ b/packages/decision/tests/gateway/reducer_placement_test.cpp
@@ -50,6 +50,20 @@
         }
         return out;
     }
+
+    effects arrive_with_tokens(std::string const& path, double tokens)
+    {
+        request_arrived in;
+        in.request = ++last_request;
+        in.traits.id = "id-" + std::to_string(last_request);
+        in.traits.method = "POST";
+        in.traits.host = "h";
+        in.traits.path = path;
+        in.traits.key = "key";
+        in.traits.time_left = 6s;
+        in.traits.prompt_tokens = tokens;
+        return feed(in);
+    }
 };
 
 // Guards against a sound runner that counts as stalled because it resumed the
@@ -83,5 +97,28 @@
     EXPECT_GT(sends_to(sent.runner_id, 12), 0);
 }
 
+// Guards against stages that run for a request which no model runner has the
+// memory for.
+TEST_F(gateway_placement, no_stage_runs_while_no_runner_has_memory)
+{
+    for (int n = 0; n < 3; ++n)
+        only<send_attempt>(arrive_with_tokens("/stream/x", 900));
+    auto const out = arrive_with_tokens("/staged/x", 900);
+    EXPECT_TRUE(all<call_stage>(out).empty());
+    auto const answer = only<refuse_request>(out);
+    EXPECT_EQ(answer.reason, refusal::runners_full);
+    EXPECT_EQ(answer.status, 503);
+}
+
+// Guards against one caller that takes the runners for itself by what it states
+// of its request.
+TEST_F(gateway_placement, stated_tokens_do_not_take_all_runners)
+{
+    for (int n = 0; n < 3; ++n)
+        only<send_attempt>(arrive_with_tokens("/stream/x", 9'999'999));
+    EXPECT_EQ(all<send_attempt>(arrive_with_tokens("/stream/x", 500)).size(),
+              1U);
+}
+
 } // namespace
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/tests/gateway/runner_choice_test.cpp
+++ b/packages/decision/tests/gateway/runner_choice_test.cpp
@@ -193,6 +193,39 @@
         EXPECT_LE(runner->engine.slowdown(start), 8);
 }
 
+// Guards against a request without a runner because the one whose share of a
+// limit is unused has no memory.
+TEST(runner_choice, takes_another_when_the_preferred_has_no_memory)
+{
+    pool it(3);
+    std::vector<prompt_part> const prompt = {{1, 100}, {2, 50}, {3, 700}};
+    auto const work = request_of(prompt);
+    auto* home = choose(it, work).runner;
+    auto* preferred = it.runners[home == it.runners[0] ? 1 : 0];
+    auto const choose_preferred = [&]
+    {
+        return choose_engine_runner(it.runners, work, {8, 1000}, {}, start,
+                                    preferred);
+    };
+    EXPECT_EQ(choose_preferred().runner, preferred);
+    // It is not the first one of the session, which others send to.
+    EXPECT_DOUBLE_EQ(choose_preferred().expected.unread_tokens, 850);
+    preferred->engine.sent(1, work, {}, start);
+    EXPECT_EQ(choose_preferred().runner, home);
+}
+
+// Guards against a second runner that counts as having read the prompts of a
+// session which the first one refuses.
+TEST(runner_choice, another_runner_has_to_read_what_the_first_refused)
+{
+    pool it(3);
+    std::vector<prompt_part> const prompt = {{1, 100}, {2, 50}, {3, 700}};
+    auto work = request_of(prompt);
+    EXPECT_DOUBLE_EQ(choose(it, work).expected.unread_tokens, 700);
+    work.was_sent = true;
+    EXPECT_DOUBLE_EQ(choose(it, work).expected.unread_tokens, 850);
+}
+
 // VMs must not all choose the one runner that looks idle.
 TEST(runner_choice, spreads_service_requests_and_prefers_the_less_loaded)
 {
