--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -141,12 +141,19 @@
     void start_attempt(active_request& request, time_point now);
     refusal reason_without_runner(active_request const& request,
                                   time_point now);
+
+    //! True if model runners may get the request at all. If none can be chosen
+    //! then, their memory is full.
+    bool has_usable_engine(active_request const& request, time_point now);
     runner_choice choose_runner(active_request& request, time_point now);
 
     //! Counts the request at the model runner and completes the message to it.
     void place_on_engine(active_request const& request,
                          runner_choice const& choice, send_attempt& out,
                          time_point now);
+
+    //! Records the first event of the current attempt, and ignores later ones.
+    void record_first_event(active_request const& request, time_point now);
     void log_send(active_request const& request, runner_choice const& choice,
                   time_point now);
 
--- a/packages/decision/src/gateway/reducer_outcomes.cpp
+++ b/packages/decision/src/gateway/reducer_outcomes.cpp
@@ -40,6 +40,34 @@
 
 } // namespace
 
+bool reducer::has_usable_engine(active_request const& request, time_point now)
+{
+    auto const* it = request.arrival_manifest->find_service(request.service);
+    std::vector<runner_state*> usable;
+    runners_.usable(request.service, now, usable);
+    return it != nullptr && it->engine && !usable.empty();
+}
+
+refusal reducer::reason_without_runner(active_request const& request,
+                                       time_point now)
+{
+    if (request.sends > 0 || has_usable_engine(request, now))
+        return refusal::runners_full;
+    if (runners_.first_limited(request.service, now) == nullptr)
+        return refusal::no_runner;
+    log_rate_limit(request, now);
+    return refusal::runners_limited;
+}
+
+duration reducer::expected_first_event(std::string const& service,
+                                       double unread_tokens) const
+{
+    auto const found = engine_profiles_.find(service);
+    auto const& profile =
+        found == engine_profiles_.end() ? engine_profile() : found->second;
+    return profile.expected_first_event(unread_tokens);
+}
+
 std::optional<duration> reducer::retry_after(active_request const& request,
                                              refusal reason,
                                              time_point now) const
@@ -62,6 +90,13 @@
         limited != nullptr && reason == refusal::runners_limited)
         wait =
             std::min<duration>(next_send(*limited, now) - now, max_retry_after);
+    // Memory of a model runner is free when others have been served.
+    auto const* served =
+        request.arrival_manifest->find_service(request.service);
+    if (reason == refusal::runners_full && served != nullptr && served->engine)
+        wait =
+            std::max(wait, expected_first_event(request.service,
+                                                request.traits.prompt_tokens));
     wait = from_seconds(to_seconds(wait) * (0.75 + 0.5 * jitter));
     return std::clamp(wait, min_retry_after, max_retry_after);
 }
@@ -128,10 +163,9 @@
     request->last_progress = now;
     if (!in.last_event_id.empty())
         request->last_event_id = in.last_event_id;
+    record_first_event(*request, now);
     if (auto* state = runners_.find(request->runner_id))
     {
-        if (auto const sample = state->engine.started(request->ref, now))
-            engine_profiles_[request->service].record_first_event(*sample);
         record_load(*state, in.load, now);
         runners_.record(*state, runner_signal::served, now - request->sent_at,
                         now);
@@ -140,6 +174,15 @@
     release_stage_results(request->pipeline.take_all_results(), now);
 }
 
+void reducer::record_first_event(active_request const& request, time_point now)
+{
+    auto* state = runners_.find(request.runner_id);
+    if (state == nullptr)
+        return;
+    if (auto const sample = state->engine.started(request.ref, now))
+        engine_profiles_[request.service].record_first_event(*sample);
+}
+
 void reducer::on(stream_advanced const& in, time_point now)
 {
     auto* request = find_attempt(in.request, in.attempt);
@@ -149,7 +192,12 @@
     bool const advanced =
         in.last_event_id.empty() || in.last_event_id != request->last_event_id;
     if (advanced)
+    {
         request->last_progress = now;
+        // The first event of a resumed stream continues those of another
+        // runner.
+        record_first_event(*request, now);
+    }
     if (!in.last_event_id.empty())
         request->last_event_id = in.last_event_id;
 }
