decision: count arrivals of more urgent pieces before a share is promised

While no more urgent piece was queued at the instant of a forecast, a rank behind was promised all of the capacity, also when more urgent pieces arrived at its rate.

The new test failed before: 1.08 s forecast, more than 1.80 s expected. admission_load.refuses_what_a_more_urgent_flood_would_make_late is unchanged (173 late before and after), so this is not the cause of that test.

--- a/packages/decision/src/gateway/stage_forecasts.cpp
+++ b/packages/decision/src/gateway/stage_forecasts.cpp
@@ -58,7 +58,7 @@
         if (first_of_rank)
         {
             ahead_of_rank = ahead;
-            more_urgent_ranks += ahead > 0 ? 1 : 0;
+            more_urgent_ranks += ahead > 0 || more_urgent_per_s > 0 ? 1 : 0;
         }
         queue_forecast::class_waits entry;
         entry.priority = it.first;
@@ -67,7 +67,7 @@
             auto const pieces = ahead + it.second[n];
             auto& wait = entry.waits.waits[n];
             wait = available.wait_behind(pieces, more_urgent_per_s);
-            if (!it.first.deferred)
+            if (!it.first.deferred && more_urgent_ranks > 0)
                 wait = std::min(wait, available.wait_in_share(
                                           pieces - ahead_of_rank,
                                           share_behind(more_urgent_ranks)));
--- a/packages/decision/tests/gateway/stage_overload_test.cpp
+++ b/packages/decision/tests/gateway/stage_overload_test.cpp
@@ -177,6 +177,35 @@
     EXPECT_LT(wait(), 1s);
 }
 
+// More urgent pieces arrive at the capacity of the pool, and none is queued at
+// this instant. The forecast of the rank behind promised it all of the capacity
+// at the beginning of a flood.
+TEST(stage_scheduler, expects_more_urgent_arrivals_while_none_is_queued)
+{
+    fake_pool pool(5);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    announced_stage announced;
+    announced.service = "s";
+    announced.request = 1;
+    announced.pieces = pool_pieces_per_s;
+    announced.priority.route_rank = 1;
+    announced.due_in = 1s;
+    scheduler.announce("vm", announced, pool.now);
+    auto const wait = [&]
+    {
+        return scheduler.expected_waits(pool.runners, pool.now)
+            .at(announced.priority, 1s);
+    };
+    auto const calm = wait();
+    for (request_ref n = 2; n < 2 + 4 * pool_pieces_per_s; ++n)
+    {
+        scheduler.submit("vm", {make_piece(n)}, pool.now);
+        scheduler.withdraw("vm", {n});
+    }
+    EXPECT_GT(to_seconds(wait()), 1.8 * to_seconds(calm));
+}
+
 TEST(wait_profile, gives_the_wait_of_what_is_due_sooner)
 {
     wait_profile it;
