decision: bound late requests and the order of ranks in more loads of the test

Late requests of the most urgent class are bounded while all load doubles, and the order of ranks by requests served is checked, also in its own burst. These bounds already held before: they guard and show no fault.

--- a/packages/decision/tests/gateway/competing_classes_test.cpp
+++ b/packages/decision/tests/gateway/competing_classes_test.cpp
@@ -17,6 +17,13 @@
 // The users' bound on the lead of a class over a more urgent one.
 constexpr double max_lead = 0.15;
 
+// The users' bound on the lead in requests that are served at all.
+constexpr double max_lead_in_served = 0.05;
+
+// Share of the most urgent callers that may be late under overload: the
+// design's target for work in vain.
+constexpr double max_late_share = 0.02;
+
 // Usual load.
 constexpr double offers_per_s = 119;
 constexpr double reviews_per_s = 81;
@@ -102,8 +109,16 @@
             EXPECT_GE(share(path), min_kept_share) << path;
     }
 
+    double served(char const* path) const
+    {
+        auto const& outcome = simulation.outcome(path);
+        return double(outcome.on_time + outcome.late) / outcome.callers;
+    }
+
     void expect_ranks_in_order() const
     {
+        EXPECT_GE(served("/offer/"), served("/review/") - max_lead_in_served);
+        EXPECT_GE(served("/review/"), served("/chat/") - max_lead_in_served);
         EXPECT_GE(share("/offer/"), share("/review/") - max_lead);
         EXPECT_GE(share("/review/"), share("/chat/") - max_lead);
     }
@@ -138,6 +153,8 @@
     simulation.run();
     expect_ranks_in_order();
     EXPECT_GE(share("/offer/"), min_kept_share);
+    auto const& offer = simulation.outcome("/offer/");
+    EXPECT_LE(offer.late, max_late_share * offer.callers);
 }
 
 // The most urgent class triples for five seconds. The least urgent one was
@@ -151,6 +168,7 @@
     simulation.run();
     EXPECT_GE(share("/offer/"), min_kept_share);
     EXPECT_GE(share("/review/"), min_kept_share);
+    expect_ranks_in_order();
     constexpr std::size_t more_urgent_ranks = 2;
     double const kept_in_burst =
         share_behind(more_urgent_ranks) * 3 * offers_per_s * burst_seconds;
