decision: drop a piece with inputs only some time after its latest start

The latest start is an estimate, so a piece that was a little behind it was dropped with the results that it would have read. The new test failed before (1 of 2 pieces done).

--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -27,6 +27,10 @@
 //! this and has missed its due time.
 constexpr duration max_queue_wait = 300ms;
 
+//! A piece with inputs is dropped this long after its latest start, which is a
+//! rough estimate.
+constexpr duration latest_start_tolerance = 100ms;
+
 //! A piece that has not been started is also dropped after this share of its
 //! total time, so that its caller can use the remaining time elsewhere.
 constexpr double max_wait_share = 0.4;
@@ -233,8 +237,9 @@
         auto const waited = now - it.queued_at;
         auto const max_wait = from_seconds(
             max_wait_share * to_seconds(it.deadline - it.queued_at));
-        bool const cannot_finish = !it.work.inputs.empty() &&
-                                   it.attempts == 0 && it.latest_start < now;
+        bool const cannot_finish =
+            !it.work.inputs.empty() && it.attempts == 0 &&
+            it.latest_start + latest_start_tolerance < now;
         return now + nominal_time(1) > it.deadline || cannot_finish ||
                (not_started && it.due < now && waited > max_queue_wait) ||
                (not_started && waited > max_wait);
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -156,6 +156,23 @@
     EXPECT_EQ(pool.outcomes[piece_outcome::late], 1);
 }
 
+// The latest start is an estimate. Pieces that were a little behind it were
+// dropped, with the results that they would have read.
+TEST(stage_scheduler, starts_pieces_that_are_little_behind_their_latest_start)
+{
+    fake_pool pool(1);
+    stage_scheduler scheduler("s");
+    scheduler.configure(limits_of(1000));
+    scheduler.submit("vm", {make_piece(1)}, start);
+    pool.run(scheduler, start, true);
+    auto work = make_piece(2);
+    work.inputs = {"10.0.0.9:80/1"};
+    work.latest_start_in = 150ms;
+    scheduler.submit("vm", {std::move(work)}, start);
+    pool.run(scheduler, start + 1s, true);
+    EXPECT_EQ(pool.outcomes[piece_outcome::done], 2);
+}
+
 // Pieces must not be lost with the runner that processed them.
 TEST(stage_scheduler, retries_pieces_on_another_runner)
 {
