--- a/packages/decision/include/buckthornvale/decision/gateway/rank_shares.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/rank_shares.hpp
@@ -12,7 +12,8 @@
 
 //! Share of the places of more urgent ranks that a rank keeps behind this
 //! number of other ranks. A rank further behind keeps less, so that it is not
-//! served more often than one before it.
+//! served more often than one before it. All ranks behind the most urgent one
+//! keep a tenth of its places at most.
 double share_behind(std::size_t more_urgent_ranks);
 
 //! Places in calls that less urgent ranks keep while more urgent pieces would
--- a/packages/decision/src/gateway/rank_shares.cpp
+++ b/packages/decision/src/gateway/rank_shares.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-//! Share of the rank behind the most urgent one. The most urgent rank keeps
-//! nine tenths of the capacity in any flood of the others.
-constexpr double first_share = 0.1;
+//! Upper limit of the shares of all ranks behind the most urgent one, however
+//! many there are.
+constexpr double total_share = 0.1;
 
 //! Bound of the places that a rank saves up, for example while its pieces fit
 //! on no free runner.
@@ -27,7 +27,9 @@
 
 double share_behind(std::size_t more_urgent_ranks)
 {
-    return more_urgent_ranks == 0 ? 1 : first_share / double(more_urgent_ranks);
+    // 1/2 + 1/6 + 1/12 + ... approaches 1.
+    auto const n = double(more_urgent_ranks);
+    return more_urgent_ranks == 0 ? 1 : total_share / (n * (n + 1));
 }
 
 rank_counts rank_shares::places() const
