--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -53,7 +53,8 @@
     refusal reason = refusal::none;
     int status = 0;
     std::optional<duration> retry_after;
-    int route_rank = 0; //!< 0 if the request has no route
+    //! Not set if the request was refused before its route was known.
+    std::optional<int> route_rank{};
 };
 
 //! Terminates an incomplete stream in a way that the caller cannot mistake for
--- a/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/engine_load.hpp
@@ -105,7 +105,7 @@
     double slowdown(time_point now) const;
 
 private:
-    //! A factor that is forgotten in favour of 1.
+    //! A factor that decays towards 1.
     class fading_factor
     {
     public:
--- a/packages/decision/include/buckthornvale/decision/gateway/rank_shares.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/rank_shares.hpp
@@ -10,10 +10,10 @@
 //! Number of pieces by route rank.
 using rank_counts = std::map<int, std::size_t>;
 
-//! Share of the places of more urgent ranks that a rank keeps behind this
-//! number of other ranks. A rank further behind keeps less, so that it is not
-//! served more often than one before it. All ranks behind the most urgent one
-//! keep a tenth of its places at most.
+//! Share of the places of more urgent pieces that a rank keeps if this number
+//! of ranks is more urgent. Returns 1 for the most urgent rank. A rank further
+//! behind keeps less, so that it is not served more often than one before it.
+//! All ranks behind the most urgent one keep a tenth of its places at most.
 double share_behind(std::size_t more_urgent_ranks);
 
 //! Places in calls that less urgent ranks keep while more urgent pieces would
--- a/packages/decision/include/buckthornvale/decision/gateway/return_delay.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/return_delay.hpp
@@ -9,9 +9,9 @@
 //! A caller that is refused because the stages of its request have no room.
 struct refused_caller
 {
-    duration time_left{}; //!< until its deadline
-    duration room_in{};   //!< until the pieces that wait now are processed
-    double position = 0;  //!< among all refused callers, from 0 to 1
+    duration time_left{};     //!< until its deadline
+    duration expected_wait{}; //!< for room: until what waits now is processed
+    double position = 0;      //!< among all refused callers, from 0 to 1
 };
 
 //! Time after which the caller should return. Callers that are refused in the
--- a/packages/decision/src/gateway/engine_profile.cpp
+++ b/packages/decision/src/gateway/engine_profile.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+//! Bounds of the learned time and speed, so that odd samples cannot make an
+//! estimate useless.
 constexpr double min_base_time_s = 0.005;
 constexpr double max_base_time_s = 0.5;
 constexpr double min_read_tokens_per_s = 1000;
@@ -17,6 +19,7 @@
 //! the median, which a few stalled runners do not move.
 constexpr double median_step = 0.05;
 
+//! Weight of the newest sample of the averages.
 constexpr double ewma_weight = 0.1;
 
 //! Upper limit of one sample of the wait.
--- a/packages/decision/src/gateway/rank_shares.cpp
+++ b/packages/decision/src/gateway/rank_shares.cpp
@@ -9,8 +9,7 @@
 namespace
 {
 
-//! Upper limit of the shares of all ranks behind the most urgent one, however
-//! many there are.
+//! Limit of the sum of the shares of all ranks behind the most urgent one.
 constexpr double total_share = 0.1;
 
 //! Bound of the places that a rank saves up, for example while its pieces fit
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -21,10 +21,10 @@
 //! Time within which messages that were received during a pause are read.
 constexpr duration stale_message_time = 50ms;
 
-//! A failure domain whose evacuation has ended is used after this time although
-//! its runners were not read again, because the store is out. The others bore
-//! the load until then. Its runners may be cold for longer, which is the risk
-//! against that of losing the domain for the whole outage.
+//! Longest time for which a failure domain stays out of use after its
+//! evacuation if its runners cannot be listed again. A longer time would lose
+//! the domain for a whole outage of the store, a shorter one would send more to
+//! runners that may be cold.
 constexpr duration max_ended_hold_time = 30s;
 
 } // namespace
@@ -165,13 +165,13 @@
                                           now + max_ended_hold_time);
         any_held = true;
     }
+    dispatch_needed_ = true;
     if (any_held)
         out_.push_back(list_runners());
 }
 
 void reducer::log_evacuation(evacuation_change const& change)
 {
-    dispatch_needed_ = true;
     if (change.started)
         log("evacuation_started", nullptr,
             {{"failure_domain", change.failure_domain}});
@@ -185,11 +185,8 @@
                            bool listed)
 {
     for (auto const& it : failure_domains)
-    {
-        dispatch_needed_ = true;
         log("failure_domain_released", nullptr,
             {{"failure_domain", it}, {"listed", listed ? "true" : "false"}});
-    }
 }
 
 void reducer::on(runner_notified const& in, time_point now)
--- a/packages/decision/src/gateway/return_delay.cpp
+++ b/packages/decision/src/gateway/return_delay.cpp
@@ -16,9 +16,9 @@
 //! is for the request itself.
 constexpr double latest_return_share = 1.0 / 3;
 
-//! Part of the latest return at which a crowd begins to return when room is
-//! expected only after it.
-constexpr double earliest_return_part = 0.75;
+//! Upper limit of the earliest return, as a share of the latest one, so that
+//! callers stay spread when room is expected late.
+constexpr double max_earliest_share = 0.75;
 
 } // namespace
 
@@ -28,8 +28,8 @@
     double const latest_s =
         std::max(to_seconds(caller.time_left) * latest_return_share, min_s);
     double const earliest_s =
-        std::clamp(to_seconds(caller.room_in), min_s,
-                   std::max(latest_s * earliest_return_part, min_s));
+        std::clamp(to_seconds(caller.expected_wait), min_s,
+                   std::max(latest_s * max_earliest_share, min_s));
     return from_seconds(earliest_s + caller.position * (latest_s - earliest_s));
 }
 
--- a/packages/decision/tests/gateway/cold_runner_test.cpp
+++ b/packages/decision/tests/gateway/cold_runner_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr double cold_per_s = 19;
 
-//! The users' rule for any second.
+//! Requests that a cold runner may get in any second.
 constexpr double allowed = 1.5 * cold_per_s + 5;
 
 //! More requests than the runners may get while they are cold.
--- a/packages/decision/tests/gateway/competing_classes_test.cpp
+++ b/packages/decision/tests/gateway/competing_classes_test.cpp
@@ -14,10 +14,10 @@
 // the design's target.
 constexpr double min_kept_share = 0.9;
 
-// The users' bound on the lead of a class over a more urgent one.
+// Largest lead of a class over a more urgent one.
 constexpr double max_lead = 0.15;
 
-// The users' bound on the lead in requests that are served at all.
+// Largest lead in requests that are served at all.
 constexpr double max_lead_in_served = 0.05;
 
 // Share of the most urgent callers that may be late under overload: the
--- a/packages/decision/tests/gateway/limit_simulation.cpp
+++ b/packages/decision/tests/gateway/limit_simulation.cpp
@@ -18,7 +18,7 @@
 constexpr duration tick_interval = 100ms;
 constexpr duration settle_time = 3s;
 
-//! The users' rule.
+//! The allowed bound.
 constexpr duration rule_window = 4s;
 constexpr double rule_factor = 1.5;
 constexpr double rule_slack = 5;
--- a/packages/decision/tests/gateway/limit_simulation.hpp
+++ b/packages/decision/tests/gateway/limit_simulation.hpp
@@ -60,7 +60,7 @@
 
     //! Largest excess of requests over what a limited runner allows, in any
     //! window of four seconds from the settle time after it named the limit, by
-    //! the users' rule.
+    //! the allowed bound.
     double largest_excess() const;
 
     //! Most requests that a cold runner was sent and got within a second, from
--- a/packages/decision/tests/gateway/rank_shares_test.cpp
+++ b/packages/decision/tests/gateway/rank_shares_test.cpp
@@ -32,7 +32,8 @@
     return out;
 }
 
-// A flood of the most urgent rank that fills each call.
+// Guards against ranks that get nothing while a more urgent one fills each
+// call.
 TEST(rank_shares, keeps_places_for_ranks_behind_a_flood)
 {
     auto const taken = take_calls({{0, 500}, {1, 500}, {2, 500}}, 16, 100);
@@ -49,6 +50,7 @@
     EXPECT_GE(taken.at(1), std::size_t(400 / 25));
 }
 
+// Guards against places on top of what a rank is served anyway.
 TEST(rank_shares, earns_no_places_for_a_rank_that_is_served_anyway)
 {
     rank_shares it;
@@ -57,6 +59,7 @@
     EXPECT_TRUE(it.places().empty());
 }
 
+// Guards against places that are kept free for nobody.
 TEST(rank_shares, keeps_no_places_for_a_rank_without_pieces)
 {
     rank_shares it;
--- a/packages/decision/tests/gateway/rate_share_test.cpp
+++ b/packages/decision/tests/gateway/rate_share_test.cpp
@@ -10,7 +10,7 @@
 using namespace std::chrono_literals;
 
 //! What a runner allows in a window of four seconds, with the slack of the
-//! users' rule.
+//! allowed bound.
 double allowed_in_window(double limit_per_s)
 {
     return 1.5 * limit_per_s * 4 + 5;
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -10,6 +10,7 @@
 #include <prometheus/registry.h>
 
 #include <cstddef>
+#include <optional>
 #include <string>
 
 namespace buckthornvale::gateway::observe
@@ -27,7 +28,7 @@
     void count_request(char const* outcome, decision::duration elapsed);
 
     //! Counts an answer of the gateway itself by the rank of the route.
-    void count_refusal(char const* reason, int route_rank);
+    void count_refusal(char const* reason, std::optional<int> route_rank);
     void count_send();
 
     //! Records how soon a model runner is expected to start a request that is
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -104,9 +104,12 @@
     request_seconds_.Observe(decision::to_seconds(elapsed));
 }
 
-void gateway_metrics::count_refusal(char const* reason, int route_rank)
+void gateway_metrics::count_refusal(char const* reason,
+                                    std::optional<int> route_rank)
 {
-    refusals_.Add({{"reason", reason}, {"rank", std::to_string(route_rank)}})
+    refusals_
+        .Add({{"reason", reason},
+              {"rank", route_rank ? std::to_string(*route_rank) : "none"}})
         .Increment();
 }
 
--- a/packages/http/include/buckthornvale/http/message_parser.hpp
+++ b/packages/http/include/buckthornvale/http/message_parser.hpp
@@ -76,7 +76,7 @@
     bool head_complete() const;
     bool started() const; //!< parsing of the message has begun
 
-    //! Memory that the head takes, complete or not.
+    //! Memory that the head of a request takes, complete or not.
     std::size_t held_bytes() const;
     request_head& request();
     request_head const& request() const;
--- a/packages/net/include/buckthornvale/net/connection_choice.hpp
+++ b/packages/net/include/buckthornvale/net/connection_choice.hpp
@@ -12,7 +12,7 @@
 namespace buckthornvale::net
 {
 
-//! What a client holds of a server, and for how long it has not moved on.
+//! Memory of a connection, and the time since it last made progress.
 struct connection_load
 {
     std::uint64_t id = 0;
--- a/packages/net/include/buckthornvale/net/http_server.hpp
+++ b/packages/net/include/buckthornvale/net/http_server.hpp
@@ -255,8 +255,8 @@
     std::uint64_t last_bytes_sent_ = 0;
     time_point last_send_progress_{};
 
-    //! Time at which the client had last sent or taken a fair number of bytes,
-    //! and the bytes since then.
+    //! Time at which the client last made progress (it sent or took a number of
+    //! bytes, or a message began), and the bytes since then.
     time_point progress_at_{};
     std::size_t bytes_since_progress_ = 0;
 
@@ -313,7 +313,9 @@
     bool end_connections_for(server_connection const* asker, std::size_t bytes);
     bool make_room_for(server_connection& it, std::size_t bytes);
     void make_room_later();
-    void make_place();
+    //! Evicts a connection so that a new one stays below the limit. Closes it
+    //! at once, also while its refusal is being sent.
+    void evict_for_new_connection();
 
     asio::io_context& loop_;
     asio::ip::tcp::acceptor acceptor_;
--- a/packages/net/include/buckthornvale/net/memory_budget.hpp
+++ b/packages/net/include/buckthornvale/net/memory_budget.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <limits>
 #include <memory>
+#include <utility>
 
 namespace buckthornvale::net
 {
@@ -46,10 +47,7 @@
     };
 
     //! True if so many bytes are left.
-    bool fits(std::size_t bytes) const
-    {
-        return held_ <= max_bytes_ && bytes <= max_bytes_ - held_;
-    }
+    bool fits(std::size_t bytes) const { return fits_after(0, bytes); }
 
     //! True if so many bytes are left once the holders have returned `freed`.
     bool fits_after(std::size_t freed, std::size_t bytes) const
--- a/packages/net/src/append_body.cpp
+++ b/packages/net/src/append_body.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-//! A body grows from this size on, if it can be so large.
+//! First capacity of a body, unless its final size is smaller.
 constexpr std::size_t first_body_bytes = 32'768;
 
 } // namespace
--- a/packages/net/src/append_body.hpp
+++ b/packages/net/src/append_body.hpp
@@ -8,9 +8,9 @@
 namespace buckthornvale::net
 {
 
-//! Appends like `std::string::append`, which doubles the memory; takes half as
-//! much again as needed, and no more than the final size. `max_bytes` is the
-//! final size, or its limit.
+//! Appends the bytes. Grows the capacity by a half, where `std::string::append`
+//! would double it, and not beyond `max_bytes`: the final size of the body or
+//! its limit.
 void append_body(std::string& body, std::string_view bytes,
                  std::size_t max_bytes);
 
--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -70,7 +70,7 @@
     auto const limits = limits_();
     if (limits.replace_connections &&
         connections_.size() >= limits.max_connections)
-        make_place();
+        evict_for_new_connection();
     auto const id = next_id_++;
     auto connection =
         std::make_shared<server_connection>(*this, id, std::move(socket));
@@ -85,7 +85,7 @@
         make_room_for(*connection, 0);
 }
 
-void http_server::make_place()
+void http_server::evict_for_new_connection()
 {
     auto const it = choose_connection_to_end();
     if (it == nullptr)
@@ -113,7 +113,8 @@
     return nullptr;
 }
 
-//! Bytes that are left once all other connections that may be ended are.
+//! True if the bytes fit once all other connections that may be ended have been
+//! ended.
 bool http_server::can_fit(server_connection const& asker,
                           std::size_t bytes) const
 {
--- a/packages/net/src/server_connection.cpp
+++ b/packages/net/src/server_connection.cpp
@@ -249,7 +249,7 @@
 
 void server_connection::send_part(std::string_view bytes)
 {
-    // Until now the client had taken all that there was.
+    // The queue was empty, so the time without progress begins now.
     if (stream_->queued() == 0)
         restart_progress();
     if (chunked_)
