--- a/packages/decision/src/gateway/reducer_stages.cpp
+++ b/packages/decision/src/gateway/reducer_stages.cpp
@@ -247,9 +247,9 @@
         input_bytes += request.pipeline.stage(after).result_bytes *
                        request.pipeline.piece_count(after);
     auto const inputs = request.pipeline.inputs_of(n);
-    auto const expected = runners_.is_reachable_domain(request.expected_domain)
-                              ? request.expected_domain
-                              : std::string();
+    std::string expected;
+    if (runners_.is_reachable_domain(request.expected_domain))
+        expected = request.expected_domain;
     if (inputs.empty() || input_bytes < stage.result_bytes)
         return expected;
     // Each piece fetches all inputs, so it should run in the domain that holds
--- a/packages/decision/src/gateway/runner_choice.cpp
+++ b/packages/decision/src/gateway/runner_choice.cpp
@@ -96,6 +96,7 @@
 {
     auto const key = std::to_string(session_of(work));
     std::vector<std::pair<std::uint64_t, runner_state*>> weighted;
+    weighted.reserve(runners.size());
     for (auto* it : runners)
         weighted.emplace_back(
             fleet::rendezvous_weight(key, vm_id::of(it->entry.id)), it);
@@ -103,6 +104,7 @@
                      [](auto const& a, auto const& b)
                      { return a.first > b.first; });
     std::vector<runner_state*> out;
+    out.reserve(weighted.size());
     for (auto const& it : weighted)
         out.push_back(it.second);
     return out;
