--- a/packages/net/src/http_server.cpp
+++ b/packages/net/src/http_server.cpp
@@ -103,7 +103,7 @@
             loads.push_back(*load);
     while (auto const id = net::choose_connection_to_end(loads))
     {
-        auto const it = connections_.at(*id);
+        auto it = connections_.at(*id);
         if (!it->has_unread_request())
             return it;
         loads.erase(std::find_if(loads.begin(), loads.end(),
