standins: the store reads targets as the protocol says

Cause: the stand-in of the store read the cursor of a list without decoding it, and took any target, so that it agreed with a gateway that does not encode names. Change: targets are checked for the characters of RFC 3986, kind, name and query are decoded, and a malformed call, or one with a header that no call has, is answered with 400 and counted. Pages of lists are counted by kind. A name that is no UTF-8 is written into answers as it is. A list can refuse or ignore its cursor. No product code is changed.

--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -1,8 +1,12 @@
 #include "store_standin.hpp"
 
 #include "clock.hpp"
+#include <buckthornvale/documents/json_text.hpp>
 #include <buckthornvale/http/text.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace buckthornvale::standins::fleet_platform
 {
 
@@ -12,21 +16,75 @@
 using nlohmann::json;
 
 constexpr std::string_view base = "/-/objects/";
+constexpr int status_bad_request = 400;
 
-//! Value of a parameter of the query; empty without it.
-std::string_view parameter(std::string_view query, std::string_view name)
+//! Whether all characters may stand in the path or the query of a target (RFC
+//! 3986, 3.3 and 3.4). Escapes are checked when they are decoded.
+bool has_target_characters(std::string_view target)
 {
-    for (auto const part : http::split(query, '&'))
-    {
-        auto const pair = http::split_once(part, '=');
-        if (pair.first == name)
-            return pair.second;
-    }
-    return {};
+    constexpr std::string_view marks = "-._~!$&'()*+,;=:@/?%";
+    return std::all_of(target.begin(), target.end(),
+                       [&](unsigned char it)
+                       {
+                           bool const alphanumeric =
+                               (it >= '0' && it <= '9') ||
+                               (it >= 'A' && it <= 'Z') ||
+                               (it >= 'a' && it <= 'z');
+                           return alphanumeric ||
+                                  marks.find(char(it)) !=
+                                      std::string_view::npos;
+                       });
+}
+
+//! Whether all headers are ones that calls to the store have.
+bool has_known_headers(http::header_view headers)
+{
+    constexpr std::array<std::string_view, 3> known = {"host", "content-type",
+                                                       "content-length"};
+    return std::all_of(headers.begin(), headers.end(),
+                       [&](http::header const& it) {
+                           return std::find(known.begin(), known.end(),
+                                            http::lower_case(it.name)) !=
+                                  known.end();
+                       });
+}
+
+//! Decoded value of a parameter; empty without it.
+std::string parameter(std::string_view query, std::string_view name)
+{
+    return http::query_parameter(query, name).value_or("");
+}
+
+//! Whether the bytes are UTF-8.
+bool is_text(std::string const& bytes)
+{
+    return documents::parse_json(documents::write_json(bytes)) == json(bytes);
 }
 
 } // namespace
 
+//! What the target of a call names.
+struct store_standin::call_target
+{
+    std::string kind;
+    std::string name; //!< empty for all objects of the kind
+    std::string_view query;
+};
+
+std::optional<store_standin::call_target>
+store_standin::parse_target(std::string_view target)
+{
+    auto const parts = http::split_once(target, '?');
+    if (!has_target_characters(target) || !http::percent_decoded(parts.second))
+        return std::nullopt;
+    auto const names = http::split(parts.first.substr(base.size()), '/');
+    auto const kind = http::percent_decoded(names[0]);
+    auto const name = http::percent_decoded(names.size() > 1 ? names[1] : "");
+    if (!kind || kind->empty() || !name)
+        return std::nullopt;
+    return call_target{*kind, *name, parts.second};
+}
+
 store_standin::store_standin(asio::io_context& loop)
     : loop_(loop),
       server_(
@@ -39,8 +97,15 @@
                         json specification)
 {
     ++contents_.revision;
+    auto written_name = name;
+    if (!is_text(name))
+    {
+        // JSON of this program holds text only.
+        written_name = http::percent_encoded(name);
+        replace_in_answers(written_name, "\"" + name + "\"");
+    }
     json const object = {{"metadata",
-                          {{"name", name},
+                          {{"name", written_name},
                            {"revision", contents_.revision},
                            {"deleting", false}}},
                          {"specification", std::move(specification)}};
@@ -125,18 +190,31 @@
     put("servers", id, std::move(entry));
 }
 
-std::size_t store_standin::members() const
+std::size_t store_standin::size(std::string const& kind) const
 {
-    auto const found = contents_.objects.find("members");
+    auto const found = contents_.objects.find(kind);
     return found == contents_.objects.end() ? 0 : found->second.size();
 }
 
+bool store_standin::holds(std::string const& kind,
+                          std::string const& name) const
+{
+    auto const found = contents_.objects.find(kind);
+    return found != contents_.objects.end() && found->second.count(name) > 0;
+}
+
 std::size_t store_standin::calls(std::string const& kind) const
 {
     auto const found = calls_.find(kind);
     return found == calls_.end() ? 0 : found->second;
 }
 
+std::size_t store_standin::lists(std::string const& kind) const
+{
+    auto const found = lists_.find(kind);
+    return found == lists_.end() ? 0 : found->second;
+}
+
 void store_standin::answer(std::uint64_t connection, int status,
                            json const& body)
 {
@@ -165,26 +243,36 @@
 {
     if (silent_)
         return;
-    std::string_view path = head.path();
-    if (down_ || path.substr(0, base.size()) != base)
+    if (down_ || head.path().substr(0, base.size()) != base)
     {
         answer(from.id(), down_ ? 503 : 404, json::object());
         return;
     }
-    auto const parts = http::split_once(path.substr(base.size()), '/');
-    auto const query = http::split_once(head.target, '?').second;
-    std::string const kind(parts.first);
-    ++calls_[kind];
-    auto const watched = http::parse_number(parameter(query, "watch"));
+    auto const target = parse_target(head.target);
+    if (!target || !has_known_headers(head.headers))
+    {
+        ++malformed_calls_;
+        answer(from.id(), status_bad_request, json::object());
+        return;
+    }
+    ++calls_[target->kind];
+    auto const watched =
+        http::parse_number(parameter(target->query, "watch"));
     std::chrono::milliseconds const wait(
-        http::parse_number(parameter(query, "waitMs")).value_or(0));
+        http::parse_number(parameter(target->query, "waitMs")).value_or(0));
     if (head.method != "GET")
-        write(from.id(), head.method, kind, std::string(parts.second), query,
-              body);
+        write(from.id(), head.method, *target, body);
     else if (watched)
-        start_watch(from.id(), kind, *watched, wait);
+        start_watch(from.id(), target->kind, *watched, wait);
     else
-        list(from.id(), kind, parameter(query, "after"));
+        list(from.id(), target->kind, parameter(target->query, "after"));
+}
+
+std::optional<net::rejection_answer>
+store_standin::on_rejected(net::rejection reason)
+{
+    ++malformed_calls_;
+    return net::default_rejection(reason);
 }
 
 void store_standin::on_caller_left(net::server_connection& from)
@@ -193,11 +281,17 @@
 }
 
 void store_standin::list(std::uint64_t connection, std::string const& kind,
-                         std::string_view after)
+                         std::string const& after)
 {
+    ++lists_[kind];
+    if (refusing_cursors_ && !after.empty())
+    {
+        answer(connection, status_bad_request, json::object());
+        return;
+    }
     auto items = json::array();
     auto const& objects = contents_.objects[kind];
-    auto it = objects.upper_bound(std::string(after));
+    auto it = objects.upper_bound(ignoring_cursors_ ? std::string() : after);
     for (; it != objects.end() && items.size() < page_size_; ++it)
         items.push_back(it->second);
     bool const truncated = it != objects.end();
@@ -246,14 +340,16 @@
 }
 
 void store_standin::write(std::uint64_t connection, std::string const& method,
-                          std::string const& kind, std::string name,
-                          std::string_view query, std::string const& body)
+                          call_target const& target, std::string const& body)
 {
+    auto const& kind = target.kind;
+    auto name = target.name;
     auto const value = json::parse(body, nullptr, false);
     if (method == "DELETE")
     {
         auto const found = contents_.objects[kind].find(name);
-        auto const revision = http::parse_number(parameter(query, "revision"));
+        auto const revision =
+            http::parse_number(parameter(target.query, "revision"));
         bool const exists = found != contents_.objects[kind].end();
         if (exists && revision &&
             found->second["metadata"]["revision"] != *revision)
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,7 +30,8 @@
 
     std::uint16_t port() const { return server_.port(); }
 
-    //! Writes an object and wakes the watches of its kind.
+    //! Writes an object and wakes the watches of its kind. A name that is no
+    //! UTF-8 is written into answers as it is.
     void put(std::string const& kind, std::string const& name,
              nlohmann::json specification);
     //! Does nothing without the object.
@@ -43,11 +45,23 @@
     void replace_in_answers(std::string value, std::string text);
 
     //! VMs of the product that have registered themselves.
-    std::size_t members() const;
+    std::size_t members() const { return size("members"); }
+
+    bool holds(std::string const& kind, std::string const& name) const;
+
+    //! Number of objects of the kind.
+    std::size_t size(std::string const& kind) const;
 
     //! Calls to objects of the kind so far.
     std::size_t calls(std::string const& kind) const;
 
+    //! Pages of lists of the kind so far.
+    std::size_t lists(std::string const& kind) const;
+
+    //! Calls so far that are no HTTP, whose target is not as in RFC 3986, or
+    //! which have a header that no call has. They are answered with an error.
+    std::size_t malformed_calls() const { return malformed_calls_; }
+
     //! Writes all objects to the other store.
     void copy_to(store_standin& other) const;
 
@@ -74,6 +88,12 @@
     //! Lists return this many objects at once.
     void set_page_size(std::size_t n) { page_size_ = n; }
 
+    //! Lists always return their first page.
+    void set_ignoring_cursors(bool value) { ignoring_cursors_ = value; }
+
+    //! Lists that are continued are answered with 400.
+    void set_refusing_cursors(bool value) { refusing_cursors_ = value; }
+
     //! Called after each page of a list that has a next one.
     std::function<void()> on_page;
 
@@ -82,8 +102,12 @@
                     std::string& body) override;
     void on_caller_left(net::server_connection& from) override;
     void on_drained(net::server_connection&) override {}
+    std::optional<net::rejection_answer>
+    on_rejected(net::rejection reason) override;
 
 private:
+    struct call_target;
+
     struct change
     {
         std::uint64_t revision = 0;
@@ -112,14 +136,14 @@
     void answer(std::uint64_t connection, int status,
                 nlohmann::json const& body);
     void cut_watches();
+    static std::optional<call_target> parse_target(std::string_view target);
     void list(std::uint64_t connection, std::string const& kind,
-              std::string_view after);
+              std::string const& after);
     void start_watch(std::uint64_t connection, std::string const& kind,
                      std::uint64_t from, std::chrono::milliseconds wait);
     bool answer_watch(std::uint64_t connection, watch const& it);
     void write(std::uint64_t connection, std::string const& method,
-               std::string const& kind, std::string name,
-               std::string_view query, std::string const& body);
+               call_target const& target, std::string const& body);
     void note(std::string const& kind, nlohmann::json object, bool deleted);
 
     asio::io_context& loop_;
@@ -128,12 +152,16 @@
     contents copy_;
     std::map<std::uint64_t, watch> watches_;
     std::map<std::string, std::size_t> calls_; //!< by kind
+    std::map<std::string, std::size_t> lists_; //!< by kind
+    std::size_t malformed_calls_ = 0;
     std::uint64_t first_kept_ = 1;
     std::uint64_t era_ = 1;
     std::size_t page_size_ = 500;
     std::map<std::string, std::string> replaced_values_;
     bool down_ = false;
     bool silent_ = false;
+    bool ignoring_cursors_ = false;
+    bool refusing_cursors_ = false;
 };
 
 } // namespace buckthornvale::standins::fleet_platform
