--- /dev/null
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -0,0 +1,206 @@
+#include "fleet_fixture.hpp"
+
+#include <string>
+#include <vector>
+
+namespace buckthornvale::gateway
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+//! A name that another writer may give to an entry of the store.
+struct odd_name
+{
+    char const* label;
+    std::string text;
+};
+
+void PrintTo(odd_name const& value, std::ostream* out)
+{
+    *out << value.label;
+}
+
+std::string const injected_removal =
+    " HTTP/1.1\r\nHost: a\r\n\r\n"
+    "DELETE /-/objects/config/main HTTP/1.1\r\nHost: a\r\n\r\n";
+
+std::vector<odd_name> odd_names()
+{
+    return {{"ampersand", "m&after=z"},
+            {"plus", "m+1"},
+            {"hash", "m#1"},
+            {"percent", "m%zz"},
+            {"escape", "m%41"},
+            {"blank", "m 1"},
+            {"equals", "m=1"},
+            {"question_mark", "m?watch=9"},
+            {"slash", "m/status"},
+            {"quote", "m\"\\"},
+            {"line_break", "m\r\nX-Odd: 1"},
+            {"second_request", "m" + injected_removal},
+            {"nul", std::string("m\0b", 3)},
+            {"control", "m\x01\x7f"},
+            {"non_ascii", "m\xC3\xA9"},
+            {"plain", "m-1"}};
+}
+
+//! Where the odd names stand in the pages of a list.
+struct odd_place
+{
+    char const* label;
+    std::size_t entries_before;
+    std::size_t odd_entries;
+};
+
+void PrintTo(odd_place const& value, std::ostream* out)
+{
+    *out << value.label;
+}
+
+constexpr std::size_t page_size = 3;
+
+constexpr odd_place last_of_page{"last", page_size - 1, 1};
+constexpr odd_place first_of_page{"first", page_size, 1};
+constexpr odd_place whole_page{"whole", 0, page_size};
+constexpr odd_place two_pages{"two_pages", 1, 2 * page_size};
+
+using odd_case = std::tuple<odd_place, odd_name>;
+
+std::string label_of(testing::TestParamInfo<odd_case> const& info)
+{
+    return std::string(std::get<0>(info.param).label) + "_" +
+           std::get<1>(info.param).label;
+}
+
+//! A store whose lists have several pages, with entries of another writer.
+class odd_entry : public fleet_fixture,
+                  public testing::WithParamInterface<odd_case>
+{
+protected:
+    odd_entry() { object_store.set_page_size(page_size); }
+
+    //! Writes entries that name nothing to use, the odd ones behind others.
+    void put_odd_entries(std::string const& kind)
+    {
+        auto const& place = std::get<0>(GetParam());
+        for (std::size_t n = 0; n < place.entries_before; ++n)
+            object_store.put(kind, "a-" + std::to_string(n), json::object());
+        put_odd_names(kind, place.odd_entries);
+    }
+
+    void put_odd_names(std::string const& kind, std::size_t count)
+    {
+        for (std::size_t n = 0; n < count; ++n)
+            object_store.put(kind,
+                             std::get<1>(GetParam()).text + std::to_string(n),
+                             json::object());
+    }
+
+    bool serves()
+    {
+        return contains(exchange(request("POST", "/book/x")), "200 OK");
+    }
+
+    //! Fails if a gateway has listed more pages than there are entries, or has
+    //! watched without pauses.
+    void expect_few_calls(std::string const& kind, std::size_t gateways)
+    {
+        run_for(500ms);
+        auto const lists = object_store.lists(kind);
+        constexpr std::size_t max_other_calls = 10;
+        EXPECT_LE(lists, gateways * (object_store.size(kind) + 1));
+        EXPECT_LE(object_store.calls(kind), lists + max_other_calls * gateways);
+    }
+
+    void expect_sound_store()
+    {
+        EXPECT_EQ(object_store.malformed_calls(), 0U);
+        EXPECT_TRUE(object_store.holds("config", "main"));
+    }
+};
+
+// The list stopped at the odd name: the gateway asked for the same page again
+// and again, knew no runner, and refused all requests.
+TEST_P(odd_entry, in_the_list_of_runners_hides_no_runner)
+{
+    put_odd_entries("servers");
+    auto const behind = add_runner("z-plain", "plain");
+    auto const gateway = start_gateway("vm-0");
+    EXPECT_TRUE(serves());
+    expect_few_calls("servers", 1);
+    expect_sound_store();
+}
+
+// Same for the list of VMs: the gateway did not see that it was registered.
+TEST_P(odd_entry, in_the_list_of_members_hides_no_vm)
+{
+    put_odd_entries("members");
+    auto const plain = add_runner("plain-1", "plain");
+    auto const first = start_gateway("vm-0");
+    auto const second = start_gateway("vm-1");
+    EXPECT_TRUE(serves());
+    expect_few_calls("members", 2);
+    expect_sound_store();
+}
+
+// Same for the evacuations: one behind the odd name was not obeyed.
+TEST_P(odd_entry, in_the_list_of_evacuations_hides_no_evacuation)
+{
+    evacuation_timeout = 3s;
+    put_odd_entries("evacuations");
+    object_store.put("evacuations", "south", json::object());
+    auto const north = add_runner("plain-north", "plain");
+    auto const south = add_runner("plain-south", "plain");
+    auto entry = south->entry("plain");
+    entry["zone"] = "south";
+    object_store.put_runner("plain-south", entry);
+    auto const gateway = start_gateway("vm-0");
+    for (int n = 0; n < 10; ++n)
+        EXPECT_TRUE(serves());
+    EXPECT_EQ(south->received.size(), 0U);
+    expect_few_calls("evacuations", 1);
+    expect_sound_store();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    names, odd_entry,
+    testing::Combine(testing::Values(last_of_page, first_of_page, whole_page,
+                                     two_pages),
+                     testing::ValuesIn(odd_names())),
+    label_of);
+
+//! The same names, in changes that a watch returns.
+class odd_change : public odd_entry
+{
+};
+
+TEST_P(odd_change, of_a_list_hides_no_later_change)
+{
+    evacuation_timeout = 3s;
+    auto const first = add_runner("a-plain", "plain");
+    auto const gateway = start_gateway("vm-0");
+    for (auto const* kind : {"servers", "members", "evacuations"})
+        put_odd_names(kind, page_size);
+    auto const later = add_runner("z-plain", "plain");
+    object_store.remove("servers", "a-plain");
+    wait_for_runners();
+    run_for(drain_timeout);
+    auto const before = first->received.size();
+    EXPECT_TRUE(serves());
+    EXPECT_EQ(first->received.size(), before);
+    EXPECT_EQ(later->received.size(), 1U);
+    for (auto const* kind : {"servers", "members", "evacuations"})
+        expect_few_calls(kind, 1);
+    expect_sound_store();
+}
+
+INSTANTIATE_TEST_SUITE_P(names, odd_change,
+                         testing::Combine(testing::Values(last_of_page),
+                                          testing::ValuesIn(odd_names())),
+                         label_of);
+
+} // namespace
+} // namespace buckthornvale::gateway
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -26,13 +26,11 @@
     return std::all_of(target.begin(), target.end(),
                        [&](unsigned char it)
                        {
-                           bool const alphanumeric =
-                               (it >= '0' && it <= '9') ||
-                               (it >= 'A' && it <= 'Z') ||
-                               (it >= 'a' && it <= 'z');
-                           return alphanumeric ||
-                                  marks.find(char(it)) !=
-                                      std::string_view::npos;
+                           bool const alphanumeric = (it >= '0' && it <= '9') ||
+                                                     (it >= 'A' && it <= 'Z') ||
+                                                     (it >= 'a' && it <= 'z');
+                           return alphanumeric || marks.find(char(it)) !=
+                                                      std::string_view::npos;
                        });
 }
 
@@ -42,7 +40,8 @@
     constexpr std::array<std::string_view, 3> known = {"host", "content-type",
                                                        "content-length"};
     return std::all_of(headers.begin(), headers.end(),
-                       [&](http::header const& it) {
+                       [&](http::header const& it)
+                       {
                            return std::find(known.begin(), known.end(),
                                             http::lower_case(it.name)) !=
                                   known.end();
@@ -256,8 +255,7 @@
         return;
     }
     ++calls_[target->kind];
-    auto const watched =
-        http::parse_number(parameter(target->query, "watch"));
+    auto const watched = http::parse_number(parameter(target->query, "watch"));
     std::chrono::milliseconds const wait(
         http::parse_number(parameter(target->query, "waitMs")).value_or(0));
     if (head.method != "GET")
