platform: a list continues after a name that is no text

What callers saw: a page of entries whose names hold bytes that are no text hid the runners behind it from a gateway that started: all requests got 503. Cause: each byte that is no text was read as '?', and the name so made up was the cursor. It lies before the real one, so that the same page came again. A page names its cursor itself: the last name that is text, or else the last one. Why this works: the cursor is what the store wrote, not a reading of it.

--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -202,9 +202,9 @@
     // while later pages were read are delivered again.
     if (list_cursor_.empty())
         revision_ = page->revision;
-    if (page->truncated && !listed_objects_.empty())
+    if (page->truncated && !page->cursor.empty())
     {
-        list_cursor_ = listed_objects_.back().name;
+        list_cursor_ = page->cursor;
         request_list();
         return;
     }
--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -44,6 +44,7 @@
             {"nul", std::string("m\0b", 3)},
             {"control", "m\x01\x7f"},
             {"non_ascii", "m\xC3\xA9"},
+            {"no_text", "m\xFF\xFE"},
             {"plain", "m-1"}};
 }
 
