--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -45,6 +45,7 @@
             {"control", "m\x01\x7f"},
             {"non_ascii", "m\xC3\xA9"},
             {"no_text", "m\xFF\xFE"},
+            {"long", "m" + std::string(40'000, 'x')},
             {"plain", "m-1"}};
 }
 
