gateway: a list that is not continued ends, and removes nothing

What callers saw: while a store refused the cursor of a list, or gave the same page again, a gateway that started knew no runner: 503 for all requests. A page without one readable name ended the list, and all runners behind it counted as gone. Cause: nothing asked that a list gets on. Each page was added to the list whether it was new or not, the next was asked for at once, and a refused call was repeated. Change: a cursor that was used in this list before, none at all, or one that the store refuses (400, 404, 410, 414, 431) ends the list as unfinished: what was read counts as changes, and removes nothing; the watch goes on from the list's revision, and the list is tried again after it. store_list_unfinished tells. Why this works: each page has a cursor that no page of the list had, so that a list ends; a watch waits, so that calls have pauses. Order of names is not assumed. What remains: runners behind a page without one readable name stay unknown to a VM that starts until they change, and such a VM is not ready.

--- a/packages/gateway/include/buckthornvale/gateway/store/object_update.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/object_update.hpp
@@ -15,7 +15,10 @@
 struct object_update
 {
     std::vector<platform::stored_object> objects;
-    bool listed = false;        //!< all objects; otherwise those that changed
+    bool listed = false; //!< all objects; otherwise those that changed
+    //! The first objects of a list that could not be continued. Others may be
+    //! unchanged or gone.
+    bool unfinished = false;
     std::uint64_t revision = 0; //!< of the store
     //! Set shortly after the store became reachable again: its last failure
     //! came later.
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -36,7 +36,9 @@
 
 //! Follows all objects of one kind in the store: lists them, watches for
 //! changes from the revision of the list, and lists again when the store has
-//! compacted that revision or has come back from a copy.
+//! compacted that revision or has come back from a copy. A list that the store
+//! does not continue is used as far as it was read, and is tried again after
+//! the next watch.
 class store_watcher
 {
 public:
@@ -76,7 +78,9 @@
     void handle_response(net::call_result const& result);
     void retry_later(std::string const& reason);
     void continue_after(duration pause);
+    void continue_now();
     void handle_list(std::string const& body);
+    void finish_list(bool complete);
     void handle_changes(std::string const& body);
     void mark_reachable();
     std::optional<time_point> failed_shortly_before(time_point now) const;
@@ -99,7 +103,7 @@
     std::uint32_t failed_calls_ = 0;
     net::call_id call_ = 0; //!< the last one
     std::uint64_t revision_ = 0;
-    std::string list_cursor_; //!< last name of the previous page
+    std::vector<std::string> list_cursors_; //!< of this list, the last in use
     std::vector<platform::stored_object> listed_objects_;
 };
 
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -79,11 +79,13 @@
 void gateway_process::log_update(char const* watch,
                                  store::object_update const& update)
 {
-    log(update.listed ? "store_listed" : "store_changed",
-        {{"watch", watch},
-         {"era", std::to_string(store_era_.current().value_or(0))},
-         {"revision", std::to_string(update.revision)},
-         {"objects", std::to_string(update.objects.size())}});
+    char const* const what = update.unfinished ? "store_list_unfinished"
+                             : update.listed   ? "store_listed"
+                                               : "store_changed";
+    log(what, {{"watch", watch},
+               {"era", std::to_string(store_era_.current().value_or(0))},
+               {"revision", std::to_string(update.revision)},
+               {"objects", std::to_string(update.objects.size())}});
 }
 
 store::era_order
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -1,6 +1,7 @@
 #include <buckthornvale/gateway/store/store_watcher.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace buckthornvale::gateway::store
@@ -29,6 +30,15 @@
 
 constexpr int status_gone = 410;
 
+//! Statuses with which a store refuses the revision or the cursor of a call.
+constexpr std::array<int, 5> refusals = {400, 404, status_gone, 414, 431};
+
+bool is_refusal(int status)
+{
+    return std::find(refusals.begin(), refusals.end(), status) !=
+           refusals.end();
+}
+
 } // namespace
 
 store_watcher::store_watcher(asio::io_context& loop, net::http_client& client,
@@ -64,16 +74,18 @@
     client_.cancel(call_);
     timer_.stop();
     list_completed_ = false;
-    list_cursor_.clear();
+    list_cursors_.clear();
     request_list();
 }
 
 void store_watcher::request_list()
 {
     watching_ = false;
-    if (list_cursor_.empty())
+    if (list_cursors_.empty())
         listed_objects_.clear();
-    send(platform::list_request(kind_, list_cursor_), list_timeout);
+    auto const cursor =
+        list_cursors_.empty() ? std::string() : list_cursors_.back();
+    send(platform::list_request(kind_, cursor), list_timeout);
 }
 
 void store_watcher::request_watch()
@@ -123,14 +135,16 @@
         return;
     }
     int const status = result.head.status;
-    // Other responses that reject the revision are handled alike.
-    bool const history_gone =
-        status == status_gone || status == 400 || status == 404;
-    if (watching_ && history_gone)
+    if (watching_ && is_refusal(status))
     {
         mark_reachable();
         list_anew();
     }
+    else if (!list_cursors_.empty() && is_refusal(status))
+    {
+        mark_reachable();
+        finish_list(false);
+    }
     else if (status != http::status_ok)
         retry_later("status " + std::to_string(status));
     else if (watching_)
@@ -157,14 +171,15 @@
 
 void store_watcher::continue_after(duration pause)
 {
-    timer_.start(pause,
-                 [this]
-                 {
-                     if (list_completed_)
-                         request_watch();
-                     else
-                         request_list();
-                 });
+    timer_.start(pause, [this] { continue_now(); });
+}
+
+void store_watcher::continue_now()
+{
+    if (list_completed_)
+        request_watch();
+    else
+        request_list();
 }
 
 void store_watcher::mark_reachable()
@@ -200,22 +215,33 @@
               std::back_inserter(listed_objects_));
     // The watch starts from the revision of the first page, so changes made
     // while later pages were read are delivered again.
-    if (list_cursor_.empty())
+    if (list_cursors_.empty())
         revision_ = page->revision;
-    if (page->truncated && !page->cursor.empty())
+    bool const can_continue =
+        !page->cursor.empty() &&
+        std::find(list_cursors_.begin(), list_cursors_.end(), page->cursor) ==
+            list_cursors_.end();
+    if (!page->truncated || !can_continue)
     {
-        list_cursor_ = page->cursor;
-        request_list();
+        finish_list(!page->truncated);
         return;
     }
-    list_cursor_.clear();
-    list_completed_ = true;
+    list_cursors_.push_back(std::move(page->cursor));
+    request_list();
+}
+
+void store_watcher::finish_list(bool complete)
+{
+    list_cursors_.clear();
+    list_completed_ = complete;
     object_update update;
     update.objects = std::exchange(listed_objects_, {});
-    update.listed = true;
+    update.listed = complete;
+    update.unfinished = !complete;
     update.revision = revision_;
     update.failed_after = failed_shortly_before(clock_());
-    update.restored = std::exchange(restored_, false);
+    if (complete)
+        update.restored = std::exchange(restored_, false);
     callbacks_.updated(update);
     request_watch();
 }
@@ -232,7 +258,7 @@
     revision_ = std::max(revision_, page->revision);
     if (page->objects.empty())
     {
-        request_watch();
+        continue_now();
         return;
     }
     object_update update;
--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -204,5 +204,83 @@
                                           testing::ValuesIn(odd_names())),
                          label_of);
 
+//! A store that does not continue its lists.
+class unfinished_list : public fleet_fixture
+{
+protected:
+    unfinished_list()
+    {
+        object_store.set_page_size(page_size);
+        for (auto const* id : {"b-1", "b-2", "b-3"})
+            object_store.put_runner(id, json::object());
+    }
+
+    bool serves()
+    {
+        return contains(exchange(request("POST", "/book/x")), "200 OK");
+    }
+
+    //! Makes the gateway list again.
+    void lose_history()
+    {
+        object_store.set_down(true);
+        object_store.put("others", "one", 1);
+        object_store.compact();
+        object_store.set_down(false);
+    }
+
+    //! Runs for two seconds. The gateway may list once for each of its pauses
+    //! after a failure, the shortest of which is 100 ms.
+    void expect_pauses()
+    {
+        auto const before = object_store.lists("servers");
+        run_for(2s);
+        EXPECT_LE(object_store.lists("servers") - before, 20U);
+    }
+
+    //! The entries before and behind the end of the first page.
+    std::unique_ptr<runner> first = add_runner("a-plain", "plain");
+    std::unique_ptr<runner> behind = add_runner("z-plain", "plain");
+};
+
+// The gateway asked without a pause, and kept each page that it had got before.
+TEST_F(unfinished_list, is_not_asked_for_without_end)
+{
+    object_store.set_ignoring_cursors(true);
+    auto const gateway = start_gateway("vm-0");
+    EXPECT_TRUE(serves());
+    expect_pauses();
+    EXPECT_EQ(behind->received.size(), 0U);
+    object_store.set_ignoring_cursors(false);
+    object_store.remove("servers", "a-plain");
+    EXPECT_TRUE(
+        run_until([&] { return serves() && !behind->received.empty(); }));
+}
+
+// The gateway sent the refused call again and again, and knew no runner.
+TEST_F(unfinished_list, is_used_as_far_as_it_was_read)
+{
+    object_store.set_refusing_cursors(true);
+    auto const gateway = start_gateway("vm-0");
+    EXPECT_TRUE(serves());
+    expect_pauses();
+}
+
+// A page of which no name could be read ended the list as if it were complete,
+// so that the runners behind it counted as gone.
+TEST_F(unfinished_list, removes_no_runner)
+{
+    auto const gateway = start_gateway("vm-0");
+    object_store.remove("servers", "a-plain");
+    EXPECT_TRUE(
+        run_until([&] { return serves() && !behind->received.empty(); }));
+    for (auto const* id : {"b-1", "b-2", "b-3"})
+        object_store.replace_in_answers(id, "7");
+    lose_history();
+    expect_pauses();
+    run_for(settle_time + drain_timeout);
+    EXPECT_TRUE(serves());
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
