gateway: pause after changes that cannot be read

What callers saw: nothing in the test; at the rates of the store, calls of others are refused with 429. Cause: a watch whose changes were all unreadable was taken for one without changes, which is followed by the next watch at once. Another writer that writes such an entry often set the pace of all gateways. Change: changes without a readable name are counted, and are followed by the usual pause. Evidence: pauses_after_changes_that_cannot_be_read: 200 calls in a second before, where 4 are the bound; it passes. Why this works: the pause depends on whether there was a change, not on its text.

--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -256,7 +256,8 @@
     }
     mark_reachable();
     revision_ = std::max(revision_, page->revision);
-    if (page->objects.empty())
+    // Changes that cannot be read may come as often as others.
+    if (page->objects.empty() && page->unnamed == 0)
     {
         continue_now();
         return;
--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -266,6 +266,21 @@
     expect_pauses();
 }
 
+// The gateway watched again at once after changes that it could not read.
+TEST_F(fleet_fixture, pauses_after_changes_that_cannot_be_read)
+{
+    object_store.replace_in_answers("odd", "7");
+    auto const gateway = start_gateway("vm-0");
+    auto const before = object_store.calls("servers");
+    for (int n = 0; n < 200; ++n)
+    {
+        object_store.put("servers", "odd", n);
+        run_for(5ms);
+    }
+    constexpr std::size_t calls_per_pause = 2;
+    EXPECT_LE(object_store.calls("servers") - before, 2 * calls_per_pause);
+}
+
 // A page of which no name could be read ended the list as if it were complete,
 // so that the runners behind it counted as gone.
 TEST_F(unfinished_list, removes_no_runner)
