http: the head of a request cannot be ended by a text in it

Cause: heads were put together from text of others, and nothing checked that a part ends where its line does. CR, LF or NUL in a target, a name or a value, or a blank in the target, make the whole head empty, and http_client fails a call without a head as not sent. append_header leaves a header of a response out that would end its line. Why this works: one check in the code that writes heads, behind all callers.

--- a/packages/http/include/buckthornvale/http/message.hpp
+++ b/packages/http/include/buckthornvale/http/message.hpp
@@ -69,10 +69,37 @@
     std::vector<std::string> connection_tokens_;
 };
 
-//! Appends one header line.
-void append_header(std::string& out, std::string_view name,
+//! Whether a header can hold the text without ending its line early.
+bool is_header_value(std::string_view text);
+
+//! Same, and a reader of the header gets the text unchanged: readers drop
+//! whitespace at both ends.
+bool is_exact_header_value(std::string_view text);
+
+//! Appends one header line and returns true. Appends nothing if the name or the
+//! value would end the line early, since what follows would be read as another
+//! header or as a message of its own.
+bool append_header(std::string& out, std::string_view name,
                    std::string_view value);
 
+//! Writes the head of a request.
+class request_head_writer
+{
+public:
+    request_head_writer(std::string_view method, std::string_view target);
+
+    void add(std::string_view name, std::string_view value);
+
+    //! The head with its empty line. Empty if the target or a header would have
+    //! ended its line early; such a request must not be sent. To be called
+    //! once.
+    std::string finish();
+
+private:
+    std::string head_;
+    bool valid_;
+};
+
 void append_status_line(std::string& out, int status);
 
 //! Appends the bytes as one chunk of a chunked body. Appends nothing when
--- a/packages/http/src/message.cpp
+++ b/packages/http/src/message.cpp
@@ -106,13 +106,49 @@
                        matches);
 }
 
-void append_header(std::string& out, std::string_view name,
+bool is_header_value(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char it)
+                        { return it == '\r' || it == '\n' || it == '\0'; });
+}
+
+bool is_exact_header_value(std::string_view text)
+{
+    return is_header_value(text) && trimmed(text) == text;
+}
+
+bool append_header(std::string& out, std::string_view name,
                    std::string_view value)
 {
+    if (!is_header_value(name) || !is_header_value(value))
+        return false;
     out += name;
     out += ": ";
     out += value;
     out += "\r\n";
+    return true;
+}
+
+request_head_writer::request_head_writer(std::string_view method,
+                                         std::string_view target)
+    : head_(concat({method, " ", target, " HTTP/1.1\r\n"})),
+      valid_(is_header_value(method) && is_header_value(target) &&
+             target.find(' ') == std::string_view::npos)
+{
+}
+
+void request_head_writer::add(std::string_view name, std::string_view value)
+{
+    valid_ = append_header(head_, name, value) && valid_;
+}
+
+std::string request_head_writer::finish()
+{
+    if (!valid_)
+        return {};
+    head_ += "\r\n";
+    return std::move(head_);
 }
 
 void append_status_line(std::string& out, int status)
--- a/packages/http/src/message_parser.cpp
+++ b/packages/http/src/message_parser.cpp
@@ -40,9 +40,7 @@
 //! which another parser could read as two headers.
 bool is_valid_header(header const& value)
 {
-    constexpr std::string_view forbidden("\r\n\0", 3);
-    return is_token(value.name) &&
-           value.value.find_first_of(forbidden) == std::string::npos;
+    return is_token(value.name) && is_header_value(value.value);
 }
 
 } // namespace
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -91,9 +91,11 @@
     http_client(asio::io_context& loop, clock_function clock);
     ~http_client();
 
-    //! Starts a call. Unless the call is cancelled, exactly one of
-    //! `on_answer_end` and `on_answer_failed` is called, and never before this
-    //! function returns. The handler must stay alive until then.
+    //! Starts a call. An empty head, of a request that could not be encoded,
+    //! fails it with call_failure::not_sent. Unless the call is cancelled,
+    //! exactly one of `on_answer_end` and `on_answer_failed` is called, and
+    //! never before this function returns. The handler must stay alive until
+    //! then.
     call_id call(std::string const& address, std::string head,
                  std::shared_ptr<std::string const> body,
                  call_options const& options, answer_handler& handler);
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -79,6 +79,11 @@
         keep_connection_ = options.keep_connection;
         is_head_request_ = head_.compare(0, 5, "HEAD ") == 0;
         parser_.next();
+        if (head_.empty())
+        {
+            post_failure(call_failure::not_sent);
+            return;
+        }
         if (connected_)
         {
             send();
--- a/packages/serving/src/upstream/runner_request.cpp
+++ b/packages/serving/src/upstream/runner_request.cpp
@@ -1,5 +1,4 @@
 #include <buckthornvale/http/message.hpp>
-#include <buckthornvale/http/text.hpp>
 #include <buckthornvale/serving/upstream/runner_request.hpp>
 
 namespace buckthornvale::serving::upstream
@@ -9,17 +8,16 @@
                                std::string_view address, std::size_t body_bytes)
 {
     namespace http = buckthornvale::http;
-    auto out = http::concat({method, " ", path, " HTTP/1.1\r\n"});
-    http::append_header(out, "Host", address);
-    http::append_header(out, "Accept-Encoding", "identity");
-    http::append_header(out, "Connection", "close");
+    http::request_head_writer out(method, path);
+    out.add("Host", address);
+    out.add("Accept-Encoding", "identity");
+    out.add("Connection", "close");
     if (body_bytes > 0)
     {
-        http::append_header(out, "Content-Type", "application/json");
-        http::append_header(out, "Content-Length", std::to_string(body_bytes));
+        out.add("Content-Type", "application/json");
+        out.add("Content-Length", std::to_string(body_bytes));
     }
-    out += "\r\n";
-    return out;
+    return out.finish();
 }
 
 net::short_request runner_request(std::string_view method,
