platform: an id that cannot be sent names no runner

What callers saw: an entry named 'a', a line break and 'X-Hold: 1' was used as a runner, and each request to it bore that header, which only the gateway may set. One with a blank at an end got requests that its runner could only refuse. Cause: the id goes into the header that names the expected runner, unchecked.

--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -204,6 +204,23 @@
                                           testing::ValuesIn(odd_names())),
                          label_of);
 
+// A line break in the id of a runner began another header, which only the
+// gateway may set, in each request to the runner.
+TEST_F(fleet_fixture, does_not_use_a_runner_whose_id_ends_a_header)
+{
+    int gateways = 0;
+    for (auto const* id : {"a\r\nX-Hold: 1", "a\nX-Hold: 1", " a", "a "})
+    {
+        runner odd(loop, id);
+        object_store.put_runner(id, odd.entry("plain"));
+        auto const gateway = start_gateway("vm-" + std::to_string(gateways++));
+        EXPECT_TRUE(
+            contains(exchange(request("POST", "/book/x")), "503 Service"));
+        EXPECT_TRUE(odd.received.empty());
+        object_store.remove("servers", id);
+    }
+}
+
 //! A store that does not continue its lists.
 class unfinished_list : public fleet_fixture
 {
