gateway: each kind of line break ends the id of an event

What callers saw: nothing in a test of ours; a stream is resumed at another runner with the id as a header, of which a carriage return could begin another one. Cause: only a line feed ended a line, so that the rest of a line after a carriage return belonged to the id. Change: a carriage return ends the id, and an id with NUL is none, as the format of event streams says. Evidence: ends_an_id_at_each_kind_of_line_break failed before, and passes. Why this works: an id that is kept can be a header. Bytes to the caller are the same.

--- a/packages/gateway/src/sse_splitter.cpp
+++ b/packages/gateway/src/sse_splitter.cpp
@@ -76,8 +76,9 @@
         line.remove_prefix(field.size());
         if (!line.empty() && line.front() == ' ')
             line.remove_prefix(1);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
+        line = line.substr(0, line.find('\r'));
+        if (line.find('\0') != std::string_view::npos)
+            continue;
         last_event_id_ = line;
         if (first_event_id_.empty())
             first_event_id_ = line;
--- a/packages/gateway/tests/sse_splitter_test.cpp
+++ b/packages/gateway/tests/sse_splitter_test.cpp
@@ -66,5 +66,17 @@
     EXPECT_FALSE(is_repeated_event("b", "a"));
 }
 
+// Guards against an id that ends the header with which a stream is resumed. A
+// carriage return ends a line of an event, too; an id with NUL is none.
+TEST(sse_splitter, ends_an_id_at_each_kind_of_line_break)
+{
+    sse_splitter it;
+    it.feed("id: 5\rX-Hold: 1\ndata: a\n\n");
+    EXPECT_EQ(it.last_event_id(), "5");
+    EXPECT_EQ(it.first_event_id(), "5");
+    it.feed(std::string("id: 6\0b\ndata: a\n\n", 17));
+    EXPECT_EQ(it.last_event_id(), "5");
+}
+
 } // namespace
 } // namespace buckthornvale::gateway
