gateway: log lines hold 512 bytes of a value

What callers saw: nothing; operators lost lines: one with a name of a megabyte filled the buffer of the log many times over (each odd byte takes six), and the next ones were dropped. Cause: the limit of the buffer is checked before a line is added, not the line. Change: a value is cut after 512 bytes, and a field NAME_bytes tells its size. Why this works: a line has few fields, so that its size is bounded.

--- a/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/log_writer.hpp
@@ -12,7 +12,8 @@
 {
 
 //! Writes log entries as JSON lines to a non-blocking file descriptor. Lines
-//! beyond the rate limit or the buffer limit are dropped and counted.
+//! beyond the rate limit or the buffer limit are dropped and counted, and long
+//! values are cut.
 class log_writer
 {
 public:
--- a/packages/gateway/src/observe/log_writer.cpp
+++ b/packages/gateway/src/observe/log_writer.cpp
@@ -33,12 +33,20 @@
     out += '"';
 }
 
+//! Longer values are cut, and a field tells their size.
+constexpr std::size_t max_value_bytes = 512;
+
 void append_field(std::string& out, char const* name, std::string_view value)
 {
     out += ",\"";
     out += name;
     out += "\":";
-    append_json_string(out, value);
+    append_json_string(out, value.substr(0, max_value_bytes));
+    if (value.size() <= max_value_bytes)
+        return;
+    out += ",\"";
+    out += name;
+    out += "_bytes\":\"" + std::to_string(value.size()) + "\"";
 }
 
 } // namespace
--- a/packages/gateway/tests/log_writer_test.cpp
+++ b/packages/gateway/tests/log_writer_test.cpp
@@ -48,6 +48,26 @@
     EXPECT_EQ(value["vm"], "vm-1");
 }
 
+// Guards against names of other writers, of up to a megabyte, that fill the
+// buffer, so that lines of others are dropped.
+TEST(log_writer, shortens_long_values)
+{
+    test_pipe pipe;
+    log_writer log(pipe.ends[1], "vm-1");
+    std::string const long_value(1'000'000, '\xFF');
+    log.write({"x", long_value, {{"runner", long_value}}},
+              decision::time_point(1s));
+    log.write({"y", "id", {}}, decision::time_point(1s));
+    log.flush();
+    auto const lines = pipe.read_some();
+    EXPECT_LT(lines.size(), 16'384U);
+    EXPECT_EQ(std::count(lines.begin(), lines.end(), '\n'), 2);
+    auto const value = nlohmann::json::parse(lines.substr(0, lines.find('\n')),
+                                             nullptr, false);
+    ASSERT_TRUE(value.is_object());
+    EXPECT_EQ(value["runner_bytes"], "1000000");
+}
+
 // Guards against a log buffer that grows without bound and against blocking on
 // a slow reader.
 TEST(log_writer, drops_lines_beyond_its_limits)
