objects: escape the path of an object in its route

What callers saw: nothing in a test of ours; a path with #, ? or % named another object or none, in the API of the project's own deployment. Cause: the path was put behind /v1/objects/ as it was. cpp-httplib escapes blanks and a few other characters, not these. Change: each part of the path is escaped. The stand-in takes paths with line breaks. Evidence: paths_are_preserved_byte_for_byte failed before over HTTP (a#b, a%62, a?b=c, and a line break, by the stand-in), and passes. lists_continue_behind_any_path passed before: parameters of lists and watches are escaped by cpp-httplib. Why this works: an escaped part holds no character that ends it.

--- a/packages/objects/src/objects/http_object_api.cpp
+++ b/packages/objects/src/objects/http_object_api.cpp
@@ -1,3 +1,4 @@
+#include <buckthornvale/http/text.hpp>
 #include <buckthornvale/objects/objects/http_object_api.hpp>
 #include <buckthornvale/objects/objects/object_codec.hpp>
 
@@ -99,9 +100,13 @@
     return value;
 }
 
+//! Escapes the parts of the path. Slashes separate them in the route, too.
 std::string object_route(std::string const& path)
 {
-    return "/v1/objects/" + path;
+    std::string out = "/v1/objects";
+    for (auto const it : http::split(path, '/'))
+        out += "/" + http::percent_encoded(it);
+    return out;
 }
 
 httplib::Headers if_match(std::uint64_t expected)
--- a/packages/objects/tests/objects/object_api_contract_test.cpp
+++ b/packages/objects/tests/objects/object_api_contract_test.cpp
@@ -6,6 +6,8 @@
 #include <future>
 #include <platform/memory_object_api.hpp>
 #include <platform/platform_server.hpp>
+#include <string>
+#include <vector>
 
 namespace buckthornvale::objects
 {
@@ -108,6 +110,37 @@
     EXPECT_EQ(it.api().get("settings/pools/a-b_c.d").value.value, value);
 }
 
+// Guards against a path that names another object, or none, in a target.
+void paths_are_preserved_byte_for_byte(api_under_test& it)
+{
+    for (auto const* path :
+         {"settings/a&b", "settings/a+b", "settings/a#b", "settings/a%62",
+          "settings/a b", "settings/a?b=c", "settings/a\r\nb",
+          "settings/\xC3\xA9", "settings/a;b,c'd"})
+    {
+        auto const created = it.api().put(path, 0, path);
+        ASSERT_EQ(created.status, call_status::done) << path;
+        EXPECT_TRUE(it.store().get(path)) << path;
+        EXPECT_EQ(it.api().get(path).value.value, path);
+        EXPECT_TRUE(it.api().remove(path, created.version).is_done()) << path;
+    }
+    EXPECT_FALSE(it.store().get("settings/a"));
+}
+
+// Guards against an odd path at the end of a page that hides the next ones.
+void lists_continue_behind_any_path(api_under_test& it)
+{
+    std::vector<std::string> const paths = {
+        "settings/a b",  "settings/a#b",     "settings/a%62",
+        "settings/a&b",  "settings/a+b",     "settings/a\r\nb",
+        "settings/\x7F", "settings/\xC3\xA9"};
+    for (auto const& path : paths)
+        it.store().put(path, 0, path);
+    auto const whole = list_all(it.api(), "settings/", 1);
+    ASSERT_TRUE(whole.is_done());
+    EXPECT_EQ(whole.value.items.size(), paths.size());
+}
+
 // Guards against retrying a value above 1 MB because its rejection is taken for
 // a store fault.
 void oversized_values_are_rejected(api_under_test& it)
@@ -237,6 +270,8 @@
     {"writes_to_missing_objects_conflict", &writes_to_missing_objects_conflict},
     {"deletions_have_versions", &deletions_have_versions},
     {"values_are_preserved_byte_for_byte", &values_are_preserved_byte_for_byte},
+    {"paths_are_preserved_byte_for_byte", &paths_are_preserved_byte_for_byte},
+    {"lists_continue_behind_any_path", &lists_continue_behind_any_path},
     {"oversized_values_are_rejected", &oversized_values_are_rejected},
     {"lists_are_paginated", &lists_are_paginated},
     {"watches_resume_from_a_revision", &watches_resume_from_a_revision},
--- a/standins/platform/platform_server.cpp
+++ b/standins/platform/platform_server.cpp
@@ -154,7 +154,8 @@
                     (this->*handler)(request, response);
             };
         };
-        char const* const objects = R"(/v1/objects/(.+))";
+        // A path may hold line breaks, which "." does not match.
+        char const* const objects = R"(/v1/objects/([\s\S]+))";
         server.Get(objects, add(call_kind::get, &routes::get));
         server.Put(objects, add(call_kind::put, &routes::put));
         server.Delete(objects, add(call_kind::remove, &routes::remove));
