objects: a list that does not advance fails

What callers saw: nothing in a test of ours; at a server that ignores the cursor, list_all and the watch of a prefix would list without end and keep each page. Change: http_object_api fails such a page as malformed. Paths of this API are ordered, so one comparison serves all readers of lists. Evidence: fails_a_list_that_does_not_advance failed before, and passes. Why this works: cursors rise, so that a list ends; a failed list is tried again with the pauses of its reader.

--- a/packages/objects/src/objects/http_object_api.cpp
+++ b/packages/objects/src/objects/http_object_api.cpp
@@ -166,8 +166,15 @@
     httplib::Params const params = {
         {"prefix", prefix}, {"after", after}, {"limit", std::to_string(limit)}};
     auto const client = make_client(limits_.read);
-    return to_read_result(client->Get("/v1/list", params, httplib::Headers{}),
-                          &parse_page);
+    auto page = to_read_result(
+        client->Get("/v1/list", params, httplib::Headers{}), &parse_page);
+    // Paths are ordered, so a list that goes back would have no end.
+    if (page.is_done() && page.value.next && *page.value.next <= after)
+    {
+        page.status = call_status::unknown;
+        page.detail = "malformed response: 'next' is not after 'after'";
+    }
+    return page;
 }
 
 read_result<object_changes> http_object_api::watch(std::string const& prefix,
--- a/packages/objects/tests/objects/object_api_contract_test.cpp
+++ b/packages/objects/tests/objects/object_api_contract_test.cpp
@@ -1,12 +1,14 @@
 #include <buckthornvale/objects/objects/http_object_api.hpp>
 
 #include <gtest/gtest.h>
+#include <httplib.h>
 
 #include <functional>
 #include <future>
 #include <platform/memory_object_api.hpp>
 #include <platform/platform_server.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace buckthornvale::objects
@@ -309,5 +311,29 @@
 INSTANTIATE_TEST_SUITE_P(table, object_api_contract, testing::ValuesIn(cases),
                          [](auto const& it) { return it.param.name; });
 
+// Guards against a list without end, at a server that ignores the cursor.
+TEST(http_object_api, fails_a_list_that_does_not_advance)
+{
+    httplib::Server server;
+    server.Get("/v1/list",
+               [](httplib::Request const&, httplib::Response& response)
+               {
+                   response.set_content(
+                       R"({"items":[{"path":"settings/a","version":1,)"
+                       R"("value":"1"}],"next":"settings/a","revision":9})",
+                       "application/json");
+               });
+    auto const port = server.bind_to_any_port("127.0.0.1");
+    std::thread serving([&] { server.listen_after_bind(); });
+    http_object_api client("127.0.0.1:" + std::to_string(port));
+    EXPECT_TRUE(client.list("settings/", "", 1).is_done());
+    EXPECT_EQ(client.list("settings/", "settings/a", 1).status,
+              call_status::unknown);
+    EXPECT_EQ(client.list("settings/", "settings/b", 1).status,
+              call_status::unknown);
+    server.stop();
+    serving.join();
+}
+
 } // namespace
 } // namespace buckthornvale::objects
