--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -40,6 +40,8 @@
             {"slash", "m/status"},
             {"quote", "m\"\\"},
             {"line_break", "m\r\nX-Odd: 1"},
+            {"line_feed", "m\nX-Odd: 1"},
+            {"carriage_return", "m\rX-Odd: 1"},
             {"second_request", "m" + injected_removal},
             {"nul", std::string("m\0b", 3)},
             {"control", "m\x01\x7f"},
@@ -64,6 +66,9 @@
 
 constexpr std::size_t page_size = 3;
 
+//! All kinds of objects that a gateway reads.
+constexpr char const* kinds[] = {"servers", "members", "evacuations", "config"};
+
 constexpr odd_place last_of_page{"last", page_size - 1, 1};
 constexpr odd_place first_of_page{"first", page_size, 1};
 constexpr odd_place whole_page{"whole", 0, page_size};
@@ -85,19 +90,21 @@
     odd_entry() { object_store.set_page_size(page_size); }
 
     //! Writes entries that name nothing to use, the odd ones behind others.
-    void put_odd_entries(std::string const& kind)
+    void put_odd_entries(std::string const& kind,
+                         std::string const& prefix = {})
     {
         auto const& place = std::get<0>(GetParam());
         for (std::size_t n = 0; n < place.entries_before; ++n)
             object_store.put(kind, "a-" + std::to_string(n), json::object());
-        put_odd_names(kind, place.odd_entries);
+        put_odd_names(kind, prefix, place.odd_entries);
     }
 
-    void put_odd_names(std::string const& kind, std::size_t count)
+    void put_odd_names(std::string const& kind, std::string const& prefix,
+                       std::size_t count)
     {
+        auto const& text = std::get<1>(GetParam()).text;
         for (std::size_t n = 0; n < count; ++n)
-            object_store.put(kind,
-                             std::get<1>(GetParam()).text + std::to_string(n),
+            object_store.put(kind, prefix + text + std::to_string(n),
                              json::object());
     }
 
@@ -148,6 +155,19 @@
     expect_sound_store();
 }
 
+// Same for the manifests, of which one name is in use.
+TEST_P(odd_entry, in_the_list_of_manifests_hides_no_manifest)
+{
+    object_store.remove("config", "main");
+    put_odd_entries("config", "b");
+    put_manifest(1);
+    auto const plain = add_runner("plain-1", "plain");
+    auto const gateway = start_gateway("vm-0");
+    EXPECT_TRUE(serves());
+    expect_few_calls("config", 1);
+    expect_sound_store();
+}
+
 // Same for the evacuations: one behind the odd name was not obeyed.
 TEST_P(odd_entry, in_the_list_of_evacuations_hides_no_evacuation)
 {
@@ -184,8 +204,8 @@
     evacuation_timeout = 3s;
     auto const first = add_runner("a-plain", "plain");
     auto const gateway = start_gateway("vm-0");
-    for (auto const* kind : {"servers", "members", "evacuations"})
-        put_odd_names(kind, page_size);
+    for (auto const* kind : kinds)
+        put_odd_names(kind, "", page_size);
     auto const later = add_runner("z-plain", "plain");
     object_store.remove("servers", "a-plain");
     wait_for_runners();
@@ -194,7 +214,7 @@
     EXPECT_TRUE(serves());
     EXPECT_EQ(first->received.size(), before);
     EXPECT_EQ(later->received.size(), 1U);
-    for (auto const* kind : {"servers", "members", "evacuations"})
+    for (auto const* kind : kinds)
         expect_few_calls(kind, 1);
     expect_sound_store();
 }
