--- a/packages/gateway/tests/odd_entry_test.cpp
+++ b/packages/gateway/tests/odd_entry_test.cpp
@@ -48,6 +48,7 @@
             {"non_ascii", "m\xC3\xA9"},
             {"no_text", "m\xFF\xFE"},
             {"long", "m" + std::string(40'000, 'x')},
+            {"long_no_text", "m" + std::string(40'000, '\x80')},
             {"plain", "m-1"}};
 }
 
