--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -56,7 +56,12 @@
     //! without a restart.
     void reload(platform::node_settings const& settings);
 
+    //! Notes that a changed settings file cannot be used. The settings stay.
+    void refuse_reload(std::string const& reason);
+
 private:
+    void log_warnings(platform::node_settings const& settings);
+
     //! A request of a caller that has no final response yet.
     struct caller_request
     {
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -190,6 +190,7 @@
                     {"callers", settings_.caller_endpoint.to_string()},
                     {"store", settings_.store_endpoint.to_string()},
                     {"incarnation", std::to_string(incarnation_)}});
+    log_warnings(settings_);
     start_store_watchers();
     register_member();
     schedule_tick();
@@ -207,6 +208,7 @@
     // sooner, but has no more time than it was given at its start.
     bool const shorter = settings.grace_period < settings_.grace_period;
     log("settings_reloaded", {});
+    log_warnings(settings);
     if (draining_ && !shorter)
         return;
     settings_.grace_period = settings.grace_period;
@@ -214,6 +216,17 @@
         plan_drain(now());
 }
 
+void gateway_process::refuse_reload(std::string const& reason)
+{
+    log("settings_refused", {{"reason", reason}});
+}
+
+void gateway_process::log_warnings(platform::node_settings const& settings)
+{
+    for (auto const& it : settings.warnings)
+        log("settings_incomplete", {{"reason", it}});
+}
+
 void gateway_process::drain()
 {
     if (draining_)
--- a/packages/gateway/src/main.cpp
+++ b/packages/gateway/src/main.cpp
@@ -71,7 +71,15 @@
     if (settings.ok())
         process.reload(*settings);
     else
-        std::cerr << settings.status().message() << '\n';
+        process.refuse_reload(std::string(settings.status().message()));
+}
+
+//! Checks the settings as a start does, and prints what a start would log.
+int check(platform::node_settings const& settings)
+{
+    for (auto const& it : settings.warnings)
+        std::cerr << it << '\n';
+    return exit_ok;
 }
 
 std::filesystem::file_time_type settings_mtime()
@@ -155,5 +163,5 @@
         std::cerr << settings.status().message() << '\n';
         return exit_bad_settings;
     }
-    return FLAGS_check ? exit_ok : serve(*settings);
+    return FLAGS_check ? check(*settings) : serve(*settings);
 }
