decision, platform: stages run in any order, and what cannot run is refused

Cause: read_stages dropped each number in `after` that was not smaller than that of the stage itself, and stage_pipeline relied on that order. The same way, unreadable stages, services of a split and counts in X-Pieces were dropped or changed, and requests ran on what was left.

Change: stage_order gives the order in which stages can run, and the pipeline uses it wherever it went through the list before. A route that cannot run as written is kept, refuses its requests at once with 503, and is logged as route_unusable; the others are served.

--- a/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/manifest.hpp
@@ -34,6 +34,20 @@
     double result_bytes = 0; //!< approximate size of one result
 };
 
+//! Why the requests of a route cannot be run as the operator wrote it.
+enum class route_defect
+{
+    none,
+    unreadable_place,    //!< no host or no path prefix
+    unreadable_services, //!< where its requests go
+    unreadable_stages,
+    unknown_stage,  //!< one reads the results of a stage that is not there
+    cycle_of_stages //!< some wait for each other
+};
+
+//! Stable name in logs.
+char const* name_of(route_defect defect);
+
 struct weighted_service
 {
     std::string service;
@@ -57,6 +71,9 @@
     bool sticky = false;      //!< requests of a session share cached prompts
     bool resumable = false;   //!< a stream may be resumed on another runner
     duration max_event_gap{}; //!< maximum pause between two events of a stream
+    //! Requests of a route with a defect are refused: one that ran without what
+    //! could not be read would be less than was asked for.
+    route_defect defect = route_defect::none;
 
     bool repeatable() const
     {
@@ -123,6 +140,7 @@
     //! False if requests need no API key.
     bool has_organisations = false;
 
+    //! Checks the stages. A route without a place is found by no request.
     void add_route(route value);
     void add_key(std::string key, organisation owner);
 
@@ -136,11 +154,23 @@
 
     std::size_t route_count() const { return route_count_; }
 
+    struct defective_route
+    {
+        std::string name;
+        route_defect defect = route_defect::none;
+    };
+
+    std::vector<defective_route> const& defective_routes() const
+    {
+        return defective_routes_;
+    }
+
 private:
     //! Routes by host, longest prefix first.
     std::map<std::string, std::vector<route>, std::less<>> routes_;
     std::map<std::string, organisation, std::less<>> keys_;
     std::size_t route_count_ = 0;
+    std::vector<defective_route> defective_routes_;
 };
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
@@ -11,6 +11,8 @@
     no_manifest,
     unknown_route,
     unknown_key,
+    unusable_route,   //!< the manifest's route has a defect
+    unmatched_pieces, //!< the request counts the pieces of other stages
     no_runner,
     runners_full,
     runners_limited, //!< this VM has used its shares of their limits
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_pipeline.hpp
@@ -21,8 +21,9 @@
 public:
     stage_pipeline() = default;
 
-    //! `pieces` holds the number of pieces by stage. Stages beyond its end have
-    //! one piece; stages with 0 pieces are skipped.
+    //! The stages must pass `check_stages`. `pieces` holds the number of pieces
+    //! by stage; if it is empty, each stage has one. Stages with 0 pieces are
+    //! skipped.
     stage_pipeline(std::vector<route_stage> stages,
                    absl::Span<std::uint32_t const> pieces);
 
@@ -107,6 +108,7 @@
     take_stage_results(stage_state& state);
 
     std::vector<stage_state> stages_;
+    std::vector<std::uint32_t> order_; //!< in which they can run
     std::uint32_t round_ = 0;
 };
 
--- a/packages/decision/src/gateway/manifest.cpp
+++ b/packages/decision/src/gateway/manifest.cpp
@@ -1,12 +1,30 @@
 #include <buckthornvale/decision/gateway/manifest.hpp>
+#include <buckthornvale/decision/gateway/stage_order.hpp>
 
 #include <algorithm>
 
 namespace buckthornvale::decision::gateway
 {
 
+char const* name_of(route_defect defect)
+{
+    constexpr char const* names[] = {"none",
+                                     "unreadable_place",
+                                     "unreadable_services",
+                                     "unreadable_stages",
+                                     "unknown_stage",
+                                     "cycle_of_stages"};
+    return names[static_cast<std::size_t>(defect)];
+}
+
 void manifest::add_route(route value)
 {
+    if (value.defect == route_defect::none)
+        value.defect = check_stages(value.stages);
+    if (value.defect != route_defect::none)
+        defective_routes_.push_back({value.name, value.defect});
+    if (value.defect == route_defect::unreadable_place)
+        return;
     auto& routes = routes_[value.host];
     auto const place =
         std::upper_bound(routes.begin(), routes.end(), value.path_prefix.size(),
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -21,6 +21,9 @@
 //! Retry delay that is returned while the VM has no manifest or stops.
 constexpr duration unready_retry_after = 100ms;
 
+//! Retry delay of requests that only another version of the manifest can serve.
+constexpr duration unusable_route_retry_after = 1s;
+
 //! Priorities of engines range from 0 (most urgent) to 9.
 constexpr int urgent_priority = 3;
 constexpr int priority_step = 2;
@@ -67,12 +70,16 @@
     found = manifest_->find_route(traits.host, traits.path);
     if (found == nullptr)
         return refusal::unknown_route;
-    if (!manifest_->has_organisations)
-        return refusal::none;
-    caller_organisation =
-        traits.key.empty() ? nullptr : manifest_->find_organisation(traits.key);
-    if (caller_organisation == nullptr && !found->allow_anonymous)
+    if (manifest_->has_organisations && !traits.key.empty())
+        caller_organisation = manifest_->find_organisation(traits.key);
+    if (manifest_->has_organisations && caller_organisation == nullptr &&
+        !found->allow_anonymous)
         return refusal::unknown_key;
+    if (found->defect != route_defect::none)
+        return refusal::unusable_route;
+    // One of the two knows another version of the manifest.
+    if (!traits.pieces.empty() && traits.pieces.size() != found->stages.size())
+        return refusal::unmatched_pieces;
     return refusal::none;
 }
 
@@ -109,10 +116,13 @@
         auto const& traits = traits_of(reason);
         log("request_refused", &request,
             {{"reason", traits.name},
+             {"route", found != nullptr ? found->name : ""},
              {"version", manifest_ ? std::to_string(manifest_->version) : ""}});
         refuse_request answer{in.request, reason, traits.status, {}};
         if (states_not_run(traits.status))
-            answer.retry_after = unready_retry_after;
+            answer.retry_after = reason == refusal::unusable_route
+                                     ? unusable_route_retry_after
+                                     : unready_retry_after;
         out_.push_back(answer);
         return;
     }
--- a/packages/decision/src/gateway/refusal.cpp
+++ b/packages/decision/src/gateway/refusal.cpp
@@ -11,11 +11,13 @@
 
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
-constexpr std::array<refusal_traits, 14> refusals = {{
+constexpr std::array<refusal_traits, 16> refusals = {{
     {refusal::none, 500, "none"},
     {refusal::no_manifest, 503, "no_manifest"},
     {refusal::unknown_route, 404, "unknown_route"},
     {refusal::unknown_key, 401, "unknown_key"},
+    {refusal::unusable_route, 503, "unusable_route"},
+    {refusal::unmatched_pieces, 503, "unmatched_pieces"},
     {refusal::no_runner, 503, "no_runner"},
     {refusal::runners_full, 503, "runners_full"},
     {refusal::runners_limited, 503, "runners_limited"},
--- a/packages/decision/src/gateway/stage_pipeline.cpp
+++ b/packages/decision/src/gateway/stage_pipeline.cpp
@@ -1,3 +1,4 @@
+#include <buckthornvale/decision/gateway/stage_order.hpp>
 #include <buckthornvale/decision/gateway/stage_pipeline.hpp>
 
 #include <algorithm>
@@ -21,6 +22,7 @@
 
 stage_pipeline::stage_pipeline(std::vector<route_stage> stages,
                                absl::Span<std::uint32_t const> pieces)
+    : order_(stage_order(stages))
 {
     for (std::size_t n = 0; n < stages.size(); ++n)
     {
@@ -28,17 +30,18 @@
         state.definition = std::move(stages[n]);
         state.results.resize(n < pieces.size() ? pieces[n] : 1);
         state.read_by_piece.resize(state.results.size());
-        for (auto const after : state.definition.after)
-            if (!state.results.empty())
-                stages_[after].terminal = false;
         stages_.push_back(std::move(state));
     }
+    for (auto const& it : stages_)
+        for (auto const after : it.definition.after)
+            if (!it.results.empty())
+                stages_[after].terminal = false;
 }
 
 std::vector<std::uint32_t> stage_pipeline::start_ready_stages()
 {
     std::vector<std::uint32_t> out;
-    for (std::uint32_t n = 0; n < stages_.size(); ++n)
+    for (auto const n : order_)
     {
         auto& state = stages_[n];
         bool const ready = std::all_of(
@@ -179,29 +182,33 @@
 duration stage_pipeline::remaining_time(std::uint32_t stage,
                                         absl::Span<duration const> times) const
 {
-    duration after{};
-    for (std::uint32_t n = stage + 1; n < stages_.size(); ++n)
+    std::vector<duration> after(stages_.size());
+    for (auto it = order_.rbegin(); it != order_.rend(); ++it)
     {
-        auto const& needs = stages_[n].definition.after;
-        if (std::find(needs.begin(), needs.end(), stage) != needs.end())
-            after = std::max(after, remaining_time(n, times));
+        auto const& state = stages_[*it];
+        auto const remaining =
+            after[*it] + (state.results.empty() ? duration() : times[*it]);
+        if (*it == stage)
+            return remaining;
+        for (auto const n : state.definition.after)
+            after[n] = std::max(after[n], remaining);
     }
-    return after + (stages_[stage].results.empty() ? duration() : times[stage]);
+    return {};
 }
 
 duration stage_pipeline::finish_time(absl::Span<duration const> times,
                                      absl::Span<duration const> waits) const
 {
     duration out{};
-    std::vector<duration> finished;
-    for (std::size_t n = 0; n < stages_.size(); ++n)
+    std::vector<duration> finished(stages_.size());
+    for (auto const n : order_)
     {
         duration at{};
         for (auto const after : stages_[n].definition.after)
             at = std::max(at, finished[after]);
         if (!stages_[n].results.empty())
             at = std::max(at, waits[n]) + times[n];
-        finished.push_back(at);
+        finished[n] = at;
         out = std::max(out, at);
     }
     return out;
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -76,6 +76,47 @@
     EXPECT_EQ(only<free_results>(out).handles.size(), 1U);
 }
 
+// A request ran with what could be read of its route.
+TEST_F(gateway_stages, that_cannot_run_as_written_refuse_their_requests)
+{
+    auto manifest = make_manifest(2);
+    route odd;
+    odd.name = "odd";
+    odd.host = "h";
+    odd.path_prefix = "/staged/odd/";
+    odd.services = {{"engine", 1}};
+    odd.stages = {{"stage", {1}, 10}, {"stage", {0}, 10}};
+    manifest->add_route(odd);
+    feed(manifest_changed{manifest});
+    auto const out = arrive("/staged/odd/x", 6s);
+    EXPECT_EQ(only<refuse_request>(out).status, 503);
+    EXPECT_EQ(only<refuse_request>(out).retry_after, 1s);
+    EXPECT_EQ(all<call_stage>(out).size(), 0U);
+    EXPECT_EQ(only<call_stage>(arrive("/staged/x", 6s)).pieces.size(), 1U);
+}
+
+// Stages that the request does not count got one piece each, and counts for
+// which there is no stage were ignored.
+TEST_F(gateway_stages, must_be_those_that_the_request_counts)
+{
+    for (auto const& counts :
+         {std::vector<std::uint32_t>{2, 1}, std::vector<std::uint32_t>{1, 0}})
+    {
+        request_arrived in;
+        in.request = ++last_request;
+        in.traits.id = "counts-" + std::to_string(last_request);
+        in.traits.host = "h";
+        in.traits.path = "/staged/x";
+        in.traits.key = "key";
+        in.traits.time_left = 6s;
+        in.traits.pieces = counts;
+        auto const out = feed(in);
+        EXPECT_EQ(only<refuse_request>(out).status, 503);
+        EXPECT_EQ(only<refuse_request>(out).retry_after, 100ms);
+        EXPECT_EQ(all<call_stage>(out).size(), 0U);
+    }
+}
+
 // A silent stream was moved although its stages, whose results were released,
 // could not be computed again in time; then it was aborted. On a test day, one
 // was cancelled with 95 ms left.
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -152,6 +152,7 @@
     void drop_lapsed_members(time_point at);
     void apply_manifest(store::object_update const& update);
     void take_manifest(platform::stored_object const& object);
+    void log_defective_routes(decision::gateway::manifest const& of);
     void fetch_manifest_from_peer(time_point now);
     void call_store(platform::store_request call, net::call_done done);
     void register_member();
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -369,10 +369,13 @@
     auto decoded = platform::decode_request(head);
     if (decoded.problem != platform::request_problem::none)
     {
-        log("request_malformed", {{"path", std::string(head.path())}});
+        auto const problem = platform::text_of(decoded.problem);
+        log("request_malformed",
+            {{"path", std::string(head.path())}, {"problem", problem}});
         std::string answer;
         http::append_status_line(answer, 400);
-        from.answer(std::move(answer), {});
+        http::append_header(answer, "Content-Type", "text/plain");
+        from.answer(std::move(answer), problem);
         metrics_.count_request("malformed", {});
         return;
     }
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -2,6 +2,8 @@
 #include <buckthornvale/gateway/gateway_process.hpp>
 #include <buckthornvale/gateway/store/store_timing.hpp>
 
+#include <algorithm>
+
 namespace buckthornvale::gateway
 {
 
@@ -125,10 +127,25 @@
     }
     auto const* current = reducer_.current_manifest();
     if (current == nullptr || current->version < value->version)
+    {
         encoded_manifest_ = platform::encode_object(object);
+        log_defective_routes(*value);
+    }
     reduce(model::manifest_changed{std::move(value)});
 }
 
+void gateway_process::log_defective_routes(model::manifest const& of)
+{
+    // A large manifest must not fill the log.
+    constexpr std::size_t max_lines = 16;
+    auto const& routes = of.defective_routes();
+    for (std::size_t n = 0; n < std::min(routes.size(), max_lines); ++n)
+        log("route_unusable", {{"route", routes[n].name},
+                               {"reason", model::name_of(routes[n].defect)},
+                               {"version", std::to_string(of.version)},
+                               {"routes", std::to_string(routes.size())}});
+}
+
 void gateway_process::apply_runners(store::object_update const& update)
 {
     bool const listed = update.listed;
--- a/packages/gateway/tests/endless_answer_test.cpp
+++ b/packages/gateway/tests/endless_answer_test.cpp
@@ -24,7 +24,7 @@
     std::string exchange_with(
         runner& from, std::string const& path,
         std::function<scripted_answer(received_request const&)> script,
-        std::optional<int> pieces = {})
+        std::string const& pieces = {})
     {
         from.script.push_back(std::move(script));
         return exchange(request("POST", path, "body", pieces));
@@ -95,7 +95,7 @@
             out.endless = std::string(65'536, ' ');
             return out;
         },
-        1);
+        "1");
     EXPECT_EQ(answer.rfind("HTTP/1.1 200", 0), 0U) << answer;
     EXPECT_GT(stage->endless_bytes, 0U);
     EXPECT_LE(stage->endless_bytes, max_endless_bytes);
--- a/packages/gateway/tests/evacuation_test.cpp
+++ b/packages/gateway/tests/evacuation_test.cpp
@@ -54,7 +54,7 @@
             for (auto const* path : {"/book/x", "/read/x"})
                 EXPECT_TRUE(
                     contains(exchange(request("POST", path, "")), "200 OK"));
-            exchange(request("POST", "/staged/x", "", 2));
+            exchange(request("POST", "/staged/x", "", "2"));
             run_for(10ms);
         }
     }
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -145,7 +145,7 @@
 std::string fleet_fixture::request(std::string const& method,
                                    std::string const& path,
                                    std::string const& body,
-                                   std::optional<int> pieces)
+                                   std::string const& pieces)
 {
     last_request_id = "id-" + std::to_string(++request_count);
     return standins::fleet_platform::text_of(
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -79,7 +79,7 @@
     //! Encodes a request with a new id.
     std::string request(std::string const& method, std::string const& path,
                         std::string const& body = {},
-                        std::optional<int> pieces = {});
+                        std::string const& pieces = {});
 
     //! Sends one request on a new connection and returns the complete response.
     std::string exchange(std::string const& text);
--- a/packages/gateway/tests/gateway_process_test.cpp
+++ b/packages/gateway/tests/gateway_process_test.cpp
@@ -57,7 +57,7 @@
     EXPECT_FALSE(contains(plain->received[0].text, "Bearer"));
     EXPECT_EQ(plain->received[0].body, "abc");
     EXPECT_EQ(status_of(exchange(request("GET", "/none/"))), 404);
-    auto const staged = exchange(request("POST", "/staged/x", "", 2));
+    auto const staged = exchange(request("POST", "/staged/x", "", "2"));
     EXPECT_EQ(status_of(staged), 200) << staged;
     ASSERT_EQ(engine->received.size(), 1U);
     EXPECT_NE(engine->received[0].inputs, "");
@@ -307,7 +307,7 @@
             return kept ? inputs_gone(in)
                         : runner_standin::proper(in, "data: done\n\n");
         });
-    auto const answer = exchange(request("POST", "/staged/x", "", 1));
+    auto const answer = exchange(request("POST", "/staged/x", "", "1"));
     EXPECT_EQ(status_of(answer), 200) << answer;
     EXPECT_TRUE(contains(answer, "done")) << answer;
 }
@@ -336,7 +336,7 @@
             return runner_standin::with_head(in, head, "");
         });
     recording_caller caller(loop, callers_port);
-    caller.send(request("POST", "/staged/x", "", 1));
+    caller.send(request("POST", "/staged/x", "", "1"));
     ASSERT_TRUE(run_until([&] { return stage->received.size() == 2; }));
     caller.leave();
     run_for(std::chrono::milliseconds(600));
--- a/packages/gateway/tests/runner_notices_test.cpp
+++ b/packages/gateway/tests/runner_notices_test.cpp
@@ -180,9 +180,9 @@
     };
     stage->script.emplace_back(answer);
     EXPECT_TRUE(
-        contains(exchange(request("POST", "/staged/x", "", 1)), "200 OK"));
+        contains(exchange(request("POST", "/staged/x", "", "1")), "200 OK"));
     EXPECT_TRUE(
-        contains(exchange(request("POST", "/staged/y", "", 1)), "200 OK"));
+        contains(exchange(request("POST", "/staged/y", "", "1")), "200 OK"));
     EXPECT_TRUE(repeated);
     ASSERT_EQ(engine->received.size(), 2U);
     EXPECT_NE(engine->received[0].inputs, engine->received[1].inputs);
@@ -227,11 +227,11 @@
     };
     stage->script.emplace_back(answer);
     recording_caller first_caller(loop, callers_port);
-    first_caller.send(request("POST", "/staged/x", "", 1));
+    first_caller.send(request("POST", "/staged/x", "", "1"));
     EXPECT_TRUE(run_until([&] { return calls == 3; }));
     // Waits for the call in progress.
     recording_caller second_caller(loop, callers_port);
-    second_caller.send(request("POST", "/staged/y", "", 1));
+    second_caller.send(request("POST", "/staged/y", "", "1"));
     run_until(
         [&]
         {
--- a/standins/fleet_platform/caller.cpp
+++ b/standins/fleet_platform/caller.cpp
@@ -14,8 +14,8 @@
 {
     auto out = start_of_request(request.method, request.path, request.id);
     out += "X-Request-Deadline-Ms: 3000\r\nAuthorization: Bearer key\r\n";
-    if (request.pieces)
-        out += "X-Pieces: " + std::to_string(*request.pieces) + "\r\n";
+    if (!request.pieces.empty())
+        out += "X-Pieces: " + request.pieces + "\r\n";
     return out + "Content-Length: " + std::to_string(request.body.size()) +
            "\r\n\r\n" + request.body;
 }
--- a/standins/fleet_platform/caller.hpp
+++ b/standins/fleet_platform/caller.hpp
@@ -1,7 +1,6 @@
 #ifndef BUCKTHORNVALE_STANDINS_FLEET_PLATFORM_CALLER_HPP
 #define BUCKTHORNVALE_STANDINS_FLEET_PLATFORM_CALLER_HPP
 
-#include <optional>
 #include <string>
 
 namespace buckthornvale::standins::fleet_platform
@@ -14,7 +13,7 @@
     std::string method;
     std::string path;
     std::string body;
-    std::optional<int> pieces; //!< of the only stage of its route
+    std::string pieces = {}; //!< by stage, comma-separated; empty: not stated
 };
 
 std::string text_of(caller_request const& request);
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -260,7 +260,10 @@
     for (std::size_t n = 0; n < items.size(); ++n)
         results.push_back(
             {{"handle", address() + "/" + std::to_string(next_handle_++)}});
-    return proper(request, json{{"items", results}}.dump());
+    auto const body = json{{"items", results}}.dump();
+    auto out = proper(request, body);
+    out.body = body;
+    return out;
 }
 
 scripted_answer runner_standin::answer_to(received_request const& request)
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -35,7 +35,8 @@
 struct scripted_answer
 {
     std::string bytes;
-    bool close = false; //!< after the bytes
+    std::string body = {}; //!< the end of the bytes; only set for stages
+    bool close = false;    //!< after the bytes
     bool reset = false;
     bool silent = false; //!< nothing at all
     //! Written again and again after the bytes, until the connection is closed.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -29,6 +29,21 @@
 
 constexpr std::chrono::milliseconds idle_timeouts[] = {1500ms, 3000ms, 6000ms};
 
+//! One stage that reads the results of another, which is listed before or
+//! behind it.
+nlohmann::json two_stages(bool reader_first)
+{
+    auto const stage = [](nlohmann::json after)
+    {
+        return nlohmann::json{
+            {"service", "stage"}, {"after", std::move(after)}, {"bytes", 100}};
+    };
+    auto const nothing = nlohmann::json::array();
+    if (reader_first)
+        return {stage({1}), stage(nothing)};
+    return {stage(nothing), stage({0})};
+}
+
 } // namespace
 
 soak::named_fault const soak::faults[] = {
@@ -71,7 +86,7 @@
         {
             auto const id = service + "-" + std::to_string(n);
             runners_.push_back(std::make_unique<soak_runner>(
-                loop_, id, service, ledger_, random_()));
+                loop_, id, service, ledger_, results_, random_()));
             store_.put_runner(id, runners_.back()->entry());
         }
     };
@@ -110,6 +125,9 @@
             {"/extra/", request_kind::idempotent, "plain", 1, false, {}});
     auto manifest =
         standins::fleet_platform::manifest_of(++manifest_version_, routes);
+    for (auto& it : manifest["routes"])
+        if (it.contains("stages"))
+            it["stages"] = two_stages(manifest_version_ % 2 == 1);
     manifest["limits"]["idleTimeoutMs"] = idle_timeout_ / 1ms;
     manifest_ = std::move(manifest);
     store_.put_manifest(manifest_);
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -101,6 +101,7 @@
     asio::io_context loop_;
     standins::fleet_platform::store_standin store_{loop_};
     request_ledger ledger_;
+    result_ledger results_{ledger_};
     std::vector<std::unique_ptr<soak_runner>> runners_;
     std::vector<std::unique_ptr<gateway_vm>> vms_;
     std::vector<std::unique_ptr<soak_caller>> callers_;
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -117,7 +117,7 @@
     out.path = route.path;
     out.body = "body";
     if (route.has_stages)
-        out.pieces = 2;
+        out.pieces = "2,2";
     auto const events = events_after(request_id_, 0);
     expected_body_ =
         route.rules.is_stream
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -62,8 +62,8 @@
 
 soak_runner::soak_runner(asio::io_context& loop, std::string const& id,
                          std::string service, request_ledger& ledger,
-                         std::uint64_t seed)
-    : standin_(loop, id), ledger_(ledger), random_(seed),
+                         result_ledger& results, std::uint64_t seed)
+    : standin_(loop, id), ledger_(ledger), results_(results), random_(seed),
       service_(std::move(service)), id_(id)
 {
     standin_.on_connection_end = [this](std::size_t connection)
@@ -140,8 +140,7 @@
         return answer_as_another(in);
     if (in.stage_call && !has_fault(runner_fault::spoil))
     {
-        write_later({{}, in.connection, standin_.stage_answer(in).bytes},
-                    random_time(10, 40));
+        answer_stage_call(in);
         scripted_answer later;
         later.silent = true;
         return later;
@@ -152,9 +151,18 @@
     return (this->*answer_fault)(in);
 }
 
+void soak_runner::answer_stage_call(received_request const& in)
+{
+    auto const answer = standin_.stage_answer(in);
+    results_.called(in.body, answer.body);
+    write_later({{}, in.connection, answer.bytes}, random_time(10, 40));
+}
+
 soak_runner::scripted_answer
 soak_runner::answer_properly(received_request const& in)
 {
+    if (!in.inputs.empty())
+        results_.read_by_request(in.id, in.inputs);
     scripted_answer later;
     later.silent = true;
     start_run(in);
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -2,6 +2,7 @@
 #define BUCKTHORNVALE_TESTS_SOAK_SOAK_RUNNER_HPP
 
 #include "request_ledger.hpp"
+#include "result_ledger.hpp"
 
 #include <map>
 #include <optional>
@@ -40,7 +41,7 @@
 public:
     soak_runner(asio::io_context& loop, std::string const& id,
                 std::string service, request_ledger& ledger,
-                std::uint64_t seed);
+                result_ledger& results, std::uint64_t seed);
 
     //! Writes what is due.
     void tick(time_point now);
@@ -103,6 +104,7 @@
     void expect_next();
     scripted_answer answer(received_request const& in);
     scripted_answer answer_properly(received_request const& in);
+    void answer_stage_call(received_request const& in);
     scripted_answer refuse(received_request const& in);
     scripted_answer spoil(received_request const& in);
     scripted_answer repeat_refusals(received_request const& in);
@@ -126,6 +128,7 @@
 
     standins::fleet_platform::runner_standin standin_;
     request_ledger& ledger_;
+    result_ledger& results_;
     std::mt19937_64 random_;
     std::vector<pending_write> pending_;
     std::string const service_;
