net, gateway: what answers of stages held is known until their connection ends

Cause: only handles tell an answer to a call of stages from a copy, and result_history forgot them after ten seconds for all connections alike, while a connection lives on for as long as it is in use or idle.

Change: net::answer_history is made with a connection and goes with it; a connection whose history is full carries no further call, so that nothing is forgotten before its connection ends.

does_not_use_an_answer_that_repeats_an_earlier_one and close_connections_to_a_runner_that_is_no_longer_listed fed handles that the scheduler remembered; it is told now that an answer repeats one (stage_call_ended::repeated). That copies are recognised is held by copies_of_stage_answers with the production gateway, and by knows_the_answers_of_a_connection_until_it_ends.

--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -129,6 +129,8 @@
     call_ref call = 0;
     call_outcome outcome = call_outcome::no_answer;
     bool misdirected = false;
+    //! The answer is a late copy of an earlier one on its connection.
+    bool repeated = false;
     //! In the order of the pieces in the call.
     std::vector<piece_call_result> pieces;
 };
--- a/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/stage_scheduler.hpp
@@ -7,7 +7,6 @@
 #include <buckthornvale/decision/gateway/piece_queue.hpp>
 #include <buckthornvale/decision/gateway/rank_shares.hpp>
 #include <buckthornvale/decision/gateway/rate_meter.hpp>
-#include <buckthornvale/decision/gateway/result_history.hpp>
 #include <buckthornvale/decision/gateway/runner_directory.hpp>
 #include <buckthornvale/decision/gateway/stage_capacity.hpp>
 
@@ -38,7 +37,7 @@
 {
     own,      //!< has a new handle
     unknown,  //!< has no handle
-    repeated, //!< has the handle of an earlier answer
+    repeated, //!< is the copy of an earlier answer
 };
 
 //! Batches the pieces of one stage service from all VMs into calls to its
@@ -200,7 +199,6 @@
     void record_runner_signal(call_state const& call,
                               stage_call_ended const& ended, bool answered,
                               runner_directory& runners, time_point now);
-    bool repeats_earlier_result(stage_call_ended const& ended) const;
     void record_call_time(call_state const& call, time_point now);
     void requeue_call_pieces(call_state& call, bool count_attempt,
                              time_point now);
@@ -242,7 +240,6 @@
     std::map<call_ref, call_state> calls_;
     std::map<std::string, runner_usage, std::less<>> usage_;
     std::map<std::string, held_result, std::less<>> held_;
-    result_history returned_;
     std::map<std::string, released_results> released_; //!< by address
     std::map<call_ref, released_results> freeing_;
     std::vector<addressed_result> results_;
--- a/packages/decision/src/gateway/stage_calls.cpp
+++ b/packages/decision/src/gateway/stage_calls.cpp
@@ -130,7 +130,6 @@
 {
     if (!result.handle.empty())
     {
-        returned_.add(result.handle, now);
         held_[result.handle] = {runner_id, it.work.result_bytes,
                                 now + limits_.result_lifetime};
         finish_piece(it, piece_outcome::done, result.handle);
@@ -151,14 +150,6 @@
     requeue(std::move(it), !result.no_room, now);
 }
 
-bool stage_scheduler::repeats_earlier_result(
-    stage_call_ended const& ended) const
-{
-    return std::any_of(ended.pieces.begin(), ended.pieces.end(),
-                       [&](piece_call_result const& it)
-                       { return returned_.contains(it.handle); });
-}
-
 answer_origin stage_scheduler::call_ended(stage_call_ended const& ended,
                                           runner_directory& runners,
                                           time_point now)
@@ -170,16 +161,17 @@
     calls_.erase(found);
     auto& usage = usage_[call.runner_id];
     usage.calls -= usage.calls > 0 ? 1 : 0;
-    bool const repeated = repeats_earlier_result(ended);
     bool const answered = ended.outcome == call_outcome::answered &&
                           ended.pieces.size() == call.pieces.size() &&
-                          !repeated;
+                          !ended.repeated;
     record_runner_signal(call, ended, answered, runners, now);
     if (!answered)
     {
         requeue_call_pieces(
-            call, repeated || ended.outcome == call_outcome::no_answer, now);
-        return repeated ? answer_origin::repeated : answer_origin::unknown;
+            call, ended.repeated || ended.outcome == call_outcome::no_answer,
+            now);
+        return ended.repeated ? answer_origin::repeated
+                              : answer_origin::unknown;
     }
     record_call_time(call, now);
     if (call.hedged)
--- a/packages/decision/src/gateway/stage_scheduler.cpp
+++ b/packages/decision/src/gateway/stage_scheduler.cpp
@@ -466,7 +466,6 @@
 void stage_scheduler::check_timeouts(time_point now)
 {
     last_check_ = now;
-    returned_.expire(now);
     expire_results(now);
     report_inputs_read(now);
     drop_late_pieces(now);
--- a/packages/decision/tests/gateway/reducer_stages_test.cpp
+++ b/packages/decision/tests/gateway/reducer_stages_test.cpp
@@ -396,6 +396,7 @@
     stage_call_ended copy;
     copy.call = second.call;
     copy.outcome = call_outcome::answered;
+    copy.repeated = true;
     copy.pieces.push_back(
         {piece_outcome::done, false,
          first.address + "/h" + std::to_string(first.pieces.front().request)});
--- a/packages/decision/tests/gateway/stage_scheduler_test.cpp
+++ b/packages/decision/tests/gateway/stage_scheduler_test.cpp
@@ -307,6 +307,7 @@
     scheduler.dispatch(pool.runners, pool.next_call, start + 300ms, out);
     auto copy = first;
     copy.call = 2;
+    copy.repeated = true;
     EXPECT_EQ(scheduler.call_ended(copy, pool.runners, start + 310ms),
               answer_origin::repeated);
     EXPECT_TRUE(scheduler.take_results().empty());
--- a/packages/gateway/src/gateway_stages.cpp
+++ b/packages/gateway/src/gateway_stages.cpp
@@ -2,6 +2,8 @@
 #include <buckthornvale/gateway/gateway_process.hpp>
 #include <buckthornvale/platform/stage_codec.hpp>
 
+#include <algorithm>
+
 namespace buckthornvale::gateway
 {
 
@@ -36,6 +38,27 @@
     return model::piece_outcome::failed;
 }
 
+//! Only the handles of an answer tell it from a copy of an earlier one, which
+//! can come as long as the connection of that one lives.
+bool repeats_earlier_answer(
+    std::vector<platform::stage_item_result> const& results,
+    net::answer_history const& history)
+{
+    return std::any_of(results.begin(), results.end(),
+                       [&](platform::stage_item_result const& it) {
+                           return !it.handle.empty() &&
+                                  history.contains(it.handle);
+                       });
+}
+
+void remember(std::vector<platform::stage_item_result> const& results,
+              net::answer_history& history)
+{
+    for (auto const& it : results)
+        if (!it.handle.empty())
+            history.add(it.handle);
+}
+
 } // namespace
 
 void gateway_process::execute(model::call_stage const& effect)
@@ -56,6 +79,7 @@
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = effect.timeout;
+    options.lane = net::call_lane::stage_runs;
     metrics_.count_stage_call(items.size());
     make_call(http_client_, effect.address,
               {"POST", std::string(platform::stage_run_target),
@@ -103,6 +127,8 @@
     else if (result.head.status == http::status_ok && results)
     {
         out.outcome = model::call_outcome::answered;
+        out.repeated = repeats_earlier_answer(*results, *result.history);
+        remember(*results, *result.history);
         for (auto const& it : *results)
             out.pieces.push_back(
                 {to_piece_outcome(it.failure),
@@ -116,6 +142,7 @@
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = free_results_timeout;
+    options.lane = net::call_lane::stage_frees;
     // The runner expires results that could not be freed.
     make_call(http_client_, effect.address,
               {"POST", std::string(platform::stage_free_target),
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include <buckthornvale/decision/core/time.hpp>
 #include <buckthornvale/http/message_parser.hpp>
+#include <buckthornvale/net/answer_history.hpp>
 #include <buckthornvale/net/clock.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
 
@@ -65,6 +66,15 @@
 //! Number of a connection of one client, never given out again.
 using connection_number = std::uint64_t;
 
+//! Calls of different lanes do not share connections. An answer that names no
+//! call can then be taken for that to another call of its lane at most.
+enum class call_lane
+{
+    general,
+    stage_runs, //!< calls that compute results
+    stage_frees //!< calls that free them
+};
+
 struct call_options
 {
     duration connect_timeout = std::chrono::milliseconds(400);
@@ -79,6 +89,8 @@
     //! could not be told from the answer to this one. Read by `call` only.
     absl::Span<connection_number const> excluded_connections;
 
+    call_lane lane = call_lane::general;
+
     //! False: use a new connection for this call and close it afterwards.
     bool keep_connection = true;
 };
@@ -109,6 +121,9 @@
     //! The connection that carries the call, which must not have ended.
     connection_number connection_of(call_id call) const;
 
+    //! The history of that connection.
+    std::shared_ptr<answer_history> history_of(call_id call) const;
+
     //! Closes the connection of the call. The handler is not called again.
     void cancel(call_id call);
 
@@ -128,6 +143,7 @@
 
     struct idle_connection
     {
+        call_lane lane = call_lane::general;
         std::shared_ptr<connection> http_connection;
         time_point idle_since{};
         time_point expires_at{};
--- a/packages/net/include/buckthornvale/net/short_call.hpp
+++ b/packages/net/include/buckthornvale/net/short_call.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,8 @@
     std::optional<call_failure> failure; //!< nullopt on success
     http::response_head head;
     std::string body;
+    //! Of the connection that carried the call; never empty.
+    std::shared_ptr<answer_history> history;
 };
 
 using call_done = std::function<void(call_result const&)>;
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -61,6 +61,8 @@
     }
 
     connection_number number() const { return number_; }
+    call_lane lane() const { return lane_; }
+    std::shared_ptr<answer_history> const& history() const { return history_; }
     std::string const& address() const { return address_; }
     tcp_stream& stream() { return *stream_; }
 
@@ -77,6 +79,7 @@
         discarding_response_ = false;
         body_rejected_ = false;
         keep_connection_ = options.keep_connection;
+        lane_ = options.lane;
         is_head_request_ = head_.compare(0, 5, "HEAD ") == 0;
         parser_.next();
         if (head_.empty())
@@ -311,6 +314,9 @@
     http_client& client_;
     connection_number const number_;
     std::string const address_;
+    call_lane lane_ = call_lane::general; //!< of all its calls
+    std::shared_ptr<answer_history> const history_ =
+        std::make_shared<answer_history>();
     std::shared_ptr<tcp_stream> stream_;
     http::message_parser parser_;
     answer_handler* handler_ = nullptr;
@@ -379,6 +385,11 @@
     return calls_.at(call)->number();
 }
 
+std::shared_ptr<answer_history> http_client::history_of(call_id call) const
+{
+    return calls_.at(call)->history();
+}
+
 void http_client::cancel(call_id call)
 {
     auto const found = calls_.find(call);
@@ -419,7 +430,8 @@
     }
     http_connection->stream().resume_reading();
     auto& list = idle_[http_connection->address()];
-    list.push_back({std::move(http_connection), now, now + idle_timeout});
+    auto const lane = http_connection->lane();
+    list.push_back({lane, std::move(http_connection), now, now + idle_timeout});
 }
 
 void http_client::remove_idle(connection const* http_connection)
@@ -448,13 +460,14 @@
     for (std::size_t n = list.size(); n > 0; --n)
     {
         auto const it = list.begin() + std::ptrdiff_t(n - 1);
-        if (contains(options.excluded_connections,
-                     it->http_connection->number()))
+        if (it->lane != options.lane || contains(options.excluded_connections,
+                                                 it->http_connection->number()))
             continue;
         auto const entry = std::move(*it);
         list.erase(it);
         if (entry.expires_at > now &&
             now - entry.idle_since <= options.max_idle &&
+            !entry.http_connection->history()->is_full() &&
             entry.http_connection->stream().is_quiet())
             return entry.http_connection;
         entry.http_connection->close();
--- a/packages/net/src/short_call.cpp
+++ b/packages/net/src/short_call.cpp
@@ -15,6 +15,11 @@
     {
     }
 
+    void set_history(std::shared_ptr<answer_history> history)
+    {
+        result_.history = std::move(history);
+    }
+
     response_match on_answer_head(http::response_head const& head) override
     {
         result_.head = head;
@@ -49,11 +54,14 @@
                   short_request request, call_options const& options,
                   call_done done)
 {
-    return client.call(
+    auto const collector = std::make_shared<response_collector>(
+        request.max_answer_bytes, std::move(done));
+    auto const call = client.call(
         address, std::move(request.head),
         std::make_shared<std::string const>(std::move(request.body)), options,
-        std::make_shared<response_collector>(request.max_answer_bytes,
-                                             std::move(done)));
+        collector);
+    collector->set_history(client.history_of(call));
+    return call;
 }
 
 } // namespace buckthornvale::net
--- a/packages/net/tests/loopback_test.cpp
+++ b/packages/net/tests/loopback_test.cpp
@@ -62,7 +62,8 @@
 
     //! Makes a call and returns the connection that carried it.
     connection_number
-    connection_of_call(std::vector<connection_number> const& excluded)
+    connection_of_call(std::vector<connection_number> const& excluded,
+                       call_lane lane = call_lane::general)
     {
         connection_number out = 0;
         std::promise<void> done;
@@ -71,6 +72,7 @@
             {
                 call_options options;
                 options.excluded_connections = excluded;
+                options.lane = lane;
                 auto const id = make_call(
                     client, address,
                     {"GET /3 HTTP/1.1\r\nHost: a\r\n\r\n", {}, 100}, options,
@@ -138,6 +140,44 @@
     EXPECT_EQ(handler.requests, 3);
 }
 
+// Guards against an answer that names no call and is taken for that to a call
+// of another kind.
+TEST_F(loopback_test, keeps_the_connections_of_lanes_apart)
+{
+    start({});
+    auto const general = connection_of_call({});
+    auto const runs = connection_of_call({}, call_lane::stage_runs);
+    auto const frees = connection_of_call({}, call_lane::stage_frees);
+    EXPECT_NE(runs, general);
+    EXPECT_NE(frees, general);
+    EXPECT_NE(frees, runs);
+    EXPECT_EQ(connection_of_call({}, call_lane::stage_runs), runs);
+    EXPECT_EQ(connection_of_call({}), general);
+}
+
+// What tells the copy of an answer must be known as long as its connection can
+// carry one, however many answers that are.
+TEST_F(loopback_test, knows_the_answers_of_a_connection_until_it_ends)
+{
+    start({});
+    auto const history = call("/3", 100, true).history;
+    loop.run([&] { history->add("first"); });
+    auto const again = call("/3", 100, true).history;
+    EXPECT_EQ(again, history);
+    loop.run(
+        [&]
+        {
+            for (std::size_t n = 1; n < answer_history::capacity; ++n)
+                history->add(std::to_string(n));
+            EXPECT_TRUE(history->contains("first"));
+            EXPECT_FALSE(history->contains("second"));
+        });
+    auto const next = call("/3", 100, true).history;
+    EXPECT_NE(next, history);
+    loop.run([&] { EXPECT_FALSE(next->contains("first")); });
+    EXPECT_TRUE(reaches_connection_count(1));
+}
+
 // Guards against a second send of a request on the connection of the first,
 // where a late copy of the first answer could not be told from the second.
 TEST_F(loopback_test, carries_no_call_on_an_excluded_connection)
--- a/tests/soak/soak_runner.cpp
+++ b/tests/soak/soak_runner.cpp
@@ -21,6 +21,10 @@
 
 constexpr int copy_moment_count = 3;
 
+//! One of so many answers to calls of stages follows the copy of any earlier
+//! one on its connection.
+constexpr std::uint64_t calls_per_late_copy = 40;
+
 constexpr char const* misdirected_status_line = "421 Misdirected Request";
 
 bool is_stream(std::string const& path)
@@ -64,7 +68,7 @@
                          std::string service, request_ledger& ledger,
                          result_ledger& results, std::uint64_t seed)
     : standin_(loop, id), ledger_(ledger), results_(results), random_(seed),
-      service_(std::move(service)), id_(id)
+      service_(std::move(service)), id_(id), random_copies_(seed)
 {
     standin_.on_connection_end = [this](std::size_t connection)
     {
@@ -155,6 +159,13 @@
 {
     auto const answer = standin_.stage_answer(in);
     results_.called(in.body, answer.body);
+    auto& earlier = stage_answers_[in.connection];
+    bool const repeat =
+        !earlier.empty() && random_copies_() % calls_per_late_copy == 0;
+    if (repeat)
+        standin_.write(in.connection,
+                       earlier[random_copies_() % earlier.size()]);
+    earlier.push_back(answer.bytes);
     write_later({{}, in.connection, answer.bytes}, random_time(10, 40));
 }
 
--- a/tests/soak/soak_runner.hpp
+++ b/tests/soak/soak_runner.hpp
@@ -136,7 +136,11 @@
     int starts_ = 1;
     std::map<std::size_t, std::string> runs_;    //!< request by connection
     std::map<std::size_t, refusal_copy> copies_; //!< by connection
-    std::set<std::size_t> ended_connections_;    //!< that it has not noticed
+    //! Answers to calls of stages, by connection.
+    std::map<std::size_t, std::vector<std::string>> stage_answers_;
+    //! Apart, so that the seed of a run draws the same faults as before.
+    std::mt19937_64 random_copies_;
+    std::set<std::size_t> ended_connections_; //!< that it has not noticed
     //! Connections on which it has broken the protocol. They are left for that
     //! reason, however silent it is.
     std::set<std::size_t> broken_connections_;
