net, gateway: a time limit does not end an answer that is arriving

Cause: while a watch counted as unreachable, the whole answer had a second. On a slow link several versions of a large manifest take longer; the call was given up and the same changes asked for again. One limit answered whether the server is silent and how long the answer may take. Lists, the manifest of another VM and messages to it had the same limit of another size.

Change: the limit of a call with a pace ends with the first byte of the body; then a second of silence or too low a rate ends the call. One place decides the pace, from the rate of the link. Changes larger than two lists are not read, the VM lists in their place and logs it. The wait of a watch leaves time for the largest manifest on the link, so that the bound of drain.md holds.

--- a/packages/gateway/include/buckthornvale/gateway/peer/peer_sender.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/peer/peer_sender.hpp
@@ -36,7 +36,8 @@
     };
 
     peer_sender(net::http_client& client, std::string self,
-                std::uint64_t incarnation, callback_set callbacks);
+                std::uint64_t incarnation, net::transfer_pace pace,
+                callback_set callbacks);
     ~peer_sender();
 
     void send(std::string const& member, std::string const& address,
@@ -48,6 +49,7 @@
     net::http_client& client_;
     std::string const self_;
     std::uint64_t const incarnation_;
+    net::transfer_pace const pace_;
     callback_set callbacks_;
     std::map<std::string, std::unique_ptr<link>> links_;
 };
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -36,9 +36,11 @@
 
 //! Follows all objects of one kind in the store: lists them, watches for
 //! changes from the revision of the list, and lists again when the store has
-//! compacted that revision or has come back from a copy. A list that the store
-//! does not continue is used as far as it was read, and is tried again after
-//! the next watch.
+//! compacted that revision or has come back from a copy. It also lists when the
+//! changes since that revision are larger than a list: a link that is slower
+//! than they come would never carry them all. A list that the store does not
+//! continue is used as far as it was read, and is tried again after the next
+//! watch.
 class store_watcher
 {
 public:
@@ -53,12 +55,17 @@
         //! Called when the store becomes unreachable or reachable again.
         std::function<void(bool reachable, std::string const& reason)>
             reachable;
+
+        //! Called when all objects are listed in place of changes that take
+        //! more than `max_bytes`.
+        std::function<void(std::uint64_t revision, std::size_t max_bytes)>
+            changes_skipped;
     };
 
     store_watcher(asio::io_context& loop, net::http_client& client,
                   std::string address, platform::object_kind kind,
-                  watch_timing timing, clock_function clock,
-                  callback_set callbacks);
+                  watch_timing timing, net::transfer_pace pace,
+                  clock_function clock, callback_set callbacks);
 
     void start();
 
@@ -74,7 +81,8 @@
 private:
     void request_list();
     void request_watch();
-    void send(platform::store_request const& call, duration timeout);
+    void send(platform::store_request const& call, duration timeout,
+              std::size_t max_answer_bytes);
     void handle_response(net::call_result const& result);
     void retry_later(std::string const& reason);
     void continue_after(duration pause);
@@ -82,6 +90,8 @@
     void handle_list(std::string const& body);
     void finish_list(bool complete);
     void handle_changes(std::string const& body);
+    std::size_t max_change_bytes() const;
+    void skip_changes();
     void mark_reachable();
     std::optional<time_point> failed_shortly_before(time_point now) const;
 
@@ -89,6 +99,7 @@
     std::string const address_;
     platform::object_kind const kind_;
     watch_timing const timing_;
+    net::transfer_pace const pace_;
     clock_function clock_;
     callback_set callbacks_;
     net::timer timer_;
@@ -104,6 +115,9 @@
     net::call_id call_ = 0; //!< the last one
     std::uint64_t revision_ = 0;
     std::vector<std::string> list_cursors_; //!< of this list, the last in use
+    std::size_t pages_bytes_ = 0;           //!< of this list, so far
+    std::size_t list_bytes_ = 0;            //!< of the last complete list
+    bool changes_skipped_ = false;          //!< since the last list
     std::vector<platform::stored_object> listed_objects_;
 };
 
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -3,6 +3,7 @@
 #include <buckthornvale/decision/core/ids.hpp>
 #include <buckthornvale/gateway/gateway_process.hpp>
 #include <buckthornvale/gateway/store/store_timing.hpp>
+#include <buckthornvale/gateway/transfer_time.hpp>
 #include <buckthornvale/http/text.hpp>
 
 #include <asio/post.hpp>
@@ -114,6 +115,7 @@
       http_client_(loop, [this] { return now(); }),
       peer_sender_(
           http_client_, settings_.vm_name, incarnation,
+          transfer_pace_of(settings_),
           {[this](std::string const& member, std::uint64_t value) {
                reduce(model::peer_answered{member, value});
            },
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -1,6 +1,7 @@
 #include "control_handler.hpp"
 #include <buckthornvale/gateway/gateway_process.hpp>
 #include <buckthornvale/gateway/store/store_timing.hpp>
+#include <buckthornvale/gateway/transfer_time.hpp>
 
 #include <algorithm>
 
@@ -14,7 +15,7 @@
 namespace model = decision::gateway;
 using decision::duration;
 
-constexpr duration write_timeout = 1500ms;
+constexpr duration write_timeout = 1500ms; //!< until the answer begins
 constexpr duration registration_retry_delay = 700ms;
 
 //! Entries of runners that do not renew them lapse after some intervals. This
@@ -25,7 +26,7 @@
 //! While the store is unreachable, another VM is asked for a newer manifest
 //! once per interval, because the store may be unreachable from this VM only.
 constexpr duration manifest_fetch_interval = 600ms;
-constexpr duration manifest_fetch_timeout = 500ms;
+constexpr duration manifest_fetch_timeout = 500ms; //!< until it begins
 
 } // namespace
 
@@ -66,9 +67,18 @@
             log(reachable ? "store_regained" : "store_lost",
                 {{"watch", it.name}, {"reason", reason}});
         };
+        callbacks.changes_skipped =
+            [this, it](std::uint64_t revision, std::size_t max_bytes)
+        {
+            log("store_changes_skipped",
+                {{"watch", it.name},
+                 {"revision", std::to_string(revision)},
+                 {"max_bytes", std::to_string(max_bytes)}});
+        };
         store_watchers_.push_back(std::make_unique<store::store_watcher>(
             loop_, http_client_, settings_.store_endpoint.to_string(), it.kind,
-            it.timing, [this] { return now(); }, std::move(callbacks)));
+            it.timing, transfer_pace_of(settings_), [this] { return now(); },
+            std::move(callbacks)));
     }
     // The store may have come back from a copy shortly before.
     ask_peers_until_ = now() + settings_.settle_time;
@@ -224,6 +234,7 @@
     net::call_options options;
     options.connect_timeout = manifest_fetch_timeout;
     options.timeout = manifest_fetch_timeout;
+    options.pace = transfer_pace_of(settings_);
     fetching_manifest_ = true;
     make_call(http_client_, to.address, {"GET", target, {}, {}}, options,
               [this, name = to.name](net::call_result const& result)
@@ -260,6 +271,7 @@
 {
     net::call_options options;
     options.timeout = write_timeout;
+    options.pace = transfer_pace_of(settings_);
     make_call(http_client_, settings_.store_endpoint.to_string(),
               {std::move(call.method),
                std::move(call.target),
--- a/packages/gateway/src/peer/peer_sender.cpp
+++ b/packages/gateway/src/peer/peer_sender.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-//! A VM that does not respond within this time counts as unreachable.
+//! A VM that does not begin to respond within this time, after it has received
+//! the messages, counts as unreachable.
 constexpr net::duration response_timeout = 500ms;
 constexpr net::duration connect_timeout = 300ms;
 
@@ -51,6 +52,7 @@
         net::call_options options;
         options.connect_timeout = connect_timeout;
         options.timeout = response_timeout;
+        options.pace = owner_.pace_;
         make_call(
             owner_.client_, address_,
             {"POST", std::string(messages_path), encode_envelope(value), {}},
@@ -121,9 +123,10 @@
 };
 
 peer_sender::peer_sender(net::http_client& client, std::string self,
-                         std::uint64_t incarnation, callback_set callbacks)
+                         std::uint64_t incarnation, net::transfer_pace pace,
+                         callback_set callbacks)
     : client_(client), self_(std::move(self)), incarnation_(incarnation),
-      callbacks_(std::move(callbacks))
+      pace_(pace), callbacks_(std::move(callbacks))
 {
 }
 
--- a/packages/gateway/src/store/store_timing.cpp
+++ b/packages/gateway/src/store/store_timing.cpp
@@ -1,4 +1,5 @@
 #include <buckthornvale/gateway/store/store_timing.hpp>
+#include <buckthornvale/gateway/transfer_time.hpp>
 
 #include <algorithm>
 
@@ -56,8 +57,12 @@
     auto const wait = decision::from_seconds(
         manifest_wait_factor *
         decision::to_seconds(settings.manifest_apply_timeout));
+    // A manifest may be as large as the store allows.
+    auto const time_on_link =
+        transfer_time(settings.max_store_value_bytes, settings);
     auto const longest =
-        longest_wait(settings, settings.manifest_apply_timeout, manifest_pause);
+        longest_wait(settings, settings.manifest_apply_timeout - time_on_link,
+                     manifest_pause);
     return {std::min(std::clamp(wait, min_manifest_wait, max_manifest_wait),
                      longest),
             manifest_pause, manifest_pause};
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration list_timeout = 1500ms;
+constexpr duration list_timeout = 1500ms; //!< until an answer begins
 constexpr duration connect_timeout = 500ms;
 
 //! Wait and timeout margin of a watch while the store is unreachable.
@@ -25,8 +25,14 @@
 //! that expired while the store was unreachable are written again.
 constexpr duration recovery_period = 2200ms;
 
-//! A page of a list has about 1 MB; a watch may return many changes at once.
-constexpr std::size_t max_answer_bytes = 16'777'216;
+//! A page of a list has about 1 MB.
+constexpr std::size_t max_page_bytes = 16'777'216;
+
+//! Changes that take more than this multiple of a list cost more than a list.
+constexpr std::size_t max_changes_per_list = 2;
+
+//! So few bytes cost less than another call.
+constexpr std::size_t small_answer_bytes = 65'536;
 
 constexpr int status_gone = 410;
 
@@ -43,10 +49,10 @@
 
 store_watcher::store_watcher(asio::io_context& loop, net::http_client& client,
                              std::string address, platform::object_kind kind,
-                             watch_timing timing, clock_function clock,
-                             callback_set callbacks)
+                             watch_timing timing, net::transfer_pace pace,
+                             clock_function clock, callback_set callbacks)
     : client_(client), address_(std::move(address)), kind_(kind),
-      timing_(timing), clock_(std::move(clock)),
+      timing_(timing), pace_(pace), clock_(std::move(clock)),
       callbacks_(std::move(callbacks)), timer_(loop)
 {
 }
@@ -82,10 +88,13 @@
 {
     watching_ = false;
     if (list_cursors_.empty())
+    {
         listed_objects_.clear();
+        pages_bytes_ = 0;
+    }
     auto const cursor =
         list_cursors_.empty() ? std::string() : list_cursors_.back();
-    send(platform::list_request(kind_, cursor), list_timeout);
+    send(platform::list_request(kind_, cursor), list_timeout, max_page_bytes);
 }
 
 void store_watcher::request_watch()
@@ -96,16 +105,24 @@
     auto const max_wait = reachable_ ? timing_.max_wait : outage_watch_wait;
     auto const margin =
         reachable_ ? watch_timeout_margin : outage_watch_timeout_margin;
-    send(platform::watch_request(kind_, revision_, max_wait),
-         max_wait + margin);
+    send(platform::watch_request(kind_, revision_, max_wait), max_wait + margin,
+         max_change_bytes());
 }
 
-void store_watcher::send(platform::store_request const& call, duration timeout)
+std::size_t store_watcher::max_change_bytes() const
+{
+    return std::clamp(list_bytes_ * max_changes_per_list, small_answer_bytes,
+                      max_page_bytes);
+}
+
+void store_watcher::send(platform::store_request const& call, duration timeout,
+                         std::size_t max_answer_bytes)
 {
     call_started_at_ = clock_();
     net::call_options options;
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
+    options.pace = pace_;
     call_ = make_call(
         client_, address_,
         {call.method, call.target, call.body, {}, max_answer_bytes}, options,
@@ -114,7 +131,7 @@
 
 void store_watcher::handle_response(net::call_result const& result)
 {
-    if (result.failure)
+    if (result.failure && !result.too_large)
     {
         // What broke this connection may have broken the idle ones too.
         client_.forget(address_);
@@ -147,6 +164,10 @@
     }
     else if (status != http::status_ok)
         retry_later("status " + std::to_string(status));
+    else if (result.too_large && watching_)
+        skip_changes();
+    else if (result.too_large)
+        retry_later("page too large");
     else if (watching_)
         handle_changes(result.body);
     else
@@ -202,8 +223,17 @@
     return failed_after_;
 }
 
+void store_watcher::skip_changes()
+{
+    mark_reachable();
+    callbacks_.changes_skipped(revision_, max_change_bytes());
+    changes_skipped_ = true;
+    list_anew();
+}
+
 void store_watcher::handle_list(std::string const& body)
 {
+    pages_bytes_ += body.size();
     auto page = platform::decode_list(body);
     if (!page.ok())
     {
@@ -241,9 +271,16 @@
     update.revision = revision_;
     update.failed_after = failed_shortly_before(clock_());
     if (complete)
+    {
         update.restored = std::exchange(restored_, false);
+        list_bytes_ = pages_bytes_;
+    }
     callbacks_.updated(update);
-    request_watch();
+    // The next changes may be too large again.
+    if (std::exchange(changes_skipped_, false))
+        continue_after(timing_.pause);
+    else
+        request_watch();
 }
 
 void store_watcher::handle_changes(std::string const& body)
--- a/packages/gateway/tests/fleet_fixture.cpp
+++ b/packages/gateway/tests/fleet_fixture.cpp
@@ -73,7 +73,9 @@
     settings.caller_endpoint = {"127.0.0.1", reserve_port()};
     settings.readiness_endpoint = {"127.0.0.1", reserve_port()};
     settings.first_peer_port = reserve_port();
-    settings.store_endpoint = {"127.0.0.1", used_store.port()};
+    settings.store_endpoint = {"127.0.0.1",
+                               store_port.value_or(used_store.port())};
+    settings.link_mbps = link_mbps;
     settings.cpu_share = 1;
     settings.memory_bytes = 125'829'120;
     settings.settle_time = settle_time;
--- a/packages/gateway/tests/fleet_fixture.hpp
+++ b/packages/gateway/tests/fleet_fixture.hpp
@@ -92,6 +92,9 @@
     int request_count = 0;
     //! Bound in the settings of the gateways that are started next.
     std::optional<std::chrono::seconds> evacuation_timeout;
+    //! Port of a link to the store for gateways that are started next.
+    std::optional<std::uint16_t> store_port;
+    double link_mbps = 1000; //!< in the settings of gateways started next
     //! Limit of the plain service for cold runners, in the next manifest.
     std::optional<double> cold_requests_per_s;
 
--- a/packages/gateway/tests/store_timing_test.cpp
+++ b/packages/gateway/tests/store_timing_test.cpp
@@ -85,6 +85,25 @@
     }
 }
 
+// On a slow link, the largest manifest is still on its way for a while after
+// the loss was noticed.
+TEST(store_timing, leaves_time_for_the_largest_manifest_on_a_slow_link)
+{
+    constexpr duration retry = 200ms;
+    constexpr duration time_on_link = 800ms;
+    for (duration const bound : {1s, 2s, 3s})
+    {
+        auto settings = settings_of(2s, bound);
+        settings.settle_time = 2s;
+        settings.link_mbps = 10;
+        settings.max_store_value_bytes = 1'000'000;
+        auto const timing = manifest_watch_timing(settings);
+        EXPECT_LE(timing.pause + timing.max_wait + watch_timeout_margin +
+                      retry + time_on_link,
+                  settings.settle_time + bound);
+    }
+}
+
 // A manifest that is missed because a connection went silent must not stay
 // missed for long.
 TEST(store_timing, notices_a_silent_store_soon)
--- a/packages/net/include/buckthornvale/net/http_client.hpp
+++ b/packages/net/include/buckthornvale/net/http_client.hpp
@@ -4,6 +4,7 @@
 #include <buckthornvale/decision/core/time.hpp>
 #include <buckthornvale/http/message_parser.hpp>
 #include <buckthornvale/net/answer_history.hpp>
+#include <buckthornvale/net/call_progress.hpp>
 #include <buckthornvale/net/clock.hpp>
 #include <buckthornvale/net/tcp_stream.hpp>
 
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,7 +29,7 @@
     not_sent,   //!< no byte of the request was sent
     no_answer,  //!< sent, but no response was received
     broken_off, //!< the response was incomplete
-    timed_out   //!< not complete within the timeout
+    timed_out   //!< not complete in time
 };
 
 //! What the head of a response says about the call that waits for one.
@@ -78,7 +80,10 @@
 struct call_options
 {
     duration connect_timeout = std::chrono::milliseconds(400);
-    duration timeout = std::chrono::seconds(30); //!< for the entire call
+    duration timeout = std::chrono::seconds(30); //!< see call_progress
+
+    //! For messages of any size; not set: `timeout` bounds the whole call.
+    std::optional<transfer_pace> pace = std::nullopt;
 
     //! Connections that were idle for longer are not reused. The peer may have
     //! closed them, and a request that must not be retried would be lost.
--- a/packages/net/include/buckthornvale/net/short_call.hpp
+++ b/packages/net/include/buckthornvale/net/short_call.hpp
@@ -16,8 +16,9 @@
 struct call_result
 {
     std::optional<call_failure> failure; //!< nullopt on success
-    http::response_head head;
+    http::response_head head;            //!< also if the body was too large
     std::string body;
+    bool too_large = false; //!< the cause of the failure; the head is there
     //! Of the connection that carried the call; never empty.
     std::shared_ptr<answer_history> history;
 };
@@ -34,7 +35,8 @@
 
 //! Makes a call and buffers its response. `done` is called once, unless the
 //! call is cancelled or the client is destroyed first. A response body larger
-//! than max_answer_bytes fails the call with call_failure::broken_off.
+//! than max_answer_bytes fails the call with call_failure::broken_off, at its
+//! beginning if the response states its length.
 call_id make_call(http_client& client, std::string const& address,
                   short_request request, call_options const& options,
                   call_done done);
--- a/packages/net/include/buckthornvale/net/tcp_stream.hpp
+++ b/packages/net/include/buckthornvale/net/tcp_stream.hpp
@@ -86,6 +86,10 @@
         return in_flight_.size() - in_flight_written_ + pending_.size();
     }
 
+    //! Bytes that were written and that the kernel of the peer has not
+    //! acknowledged. The connection must be open.
+    std::size_t unacknowledged();
+
     //! Memory of the queue.
     std::size_t queue_capacity() const
     {
--- a/packages/net/src/http_client.cpp
+++ b/packages/net/src/http_client.cpp
@@ -75,7 +75,7 @@
         handler_ = &call_handler;
         head_ = std::move(head);
         body_ = std::move(body);
-        deadline_ = now + options.timeout;
+        progress_.start(options.timeout, options.pace, now);
         discarding_response_ = false;
         body_rejected_ = false;
         keep_connection_ = options.keep_connection;
@@ -108,9 +108,11 @@
     {
         if (handler_ == nullptr)
             return;
+        if (progress_.is_sending())
+            progress_.note_unacknowledged(stream_->unacknowledged(), now);
         if (!connected_ && now >= connect_deadline_)
             fail(call_failure::not_sent, false);
-        else if (now >= deadline_)
+        else if (progress_.is_overdue(now))
             fail(sent_ ? call_failure::timed_out : call_failure::not_sent,
                  false);
     }
@@ -204,9 +206,12 @@
 
     void on_body(std::string_view bytes) override
     {
-        if (handler_ != nullptr && !discarding_response_ &&
-            !is_interim_response_ && !body_rejected_)
-            body_rejected_ = !handler_->on_answer_body(bytes);
+        if (handler_ == nullptr || discarding_response_ ||
+            is_interim_response_ || body_rejected_)
+            return;
+        if (progress_.is_paced())
+            progress_.received(bytes.size(), client_.clock_());
+        body_rejected_ = !handler_->on_answer_body(bytes);
     }
 
     void on_complete() override {}
@@ -223,7 +228,7 @@
         }
         // After a pause of the process, the connection can be reported although
         // the time of the call is over. That it was made late does not matter.
-        if (client_.clock_() >= deadline_)
+        if (progress_.is_overdue(client_.clock_()))
         {
             fail(call_failure::not_sent, false);
             return;
@@ -239,8 +244,9 @@
         response_started_ = false;
         if (is_head_request_)
             parser_.expect_no_body();
-        bool const written = stream_->write(
-            head_, body_ ? std::string_view(*body_) : std::string_view());
+        auto const body = body_ ? std::string_view(*body_) : std::string_view();
+        bool const written = stream_->write(head_, body);
+        progress_.sent(head_.size() + body.size());
         head_.clear();
         if (!written)
         {
@@ -328,7 +334,7 @@
     std::string head_;
     std::shared_ptr<std::string const> body_;
     time_point connect_deadline_{};
-    time_point deadline_{};
+    call_progress progress_;
     bool connected_ = false;
     bool sent_ = false;
     bool response_started_ = false;
--- a/packages/net/src/short_call.cpp
+++ b/packages/net/src/short_call.cpp
@@ -1,3 +1,4 @@
+#include <buckthornvale/http/text.hpp>
 #include <buckthornvale/net/short_call.hpp>
 
 namespace buckthornvale::net
@@ -23,15 +24,19 @@
     response_match on_answer_head(http::response_head const& head) override
     {
         result_.head = head;
+        auto const length = http::find_header(head.headers, "Content-Length");
+        exceeds_limit_ =
+            length && http::parse_number(*length).value_or(0) > max_bytes_;
         return response_match::expected;
     }
 
     bool on_answer_body(std::string_view bytes) override
     {
-        if (result_.body.size() + bytes.size() > max_bytes_)
-            return false;
-        result_.body.append(bytes);
-        return true;
+        result_.too_large =
+            exceeds_limit_ || result_.body.size() + bytes.size() > max_bytes_;
+        if (!result_.too_large)
+            result_.body.append(bytes);
+        return !result_.too_large;
     }
 
     void on_answer_end() override { done_(result_); }
@@ -46,6 +51,7 @@
     std::size_t max_bytes_;
     call_done done_;
     call_result result_;
+    bool exceeds_limit_ = false; //!< by its stated length
 };
 
 } // namespace
--- a/packages/net/src/tcp_stream.cpp
+++ b/packages/net/src/tcp_stream.cpp
@@ -268,11 +268,15 @@
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
 }
 
+std::size_t tcp_stream::unacknowledged()
+{
+    return queued() +
+           std::size_t(unacknowledged_bytes(socket_.native_handle()));
+}
+
 bool tcp_stream::has_delivered_all()
 {
-    int const fd = socket_.native_handle();
-    return queued() == 0 && unacknowledged_bytes(fd) == 0 &&
-           !has_pending_error(fd);
+    return unacknowledged() == 0 && !has_pending_error(socket_.native_handle());
 }
 
 void tcp_stream::fail(asio::error_code ec)
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -202,6 +202,13 @@
     return found != contents_.objects.end() && found->second.count(name) > 0;
 }
 
+void store_standin::move_member(std::string const& name, std::string address)
+{
+    auto entry = contents_.objects.at("members").at(name).at("specification");
+    entry["address"] = std::move(address);
+    put("members", name, std::move(entry));
+}
+
 std::size_t store_standin::calls(std::string const& kind) const
 {
     auto const found = calls_.find(kind);
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -47,6 +47,9 @@
     //! VMs of the product that have registered themselves.
     std::size_t members() const { return size("members"); }
 
+    //! Writes another address into the entry of the VM, which must exist.
+    void move_member(std::string const& name, std::string address);
+
     bool holds(std::string const& kind, std::string const& name) const;
 
     //! Number of objects of the kind.
