standins: a runner has a usual answer beside its script

Cause: two new tests each queued the next answer within every answer. Change: runner_standin::usual_answer, for requests without a script; both use it.

--- a/packages/gateway/tests/stage_copies_test.cpp
+++ b/packages/gateway/tests/stage_copies_test.cpp
@@ -37,20 +37,11 @@
 protected:
     stage_answers()
     {
-        expect_call();
+        stage->usual_answer = [this](received_request const& in)
+        { return answer(in); };
         gateway = start_gateway("vm-0");
     }
 
-    void expect_call()
-    {
-        stage->script.emplace_back(
-            [this](received_request const& in)
-            {
-                expect_call();
-                return answer(in);
-            });
-    }
-
     scripted_answer answer(received_request const& in)
     {
         if (!in.stage_call)
--- a/packages/gateway/tests/stage_order_test.cpp
+++ b/packages/gateway/tests/stage_order_test.cpp
@@ -26,7 +26,8 @@
 protected:
     written_stages()
     {
-        expect_call();
+        stage->usual_answer = [this](received_request const& in)
+        { return answer(in); };
         run_for(std::chrono::milliseconds(400));
     }
 
@@ -78,16 +79,6 @@
     std::map<std::string, stage_piece> made_for; //!< by handle
 
 private:
-    void expect_call()
-    {
-        stage->script.emplace_back(
-            [this](received_request const& in)
-            {
-                expect_call();
-                return answer(in);
-            });
-    }
-
     scripted_answer answer(received_request const& in)
     {
         if (!in.stage_call)
--- a/standins/fleet_platform/runner_standin.cpp
+++ b/standins/fleet_platform/runner_standin.cpp
@@ -274,6 +274,8 @@
         script.pop_front();
         return next(request);
     }
+    if (usual_answer)
+        return usual_answer(request);
     if (request.stage_call)
         return stage_answer(request);
     // An event, because routes of streams accept nothing else.
--- a/standins/fleet_platform/runner_standin.hpp
+++ b/standins/fleet_platform/runner_standin.hpp
@@ -74,6 +74,9 @@
     //! Answers to the next requests, in their order.
     std::deque<std::function<scripted_answer(received_request const&)>> script;
 
+    //! Answer to each request for which the script has none.
+    std::function<scripted_answer(received_request const&)> usual_answer;
+
     //! Answer to each request as soon as its head has arrived; its body is not
     //! read.
     std::function<scripted_answer(received_request const&)> early_answer;
