gateway: a lost answer of the store is noticed before its change is due

Cause: the longest wait of a watch was the settle time plus the bound of the change, but the two run side by side. A removal that was learned of after a loss counted from the settle time on, idle connections from before the last answer were used, and VMs that started together could miss each other for 30 s.

Change: a watch has a longest silence, from one answer until the lack of the next is noticed; its wait is what the idle time leaves of it. It is given up 0.3 s after its wait, and the store is asked at once on a new connection; only if that fails the store counts as unreachable. Related paths: removals, idle connections, lists in place of a watch, members. Log line and metric of overdue answers.

Two tests checked the sum of the spans: store_timing's inequality is replaced by the one of the rule at each part of the pause, and the runner_directory one by its strict form. The bounds on calls of store_timing rise from 1.4 and 0.7 to 1.5 and 0.8 a second: the former ones could be met with the sum only, and the settle time is now part of that test. Tests of runner_directory that had no settle time have the one of the small sites.

A store slower than 0.3 s costs a second call for each watch.

--- a/packages/decision/src/gateway/runner_directory.cpp
+++ b/packages/decision/src/gateway/runner_directory.cpp
@@ -172,11 +172,11 @@
 duration runner_directory::outage_grace_period(time_point store_failed_after,
                                                time_point now) const
 {
-    // A removal counts as acknowledged only from the settle time after the
-    // failure on, but may have been acknowledged then.
-    auto const acknowledged_at = store_failed_after + settle_time_;
-    return std::clamp<duration>(acknowledged_at + leaving_grace_period_ - now,
-                                duration::zero(), max_outage_grace_period_);
+    // The removal may have been acknowledged just before the failure, whose
+    // settle time does not put it off.
+    auto const bound = store_failed_after + settle_time_ - drain_margin;
+    return std::clamp<duration>(bound - now, duration::zero(),
+                                max_outage_grace_period_);
 }
 
 void runner_directory::expire(time_point now)
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -135,6 +135,8 @@
 
     void start_store_watchers();
     void log_update(char const* watch, store::object_update const& update);
+    void note_overdue_answer(char const* watch,
+                             decision::duration since_answer);
     store::era_order observe_store_era(std::optional<std::uint64_t> era);
     void apply_runners(store::object_update const& update);
     //! Decodes the head of an answer to a call of this VM, and the notice in
--- a/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/observe/gateway_metrics.hpp
@@ -42,6 +42,9 @@
     //! Counts a return of the store from a copy.
     void count_store_restore();
 
+    //! Counts an answer of the store that did not come in time.
+    void count_overdue_store_answer();
+
     //! Records how much later than planned the periodic tick of the event loop
     //! ran.
     void observe_tick_delay(decision::duration delay);
@@ -74,6 +77,7 @@
     prometheus::Histogram& expected_first_event_seconds_;
     prometheus::Counter& discarded_input_bytes_;
     prometheus::Counter& store_restores_;
+    prometheus::Counter& overdue_store_answers_;
     prometheus::Histogram& stage_call_pieces_;
     prometheus::Histogram& tick_delay_seconds_;
     prometheus::Gauge& active_requests_;
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -22,18 +22,31 @@
 using decision::time_point;
 using net::clock_function;
 
-//! Time after the wait of a watch until it counts as lost.
-constexpr duration watch_timeout_margin = std::chrono::seconds(1);
+//! Time after the wait of a watch until its answer counts as overdue.
+constexpr duration watch_timeout_margin = std::chrono::milliseconds(300);
 
 //! Timing of successive watches.
 struct watch_timing
 {
-    //! Of one watch. A lost answer is noticed `watch_timeout_margin` later.
-    duration max_wait{};
+    //! Longest time from an answer of the store until the lack of the next one
+    //! is noticed: the pause, the wait and `watch_timeout_margin`. The
+    //! connection can be lost at any moment in between.
+    duration max_silence{};
     duration pause{};              //!< between a change and the next watch
     duration pause_after_outage{}; //!< same, shortly after an outage
+
+    //! If set, `max_silence` is this after a change, and grows by
+    //! `silence_growth` with each watch that brings none. For changes that come
+    //! in bursts and have no bound.
+    std::optional<duration> first_silence{};
 };
 
+//! Growth of the silence of a watch with `first_silence`.
+constexpr int silence_growth = 3;
+
+//! Longest wait of a watch after an idle time of its connection.
+duration watch_wait(duration max_silence, duration idle);
+
 //! Follows all objects of one kind in the store: lists them, watches for
 //! changes from the revision of the list, and lists again when the store has
 //! compacted that revision or has come back from a copy. It also lists when the
@@ -41,6 +54,10 @@
 //! than they come would never carry them all. A list that the store does not
 //! continue is used as far as it was read, and is tried again after the next
 //! watch.
+//!
+//! The answer to a watch can be lost without a sign, with its connection. So a
+//! watch whose answer is overdue is given up, and the store is asked at once on
+//! a new connection. Only if this fails too, the store counts as unreachable.
 class store_watcher
 {
 public:
@@ -56,6 +73,10 @@
         std::function<void(bool reachable, std::string const& reason)>
             reachable;
 
+        //! Called when the answer to a watch is overdue, and the store is asked
+        //! again on a new connection.
+        std::function<void(duration since_answer)> overdue;
+
         //! Called when all objects are listed in place of changes that take
         //! more than `max_bytes`.
         std::function<void(std::uint64_t revision, std::size_t max_bytes)>
@@ -84,6 +105,8 @@
     void send(platform::store_request const& call, duration timeout,
               std::size_t max_answer_bytes);
     void handle_response(net::call_result const& result);
+    bool is_overdue(net::call_result const& result) const;
+    void ask_again();
     void retry_later(std::string const& reason);
     void continue_after(duration pause);
     void continue_now();
@@ -93,6 +116,7 @@
     std::size_t max_change_bytes() const;
     void skip_changes();
     void mark_reachable();
+    void expect_changes();
     std::optional<time_point> failed_shortly_before(time_point now) const;
 
     net::http_client& client_;
@@ -105,12 +129,14 @@
     net::timer timer_;
     bool watching_ = false; //!< the call in progress is a watch
     bool reachable_ = true;
+    bool overdue_ = false; //!< the last watch; its answer may be lost
     bool list_completed_ = false;
     bool restored_ = false; //!< not listed since the store came back
     time_point reachable_since_{};
     time_point answered_at_{};     //!< last answer of the store
     time_point call_started_at_{}; //!< of the last call
     time_point failed_after_{};    //!< the last failure came later
+    duration max_silence_{};       //!< of the next watch
     std::uint32_t failed_calls_ = 0;
     net::call_id call_ = 0; //!< the last one
     std::uint64_t revision_ = 0;
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -67,6 +67,8 @@
             log(reachable ? "store_regained" : "store_lost",
                 {{"watch", it.name}, {"reason", reason}});
         };
+        callbacks.overdue = [this, it](duration since_answer)
+        { note_overdue_answer(it.name, since_answer); };
         callbacks.changes_skipped =
             [this, it](std::uint64_t revision, std::size_t max_bytes)
         {
@@ -88,6 +90,18 @@
         it->start();
 }
 
+void gateway_process::note_overdue_answer(char const* watch,
+                                          duration since_answer)
+{
+    metrics_.count_overdue_store_answer();
+    auto const since_answer_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_answer)
+            .count();
+    log("store_answer_overdue",
+        {{"watch", watch},
+         {"since_answer_ms", std::to_string(since_answer_ms)}});
+}
+
 void gateway_process::log_update(char const* watch,
                                  store::object_update const& update)
 {
--- a/packages/gateway/src/observe/gateway_metrics.cpp
+++ b/packages/gateway/src/observe/gateway_metrics.cpp
@@ -69,6 +69,9 @@
       store_restores_(add_counter(registry_,
                                   "buckthornvale_gateway_store_restores_total",
                                   "Returns of the store from a copy")),
+      overdue_store_answers_(add_counter(
+          registry_, "buckthornvale_gateway_overdue_store_answers_total",
+          "Watches of the store whose answer did not come in time")),
       stage_call_pieces_(add_histogram(
           registry_, "buckthornvale_gateway_stage_call_pieces",
           "Pieces per call to a stage runner", {1, 2, 4, 8, 16, 32, 64, 128})),
@@ -138,6 +141,11 @@
     store_restores_.Increment();
 }
 
+void gateway_metrics::count_overdue_store_answer()
+{
+    overdue_store_answers_.Increment();
+}
+
 void gateway_metrics::observe_tick_delay(decision::duration delay)
 {
     tick_delay_seconds_.Observe(decision::to_seconds(delay));
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -15,9 +15,19 @@
 constexpr duration list_timeout = 1500ms; //!< until an answer begins
 constexpr duration connect_timeout = 500ms;
 
+constexpr duration min_watch_wait = 100ms;
+constexpr duration max_watch_wait = 30s; //!< longest that a store accepts
+
 //! Wait and timeout margin of a watch while the store is unreachable.
 constexpr duration outage_watch_wait = 200ms;
 constexpr duration outage_watch_timeout_margin = 800ms;
+
+//! Timeout margin of the watch after one that was overdue. A store that is slow
+//! is not unreachable.
+constexpr duration second_watch_timeout_margin = 1s;
+
+//! A connection is marked as idle slightly before its answer is handled.
+constexpr duration idle_tolerance = 50ms;
 constexpr duration min_retry_delay = 100ms;
 constexpr duration max_retry_delay = 800ms;
 
@@ -47,6 +57,12 @@
 
 } // namespace
 
+duration watch_wait(duration max_silence, duration idle)
+{
+    return std::clamp(max_silence - idle - watch_timeout_margin, min_watch_wait,
+                      max_watch_wait);
+}
+
 store_watcher::store_watcher(asio::io_context& loop, net::http_client& client,
                              std::string address, platform::object_kind kind,
                              watch_timing timing, net::transfer_pace pace,
@@ -60,9 +76,15 @@
 void store_watcher::start()
 {
     answered_at_ = clock_();
+    expect_changes();
     request_list();
 }
 
+void store_watcher::expect_changes()
+{
+    max_silence_ = timing_.first_silence.value_or(timing_.max_silence);
+}
+
 void store_watcher::restart()
 {
     restored_ = true;
@@ -78,6 +100,8 @@
 void store_watcher::list_anew()
 {
     client_.cancel(call_);
+    // The answer to that call may have been lost, and others with it.
+    client_.forget(address_);
     timer_.stop();
     list_completed_ = false;
     list_cursors_.clear();
@@ -100,12 +124,17 @@
 void store_watcher::request_watch()
 {
     watching_ = true;
-    // A request that was lost during an outage is never answered, so the
-    // timeout is short in order to notice soon that the store is back.
-    auto const max_wait = reachable_ ? timing_.max_wait : outage_watch_wait;
-    auto const margin =
-        reachable_ ? watch_timeout_margin : outage_watch_timeout_margin;
-    send(platform::watch_request(kind_, revision_, max_wait), max_wait + margin,
+    auto wait = watch_wait(max_silence_, clock_() - answered_at_);
+    auto margin = watch_timeout_margin;
+    // A request that was lost is never answered, so the timeout is short in
+    // order to learn soon what was missed, or that the store is back.
+    if (overdue_ || !reachable_)
+    {
+        wait = outage_watch_wait;
+        margin = reachable_ ? second_watch_timeout_margin
+                            : outage_watch_timeout_margin;
+    }
+    send(platform::watch_request(kind_, revision_, wait), wait + margin,
          max_change_bytes());
 }
 
@@ -123,6 +152,8 @@
     options.connect_timeout = connect_timeout;
     options.timeout = timeout;
     options.pace = pace_;
+    // A connection that was idle at the last answer may have been lost before.
+    options.max_idle = call_started_at_ - answered_at_ + idle_tolerance;
     call_ = make_call(
         client_, address_,
         {call.method, call.target, call.body, {}, max_answer_bytes}, options,
@@ -135,6 +166,11 @@
     {
         // What broke this connection may have broken the idle ones too.
         client_.forget(address_);
+        if (is_overdue(result))
+        {
+            ask_again();
+            return;
+        }
         constexpr char const* failure_texts[] = {
             "connection failed", "no response", "response interrupted",
             "timed out"};
@@ -174,11 +210,27 @@
         handle_list(result.body);
 }
 
+bool store_watcher::is_overdue(net::call_result const& result) const
+{
+    return watching_ && reachable_ && !overdue_ &&
+           result.failure == net::call_failure::timed_out;
+}
+
+void store_watcher::ask_again()
+{
+    overdue_ = true;
+    // The store may have been away since its last answer.
+    failed_after_ = answered_at_;
+    callbacks_.overdue(clock_() - answered_at_);
+    request_watch();
+}
+
 void store_watcher::retry_later(std::string const& reason)
 {
     // The connection of the first call that fails may have been broken while it
     // was idle.
-    failed_after_ = failed_calls_ == 0 ? answered_at_ : call_started_at_;
+    bool const first = failed_calls_ == 0 && !overdue_;
+    failed_after_ = first ? answered_at_ : call_started_at_;
     if (reachable_)
     {
         reachable_ = false;
@@ -207,6 +259,8 @@
 {
     failed_calls_ = 0;
     answered_at_ = clock_();
+    if (std::exchange(overdue_, false))
+        reachable_since_ = answered_at_;
     if (reachable_)
         return;
     reachable_ = true;
@@ -275,6 +329,7 @@
         update.restored = std::exchange(restored_, false);
         list_bytes_ = pages_bytes_;
     }
+    expect_changes();
     callbacks_.updated(update);
     // The next changes may be too large again.
     if (std::exchange(changes_skipped_, false))
@@ -296,9 +351,12 @@
     // Changes that cannot be read may come as often as others.
     if (page->objects.empty() && page->unnamed == 0)
     {
+        max_silence_ =
+            std::min(max_silence_ * silence_growth, timing_.max_silence);
         continue_now();
         return;
     }
+    expect_changes();
     object_update update;
     update.objects = std::move(page->objects);
     update.revision = revision_;
