gateway: crashes by content outlive a kill of all VMs

Cause: what is known of content that crashes runners was in the memory of the VMs alone, and lapsed after two minutes.

Change: each VM has the store keep, in one object of the kind crash-records, the contents with two crashes or more of which it has seen one, as hash and count. Writes are repeated until acknowledged, and name the revision that they replace. VMs read the records at a start before they take requests, for two seconds at most. Counts do not lapse; a complete run clears them. The VM that removes another from the list takes its records over.

Conclusion: a kill can lose the crashes of the last write's time only. Sound content that was wrongly blocked stays so for longer than before.

--- a/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/effect.hpp
@@ -107,6 +107,12 @@
 {
 };
 
+//! Has the store keep these crashes by content, in place of those before.
+struct store_crash_records
+{
+    std::vector<stored_crashes> records;
+};
+
 //! A decision to be logged.
 struct log_decision
 {
@@ -123,7 +129,8 @@
 using effect =
     std::variant<send_attempt, cancel_attempt, deliver_answer, refuse_request,
                  abort_stream, call_stage, free_results, close_idle_connections,
-                 send_to_peer, remove_member, list_runners, log_decision>;
+                 send_to_peer, remove_member, list_runners, store_crash_records,
+                 log_decision>;
 
 using effects = std::vector<effect>;
 
--- a/packages/decision/include/buckthornvale/decision/gateway/event.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/event.hpp
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNVALE_DECISION_GATEWAY_EVENT_HPP
 #define BUCKTHORNVALE_DECISION_GATEWAY_EVENT_HPP
 
+#include <buckthornvale/decision/gateway/crash_registry.hpp>
 #include <buckthornvale/decision/gateway/manifest.hpp>
 #include <buckthornvale/decision/gateway/request.hpp>
 #include <buckthornvale/decision/gateway/runner.hpp>
@@ -181,6 +182,14 @@
     bool evacuated = false;
 };
 
+//! Crashes by content that the store keeps.
+struct crash_records_read
+{
+    std::vector<stored_crashes> own;    //!< this VM has them stored
+    std::vector<stored_crashes> others; //!< other VMs have them stored
+    bool listed = false;                //!< all; otherwise some
+};
+
 struct members_listed
 {
     std::vector<member> members;
@@ -227,12 +236,14 @@
     time_point input_until;
 };
 
-using event = std::variant<
-    request_arrived, caller_left, attempt_ended, runner_notified,
-    stream_started, stream_advanced, delivery_blocked, stage_call_ended,
-    stage_results_freed, manifest_changed, runners_listed, runner_changed,
-    runner_removed, evacuations_listed, evacuation_changed, members_listed,
-    peer_sent, peer_unreachable, peer_answered, drain_started, timer_fired>;
+using event =
+    std::variant<request_arrived, caller_left, attempt_ended, runner_notified,
+                 stream_started, stream_advanced, delivery_blocked,
+                 stage_call_ended, stage_results_freed, manifest_changed,
+                 runners_listed, runner_changed, runner_removed,
+                 evacuations_listed, evacuation_changed, members_listed,
+                 crash_records_read, peer_sent, peer_unreachable, peer_answered,
+                 drain_started, timer_fired>;
 
 } // namespace buckthornvale::decision::gateway
 
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -51,6 +51,9 @@
     std::optional<duration> evacuation_timeout{};
     //! Not set if cold runners may get any number of requests.
     std::optional<cold_start_bounds> cold_starts{};
+    //! The store may keep crashes by content from before the start. Requests
+    //! are refused until they are read, or for two seconds if they cannot be.
+    bool await_crash_records = false;
 };
 
 //! The decision logic of one gateway process: admission, stages, choice of
@@ -118,6 +121,7 @@
     void on(evacuations_listed const& in, time_point now);
     void on(evacuation_changed const& in, time_point now);
     void on(members_listed const& in, time_point now);
+    void on(crash_records_read const& in, time_point now);
     void on(peer_sent const& in, time_point now);
     void on(peer_unreachable const& in, time_point now);
     void on(peer_answered const& in, time_point now);
@@ -310,7 +314,7 @@
     // Requests that crash runners.
     std::string const& judge_of(std::string const& service,
                                 time_point now) const;
-    bool is_blocked(active_request const& request, time_point now);
+    bool is_blocked(active_request const& request);
     void record_crash_evidence(active_request const& request,
                                attempt_ended const& in, attempt_outcome outcome,
                                time_point now);
@@ -322,7 +326,8 @@
                          time_point now);
     void judge_crashes(time_point now);
     void repeat_crash_state(time_point now);
-    void send_crash_state(std::string const& member, time_point now);
+    void send_crash_state(std::string const& member, duration max_age,
+                          time_point now);
     void log_suspect(char const* what, active_request const* request,
                      crash_suspect const& suspect);
 
@@ -359,6 +364,9 @@
     void remove_unreachable_members(time_point now);
     void update_crash_record(active_request const& request, bool cleared,
                              time_point now);
+    //! Stops waiting for crash records that cannot be read.
+    void check_crash_records(time_point now);
+    void store_changed_crash_records();
 
     void log(char const* what, active_request const* request,
              std::vector<log_decision::field> fields);
@@ -377,6 +385,10 @@
     crash_registry crashes_;
     crash_judge judge_;
     suspect_table suspects_;
+    bool crash_records_known_ = true;
+    //! Latest time at which requests are taken without them.
+    std::optional<time_point> crash_records_due_;
+    std::vector<stored_crashes> crash_records_stored_; //!< as requested last
     time_point crash_state_repeated_at_{};
     std::size_t crash_state_repeats_ = 0;
     //! VM that schedules each stage service whose runners name limits, when
--- a/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/refusal.hpp
@@ -9,6 +9,7 @@
 {
     none,
     no_manifest,
+    vm_starting, //!< does not know yet what crashes runners
     unknown_route,
     unknown_key,
     unusable_route,   //!< the manifest's route has a defect
--- a/packages/decision/src/gateway/crash_registry.cpp
+++ b/packages/decision/src/gateway/crash_registry.cpp
@@ -1,31 +1,40 @@
 #include <buckthornvale/decision/gateway/crash_registry.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace buckthornvale::decision::gateway
 {
 
-crash_registry::entry& crash_registry::find_or_add(std::uint64_t fingerprint,
-                                                   time_point now)
+crash_registry::entry& crash_registry::find_or_add(std::uint64_t fingerprint)
 {
     if (entries_.size() >= max_entries && !entries_.contains(fingerprint))
     {
-        expire(now);
-        if (entries_.size() >= max_entries)
-            entries_.erase(entries_.begin());
+        auto const least = std::min_element(
+            entries_.begin(), entries_.end(),
+            [](auto const& a, auto const& b)
+            {
+                return std::tie(a.second.crashes, a.second.last_crash) <
+                       std::tie(b.second.crashes, b.second.last_crash);
+            });
+        entries_.erase(least);
     }
-    auto& it = entries_[fingerprint];
-    if (it.expired(now))
-        it = {};
-    return it;
+    return entries_[fingerprint];
 }
 
 void crash_registry::record_crash(std::uint64_t fingerprint, time_point now)
 {
-    auto& it = find_or_add(fingerprint, now);
+    auto& it = find_or_add(fingerprint);
     ++it.crashes;
     it.last_crash = now;
+    changed_ = true;
+}
+
+void crash_registry::record_own_crash(std::uint64_t fingerprint, time_point now)
+{
+    record_crash(fingerprint, now);
+    entries_[fingerprint].own = true;
 }
 
 bool crash_registry::clear(std::uint64_t fingerprint, time_point now)
@@ -34,21 +43,23 @@
     if (found == entries_.end())
         return false;
     found->second.cleared_at = now;
+    changed_ = true;
+    found->second.own = false;
     return std::exchange(found->second.crashes, 0) > 0;
 }
 
-bool crash_registry::is_blocked(std::uint64_t fingerprint, time_point now) const
+bool crash_registry::is_blocked(std::uint64_t fingerprint) const
 {
     auto const found = entries_.find(fingerprint);
-    return found != entries_.end() && found->second.crashes >= crash_limit &&
-           !found->second.expired(now);
+    return found != entries_.end() && found->second.crashes >= crash_limit;
 }
 
-std::vector<crash_record> crash_registry::repeated_crashes(time_point now) const
+std::vector<crash_record> crash_registry::repeated_crashes(duration max_age,
+                                                           time_point now) const
 {
     std::vector<crash_record> out;
     for (auto const& it : entries_)
-        if (it.second.crashes >= min_shared_crashes && !it.second.expired(now))
+        if (it.second.is_repeated() && now - it.second.last_crash <= max_age)
             out.push_back(
                 {it.first, it.second.crashes, now - it.second.last_crash});
     if (out.size() <= max_shared_records)
@@ -64,20 +75,60 @@
 bool crash_registry::merge(crash_record const& record, time_point now)
 {
     auto const last_crash = now - record.last_crash_age;
-    if (record.last_crash_age > entry_lifetime)
-        return true;
-    auto& it = find_or_add(record.fingerprint, now);
+    auto& it = find_or_add(record.fingerprint);
     if (it.cleared_at != time_point() && last_crash <= it.cleared_at)
         return false;
+    // A new entry has no last crash; the age may reach behind the start.
+    it.last_crash =
+        it.crashes == 0 ? last_crash : std::max(it.last_crash, last_crash);
+    changed_ = changed_ || it.crashes < record.crashes;
     it.crashes = std::max(it.crashes, record.crashes);
-    it.last_crash = std::max(it.last_crash, last_crash);
     return true;
 }
 
+void crash_registry::restore(absl::Span<stored_crashes const> records, bool own,
+                             time_point now)
+{
+    for (auto const& it : records)
+        if (merge({it.fingerprint, it.crashes, stored_crash_age}, now) && own)
+            entries_[it.fingerprint].own = true;
+    changed_ = true;
+}
+
+std::vector<stored_crashes> crash_registry::to_store() const
+{
+    std::vector<std::pair<std::uint64_t, entry>> chosen;
+    for (auto const& it : entries_)
+        if (it.second.own && it.second.is_repeated())
+            chosen.emplace_back(it);
+    if (chosen.size() > max_stored_records)
+    {
+        std::nth_element(
+            chosen.begin(), chosen.begin() + max_stored_records, chosen.end(),
+            [](auto const& a, auto const& b)
+            {
+                return std::tie(a.second.crashes, a.second.last_crash) >
+                       std::tie(b.second.crashes, b.second.last_crash);
+            });
+        chosen.resize(max_stored_records);
+    }
+    std::vector<stored_crashes> out;
+    for (auto const& it : chosen)
+        out.push_back({it.first, it.second.crashes});
+    std::sort(out.begin(), out.end(),
+              [](stored_crashes const& a, stored_crashes const& b)
+              { return a.fingerprint < b.fingerprint; });
+    return out;
+}
+
 void crash_registry::expire(time_point now)
 {
     absl::erase_if(entries_,
-                   [&](auto const& it) { return it.second.expired(now); });
+                   [&](auto const& it)
+                   {
+                       return it.second.crashes == 0 &&
+                              now - it.second.cleared_at > cleared_lifetime;
+                   });
 }
 
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer.cpp
+++ b/packages/decision/src/gateway/reducer.cpp
@@ -34,7 +34,8 @@
       runners_(settings_.drain_timeout, settings_.max_update_delay,
                settings_.settle_time),
       members_(settings_.vm_name),
-      retry_budget_(settings_.retries, settings_.started_at)
+      retry_budget_(settings_.retries, settings_.started_at),
+      crash_records_known_(!settings_.await_crash_records)
 {
     if (settings_.evacuation_timeout)
         runners_.evacuations().await_first_list();
@@ -50,12 +51,13 @@
     std::visit([&](auto const& it) { on(it, now); }, input);
     if (dispatch_needed_)
         run_schedulers(now);
+    store_changed_crash_records();
     return std::exchange(out_, {});
 }
 
 bool reducer::ready() const
 {
-    return manifest_ != nullptr && runners_known_ &&
+    return manifest_ != nullptr && runners_known_ && crash_records_known_ &&
            runners_.evacuations().is_known() && !draining_;
 }
 
@@ -209,7 +211,7 @@
 void reducer::on(members_listed const& in, time_point now)
 {
     for (auto const& name : members_.assign(in.members))
-        send_crash_state(name, now);
+        send_crash_state(name, duration::max(), now);
     assign_shares(now);
     log("members_listed", nullptr,
         {{"count", std::to_string(in.members.size())}});
@@ -248,6 +250,7 @@
     runners_.expire(now);
     apply_evacuations(runners_.evacuations().expire(now), now);
     log_released(runners_.evacuations().release_overdue(now), false);
+    check_crash_records(now);
     crashes_.expire(now);
     judge_.expire(now);
     suspects_.expire(now);
--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -21,6 +21,14 @@
 //! them in this way.
 constexpr duration crash_state_interval = 500ms;
 
+//! Content whose last crash is older is told only to VMs that join or start
+//! anew, and in each of these turns.
+constexpr duration recent_crash_age = 2min;
+constexpr std::size_t full_state_turns = 32;
+
+//! Crash records that cannot be read do not hold up a start for longer.
+constexpr duration max_crash_records_wait = 2s;
+
 //! An unreachable runner is reported once per interval.
 constexpr duration unreachable_report_interval = 1s;
 
@@ -40,9 +48,9 @@
          {"value", absl::StrCat(absl::Hex(suspect.value))}});
 }
 
-bool reducer::is_blocked(active_request const& request, time_point now)
+bool reducer::is_blocked(active_request const& request)
 {
-    if (crashes_.is_blocked(request.fingerprint, now))
+    if (crashes_.is_blocked(request.fingerprint))
         return true;
     auto const suspect = suspects_.find_blocked(request.suspects);
     if (suspect)
@@ -194,18 +202,59 @@
     auto const next =
         std::upper_bound(others.begin(), others.end(), members_.self());
     auto const first = static_cast<std::size_t>(next - others.begin());
-    send_crash_state(others[(first + crash_state_repeats_++) % others.size()],
-                     now);
+    auto const turn = crash_state_repeats_++;
+    send_crash_state(
+        others[(first + turn) % others.size()],
+        turn % full_state_turns == 0 ? duration::max() : recent_crash_age, now);
 }
 
-void reducer::send_crash_state(std::string const& member, time_point now)
+void reducer::send_crash_state(std::string const& member, duration max_age,
+                               time_point now)
 {
     block_suspects verdicts{suspects_.verdicts(now)};
     if (!verdicts.verdicts.empty())
         send_message(member, std::move(verdicts), now);
-    share_crash_records records{crashes_.repeated_crashes(now)};
+    share_crash_records records{crashes_.repeated_crashes(max_age, now)};
     if (!records.records.empty())
         send_message(member, std::move(records), now);
 }
 
+void reducer::on(crash_records_read const& in, time_point now)
+{
+    crashes_.restore(in.own, true, now);
+    crashes_.restore(in.others, false, now);
+    if (in.listed)
+    {
+        crash_records_stored_ = in.own;
+        crash_records_known_ = true;
+    }
+    log("crash_records_read", nullptr,
+        {{"own", std::to_string(in.own.size())},
+         {"others", std::to_string(in.others.size())},
+         {"listed", in.listed ? "true" : "false"}});
+}
+
+void reducer::check_crash_records(time_point now)
+{
+    if (crash_records_known_)
+        return;
+    if (!crash_records_due_)
+        crash_records_due_ = now + max_crash_records_wait;
+    if (now < *crash_records_due_)
+        return;
+    crash_records_known_ = true;
+    log("crash_records_unread", nullptr, {});
+}
+
+void reducer::store_changed_crash_records()
+{
+    if (!settings_.await_crash_records || !crashes_.take_change())
+        return;
+    auto records = crashes_.to_store();
+    if (records == crash_records_stored_)
+        return;
+    crash_records_stored_ = records;
+    out_.push_back(store_crash_records{std::move(records)});
+}
+
 } // namespace buckthornvale::decision::gateway
--- a/packages/decision/src/gateway/reducer_peers.cpp
+++ b/packages/decision/src/gateway/reducer_peers.cpp
@@ -80,7 +80,7 @@
         return;
     if (!cleared)
     {
-        crashes_.record_crash(request.fingerprint, now);
+        crashes_.record_own_crash(request.fingerprint, now);
         log("runner_broke_off", &request, {{"runner", request.runner_id}});
     }
     for (auto const& name : members_.others())
@@ -131,7 +131,7 @@
     if (!members_.record_answer(in.member, in.incarnation, now))
         return;
     log("peer_restarted", nullptr, {{"member", in.member}});
-    send_crash_state(in.member, now);
+    send_crash_state(in.member, duration::max(), now);
     for (auto& it : schedulers_)
         it.second.withdraw_all(in.member);
     resubmit_from(in.member, now);
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -67,6 +67,8 @@
         return refusal::vm_stopping;
     if (manifest_ == nullptr)
         return refusal::no_manifest;
+    if (!crash_records_known_)
+        return refusal::vm_starting;
     found = manifest_->find_route(traits.host, traits.path);
     if (found == nullptr)
         return refusal::unknown_route;
@@ -151,7 +153,7 @@
         request.expected_domain = expected_runner->entry.failure_domain;
     retry_budget_.count_request(request.service, now);
     requests_[in.request] = std::move(entry);
-    if (is_blocked(request, now))
+    if (is_blocked(request))
     {
         fail_request(request, refusal::crashes_runners, now);
         return;
@@ -262,7 +264,7 @@
     // the tick that would have ended the request.
     if (end_at_deadline(request, now))
         return;
-    if (is_blocked(request, now))
+    if (is_blocked(request))
     {
         fail_request(request, refusal::crashes_runners, now);
         return;
--- a/packages/decision/src/gateway/reducer_retries.cpp
+++ b/packages/decision/src/gateway/reducer_retries.cpp
@@ -43,8 +43,7 @@
     if (request.possible_executions >= request.matched_route->max_attempts ||
         request.sends >= max_sends || request.attempt >= 2 * max_sends)
         return false;
-    if (is_blocked(request, now) ||
-        choose_runner(request, now).runner == nullptr)
+    if (is_blocked(request) || choose_runner(request, now).runner == nullptr)
         return false;
     if (request.sends > 0 &&
         !retry_budget_.try_consume(request.service, members_.count(), now))
@@ -80,8 +79,7 @@
     auto const& route = *request.matched_route;
     if (!route.repeatable() || request.possible_executions == 0 ||
         request.possible_executions >= route.max_attempts ||
-        request.planned_retries >= max_planned_retries ||
-        is_blocked(request, now))
+        request.planned_retries >= max_planned_retries || is_blocked(request))
         return false;
     // A stream that has begun has no other answer to get at once.
     auto const quiet_until = runners_.quiet_until(request.service, now);
--- a/packages/decision/src/gateway/refusal.cpp
+++ b/packages/decision/src/gateway/refusal.cpp
@@ -11,9 +11,10 @@
 
 constexpr std::array<int, 4> not_run_statuses = {408, 421, 429, 503};
 
-constexpr std::array<refusal_traits, 16> refusals = {{
+constexpr std::array<refusal_traits, 17> refusals = {{
     {refusal::none, 500, "none"},
     {refusal::no_manifest, 503, "no_manifest"},
+    {refusal::vm_starting, 503, "vm_starting"},
     {refusal::unknown_route, 404, "unknown_route"},
     {refusal::unknown_key, 401, "unknown_key"},
     {refusal::unusable_route, 503, "unusable_route"},
--- a/packages/decision/tests/gateway/crash_blame_test.cpp
+++ b/packages/decision/tests/gateway/crash_blame_test.cpp
@@ -158,6 +158,43 @@
     }
 }
 
+// Guards against VMs that are all killed at once and forget what crashes
+// runners: each kill allowed three more crashes.
+TEST(crash_blame, of_repeated_content_outlives_kills_of_all_vms)
+{
+    for (auto const seed : seeds)
+    {
+        SCOPED_TRACE(seed);
+        crash_simulation fleet(4, 18, seed);
+        add_sound_load(fleet);
+        add_deadly_content(fleet);
+        for (auto const at : {9s, 14s, 19s})
+            fleet.kill_all_at(at);
+        fleet.run_until(day);
+        EXPECT_GE(fleet.crashes().size(), 3U);
+        EXPECT_LE(fleet.deadly_sends_since(fleet.crashes()[2] + contact_time),
+                  max_late_sends);
+        expect_sound_requests_pass(fleet);
+    }
+}
+
+// Guards against a store that is written to for each request that ran on a
+// runner when it ended for reasons of its own.
+TEST(crash_blame, of_sound_content_is_seldom_stored)
+{
+    constexpr int runner_crashes = 18;
+    for (auto const seed : seeds)
+    {
+        SCOPED_TRACE(seed);
+        crash_simulation fleet(8, 18, seed);
+        add_sound_load(fleet);
+        for (int n = 0; n < runner_crashes; ++n)
+            fleet.crash_at(std::size_t(n), 4s + n * 400ms);
+        fleet.run_until(day);
+        EXPECT_LE(fleet.writes(), runner_crashes);
+    }
+}
+
 // Guards against blame for runners that end for other reasons: many at a time,
 // one after the other, or not at all while they break off answers.
 TEST(crash_blame, falls_on_no_part_without_a_deadly_one)
--- a/packages/decision/tests/gateway/crash_simulation.hpp
+++ b/packages/decision/tests/gateway/crash_simulation.hpp
@@ -54,6 +54,10 @@
     //! Starts a VM anew, without its state.
     void restart_at(std::size_t vm, duration at);
 
+    //! Kills all VMs at once. They are back after a while and read what the
+    //! store keeps.
+    void kill_all_at(duration at);
+
     //! The VM receives no messages of the others, and its own are lost.
     void cut_off(std::size_t vm, duration from, duration to);
 
@@ -77,6 +81,9 @@
     begun_share sound_requests(std::string const& path, std::string const& key,
                                duration from) const;
 
+    //! To the store, of crashes by content.
+    int writes() const { return writes_; }
+
     //! Sends of requests with a deadly part that reached runners since then.
     int deadly_sends_since(duration from) const;
 
@@ -111,6 +118,7 @@
     void feed(std::size_t vm, event const& input);
     void execute(std::size_t vm, send_attempt const& in);
     void execute(std::size_t vm, send_to_peer const& in);
+    void execute(std::size_t vm, store_crash_records const& in);
     template <class Ignored>
     void execute(std::size_t, Ignored const&)
     {
@@ -122,7 +130,14 @@
     bool is_cut_off(std::size_t vm) const;
 
     std::shared_ptr<manifest const> manifest_;
+    void read_crash_records(std::size_t vm);
+    void start_all();
+
     std::vector<std::unique_ptr<reducer>> vms_;
+    //! What the store keeps of each VM, and the number of writes.
+    std::map<std::size_t, std::vector<stored_crashes>> stored_;
+    int writes_ = 0;
+    bool all_down_ = false;
     std::vector<member> members_;
     std::vector<runner> runner_entries_;
     std::vector<runner_record> runners_;
--- a/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/gateway_process.hpp
@@ -8,6 +8,7 @@
 #include <buckthornvale/gateway/observe/log_writer.hpp>
 #include <buckthornvale/gateway/peer/peer_sender.hpp>
 #include <buckthornvale/gateway/runner_attempt.hpp>
+#include <buckthornvale/gateway/store/crash_record_writer.hpp>
 #include <buckthornvale/gateway/store/member_list.hpp>
 #include <buckthornvale/gateway/store/store_era.hpp>
 #include <buckthornvale/gateway/store/store_watcher.hpp>
@@ -119,6 +120,7 @@
     void execute(decision::gateway::send_to_peer const& it);
     void execute(decision::gateway::remove_member const& it);
     void execute(decision::gateway::list_runners const& it);
+    void execute(decision::gateway::store_crash_records const& it);
     void execute(decision::gateway::log_decision const& it);
 
     //! Counts a connection that was ended for others, and logs such ends, at
@@ -151,6 +153,8 @@
     void list_runners_later();
     void apply_members(store::object_update const& update);
     void apply_evacuations(store::object_update const& update);
+    void apply_crash_records(store::object_update const& update);
+    store::crash_record_writer::callback_set crash_record_callbacks();
     void drop_lapsed_members(time_point at);
     void apply_manifest(store::object_update const& update);
     void take_manifest(platform::stored_object const& object);
@@ -187,6 +191,7 @@
     std::vector<std::unique_ptr<store::store_watcher>> store_watchers_;
     std::unordered_map<request_ref, caller_request> requests_;
     std::unordered_map<std::uint64_t, request_ref> ref_by_connection_;
+    store::crash_record_writer crash_record_writer_;
     store::member_list members_;
     std::string encoded_manifest_; //!< object in force, served to other VMs
     store::store_watcher const* manifest_watcher_ = nullptr;
--- a/packages/gateway/include/buckthornvale/gateway/store/store_timing.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_timing.hpp
@@ -14,6 +14,9 @@
 watch_timing runner_watch_timing(platform::node_settings const& settings);
 watch_timing member_watch_timing();
 
+//! Crash records are needed at the start only.
+watch_timing crash_records_timing();
+
 //! The bound on evacuations must be set.
 watch_timing evacuation_watch_timing(platform::node_settings const& settings);
 
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -39,6 +39,10 @@
     //! `silence_growth` with each watch that brings none. For changes that come
     //! in bursts and have no bound.
     std::optional<duration> first_silence{};
+
+    //! The objects are listed at the start and after a restore of the store,
+    //! and not watched.
+    bool lists_only = false;
 };
 
 //! Growth of the silence of a watch with `first_silence`.
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -106,7 +106,8 @@
                  settings_.retry_budget_window},
                 settings_.first_start ? time_point() : now(),
                 settings_.evacuation_timeout,
-                cold_starts_of(settings_)}),
+                cold_starts_of(settings_),
+                true}),
       log_writer_(log_descriptor, settings_.vm_name),
       answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
                                                      answer_memory_divisor)),
@@ -134,6 +135,7 @@
                                       max_connections);
           },
           [this] { return now(); }, caller_memory_),
+      crash_record_writer_(loop, settings_.vm_name, crash_record_callbacks()),
       next_ref_(model::first_request_ref(incarnation)), tick_timer_(loop),
       registration_timer_(loop), runner_list_timer_(loop)
 {
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -46,7 +46,9 @@
         {platform::object_kind::runners, store::runner_watch_timing(settings_),
          "runners", &gateway_process::apply_runners},
         {platform::object_kind::members, store::member_watch_timing(),
-         "members", &gateway_process::apply_members}};
+         "members", &gateway_process::apply_members},
+        {platform::object_kind::crash_records, store::crash_records_timing(),
+         "crash_records", &gateway_process::apply_crash_records}};
     if (settings_.evacuation_timeout)
         kinds.push_back({platform::object_kind::evacuations,
                          store::evacuation_watch_timing(settings_),
@@ -125,6 +127,7 @@
             {{"from", std::to_string(*former)}, {"to", std::to_string(*era)}});
         metrics_.count_store_restore();
         members_.forget_revisions();
+        crash_record_writer_.store_restored();
         for (auto const& it : store_watchers_)
             it->restart();
         ask_peers_until_ = now() + settings_.settle_time;
@@ -224,6 +227,47 @@
         reduce(all);
 }
 
+void gateway_process::apply_crash_records(store::object_update const& update)
+{
+    model::crash_records_read in;
+    in.listed = true;
+    std::optional<std::uint64_t> revision;
+    for (auto const& it : update.objects)
+    {
+        bool const own = it.name == settings_.vm_name;
+        if (own)
+            revision = it.revision;
+        auto const records = platform::decode_crash_records(it);
+        auto& to = own ? in.own : in.others;
+        to.insert(to.end(), records.begin(), records.end());
+    }
+    crash_record_writer_.set_revision(revision);
+    reduce(std::move(in));
+}
+
+store::crash_record_writer::callback_set
+gateway_process::crash_record_callbacks()
+{
+    store::crash_record_writer::callback_set out;
+    out.call = [this](platform::store_request call, net::call_done done)
+    { call_store(std::move(call), std::move(done)); };
+    out.found = [this](std::vector<model::stored_crashes> records) {
+        reduce(model::crash_records_read{std::move(records), {}, false});
+    };
+    out.acknowledged = [this](std::size_t records) {
+        log("crash_records_stored", {{"records", std::to_string(records)}});
+    };
+    out.repeated = [this](int status) {
+        log("crash_records_not_stored", {{"status", std::to_string(status)}});
+    };
+    return out;
+}
+
+void gateway_process::execute(model::store_crash_records const& effect)
+{
+    crash_record_writer_.write(effect.records);
+}
+
 void gateway_process::drop_lapsed_members(time_point at)
 {
     if (members_.expire(at))
@@ -272,7 +316,11 @@
     // A failed call needs no retry here: the reducer requests the removal
     // again.
     call_store(platform::delete_member_request(effect.member, *revision),
-               [](net::call_result const&) {});
+               [this, name = effect.member](net::call_result const& result)
+               {
+                   if (!result.failure && result.head.status == http::status_ok)
+                       crash_record_writer_.take_over(name);
+               });
 }
 
 void gateway_process::execute(model::list_runners const&)
--- a/packages/gateway/src/store/store_timing.cpp
+++ b/packages/gateway/src/store/store_timing.cpp
@@ -61,7 +61,7 @@
         transfer_time(settings.max_store_value_bytes, settings);
     return {std::min(std::clamp(silence, min_manifest_silence, max_silence),
                      longest_silence(settings, bound) - time_on_link),
-            manifest_pause, manifest_pause, std::nullopt};
+            manifest_pause, manifest_pause};
 }
 
 watch_timing runner_watch_timing(platform::node_settings const& settings)
@@ -69,7 +69,7 @@
     auto const bound = settings.drain_timeout;
     auto const pause = bound / drain_timeout_divisor;
     return {std::min(longest_silence(settings, bound), max_runner_silence),
-            pause, std::min(pause, runner_pause_after_outage), std::nullopt};
+            pause, std::min(pause, runner_pause_after_outage)};
 }
 
 watch_timing evacuation_watch_timing(platform::node_settings const& settings)
@@ -77,7 +77,14 @@
     // The bound counts from the acknowledgement, also right after a loss.
     auto const bound = settings.evacuation_timeout.value_or(duration());
     return {std::min(bound - catch_up_time, max_silence), evacuation_pause,
-            evacuation_pause, std::nullopt};
+            evacuation_pause};
+}
+
+watch_timing crash_records_timing()
+{
+    watch_timing out;
+    out.lists_only = true;
+    return out;
 }
 
 watch_timing member_watch_timing()
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -331,6 +331,8 @@
     }
     expect_changes();
     callbacks_.updated(update);
+    if (timing_.lists_only)
+        return;
     // The next changes may be too large again.
     if (std::exchange(changes_skipped_, false))
         continue_after(timing_.pause);
--- a/standins/fleet_platform/store_standin.cpp
+++ b/standins/fleet_platform/store_standin.cpp
@@ -267,6 +267,8 @@
         http::parse_number(parameter(target->query, "waitMs")).value_or(0));
     if (head.method != "GET")
         write(from.id(), head.method, *target, body);
+    else if (!target->name.empty())
+        read(from.id(), *target);
     else if (watched)
         start_watch(from.id(), target->kind, *watched, wait);
     else
@@ -344,24 +346,32 @@
     return true;
 }
 
+void store_standin::read(std::uint64_t connection, call_target const& target)
+{
+    if (holds(target.kind, target.name))
+        answer(connection, 200, contents_.objects[target.kind][target.name]);
+    else
+        answer(connection, 404, json::object());
+}
+
 void store_standin::write(std::uint64_t connection, std::string const& method,
                           call_target const& target, std::string const& body)
 {
     auto const& kind = target.kind;
     auto name = target.name;
     auto const value = json::parse(body, nullptr, false);
+    auto const found = contents_.objects[kind].find(name);
+    bool const exists = found != contents_.objects[kind].end();
+    auto const revision =
+        http::parse_number(parameter(target.query, "revision"));
+    if (exists && revision &&
+        found->second["metadata"]["revision"] != *revision)
+    {
+        answer(connection, 409, found->second);
+        return;
+    }
     if (method == "DELETE")
     {
-        auto const found = contents_.objects[kind].find(name);
-        auto const revision =
-            http::parse_number(parameter(target.query, "revision"));
-        bool const exists = found != contents_.objects[kind].end();
-        if (exists && revision &&
-            found->second["metadata"]["revision"] != *revision)
-        {
-            answer(connection, 409, found->second);
-            return;
-        }
         if (exists)
             remove(kind, name);
         answer(connection, 200, json::object());
@@ -372,6 +382,11 @@
         answer(connection, 400, json::object());
         return;
     }
+    if (method == "PUT" && revision && !exists)
+    {
+        answer(connection, 404, json::object());
+        return;
+    }
     if (method == "POST")
         name = value["metadata"].value("name", "");
     if (method == "POST" && contents_.objects[kind].count(name) > 0)
--- a/standins/fleet_platform/store_standin.hpp
+++ b/standins/fleet_platform/store_standin.hpp
@@ -145,6 +145,7 @@
     void start_watch(std::uint64_t connection, std::string const& kind,
                      std::uint64_t from, std::chrono::milliseconds wait);
     bool answer_watch(std::uint64_t connection, watch const& it);
+    void read(std::uint64_t connection, call_target const& target);
     void write(std::uint64_t connection, std::string const& method,
                call_target const& target, std::string const& body);
     void note(std::string const& kind, nlohmann::json object, bool deleted);
