decision: blocked content gets two single runs more

Cause: counts of crashes do not lapse any more, so that sound content whose three runners ended for other reasons would be refused for good. Change: ten minutes after the last crash one VM, the owner of the content by name, lets one request of it run; twice at most in the life of the content. Measured: crash_blame.of_content_is_tried_again_seldom, 35 minutes of virtual time: four or five crashes in all, the fourth ten minutes after the third.

--- a/packages/decision/include/buckthornvale/decision/gateway/crash_registry.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/crash_registry.hpp
@@ -47,6 +47,12 @@
     //! Number of crashes after which the content is blocked.
     static constexpr std::uint32_t crash_limit = 3;
 
+    //! Blocked content may be sound and have met three crashes by chance. It
+    //! may run once more after each of these times without a crash, until it
+    //! has crashed this often.
+    static constexpr duration retrial_time = std::chrono::minutes(10);
+    static constexpr std::uint32_t final_crash_limit = 5;
+
     //! Beyond this, content with few and old crashes is forgotten.
     static constexpr std::size_t max_entries = 4096;
 
@@ -96,6 +102,13 @@
 
     bool is_blocked(std::uint64_t fingerprint) const;
 
+    //! Returns true if one request of blocked content may run now, to see
+    //! whether it is sound. Only one VM may ask.
+    bool begin_retrial(std::uint64_t fingerprint, time_point now);
+
+    //! Number of crashes that are known of the content.
+    std::uint32_t crashes_of(std::uint64_t fingerprint) const;
+
     void expire(time_point now);
 
 private:
@@ -105,6 +118,7 @@
         bool own = false; //!< this VM has it stored
         time_point last_crash{};
         time_point cleared_at{};
+        time_point learned_at{}; //!< of the last crash, or last retrial
 
         bool is_repeated() const { return crashes >= min_shared_crashes; }
     };
--- a/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
+++ b/packages/decision/include/buckthornvale/decision/gateway/reducer.hpp
@@ -315,6 +315,9 @@
     std::string const& judge_of(std::string const& service,
                                 time_point now) const;
     bool is_blocked(active_request const& request);
+    //! Lets a request of blocked content run, if it is time to see whether the
+    //! content is sound. One VM decides this for each content.
+    void allow_retrial(active_request& request, time_point now);
     void record_crash_evidence(active_request const& request,
                                attempt_ended const& in, attempt_outcome outcome,
                                time_point now);
--- a/packages/decision/src/gateway/active_request.hpp
+++ b/packages/decision/src/gateway/active_request.hpp
@@ -18,6 +18,8 @@
     std::string organisation;
     int rank = 0;
     std::uint64_t fingerprint = 0; //!< hash of path, API key and body
+    //! The request may run although its content has crashed as often.
+    std::uint32_t tolerated_crashes = crash_registry::crash_limit - 1;
     std::vector<crash_suspect> suspects;
     time_point arrived_at{};
     time_point due{};      //!< when the target latency ends
--- a/packages/decision/src/gateway/crash_registry.cpp
+++ b/packages/decision/src/gateway/crash_registry.cpp
@@ -27,7 +27,7 @@
 {
     auto& it = find_or_add(fingerprint);
     ++it.crashes;
-    it.last_crash = now;
+    it.last_crash = it.learned_at = now;
     changed_ = true;
 }
 
@@ -48,10 +48,27 @@
     return std::exchange(found->second.crashes, 0) > 0;
 }
 
-bool crash_registry::is_blocked(std::uint64_t fingerprint) const
+std::uint32_t crash_registry::crashes_of(std::uint64_t fingerprint) const
 {
     auto const found = entries_.find(fingerprint);
-    return found != entries_.end() && found->second.crashes >= crash_limit;
+    return found == entries_.end() ? 0 : found->second.crashes;
+}
+
+bool crash_registry::is_blocked(std::uint64_t fingerprint) const
+{
+    return crashes_of(fingerprint) >= crash_limit;
+}
+
+bool crash_registry::begin_retrial(std::uint64_t fingerprint, time_point now)
+{
+    auto const crashes = crashes_of(fingerprint);
+    if (crashes < crash_limit || crashes >= final_crash_limit)
+        return false;
+    auto& it = entries_[fingerprint];
+    if (now - it.learned_at < retrial_time)
+        return false;
+    it.learned_at = now;
+    return true;
 }
 
 std::vector<crash_record> crash_registry::repeated_crashes(duration max_age,
@@ -81,8 +98,12 @@
     // A new entry has no last crash; the age may reach behind the start.
     it.last_crash =
         it.crashes == 0 ? last_crash : std::max(it.last_crash, last_crash);
-    changed_ = changed_ || it.crashes < record.crashes;
-    it.crashes = std::max(it.crashes, record.crashes);
+    if (it.crashes < record.crashes)
+    {
+        it.crashes = record.crashes;
+        it.learned_at = now;
+        changed_ = true;
+    }
     return true;
 }
 
--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -50,7 +50,7 @@
 
 bool reducer::is_blocked(active_request const& request)
 {
-    if (crashes_.is_blocked(request.fingerprint))
+    if (crashes_.crashes_of(request.fingerprint) > request.tolerated_crashes)
         return true;
     auto const suspect = suspects_.find_blocked(request.suspects);
     if (suspect)
@@ -58,6 +58,20 @@
     return suspect.has_value();
 }
 
+void reducer::allow_retrial(active_request& request, time_point now)
+{
+    auto const content = request.fingerprint;
+    if (!crashes_.is_blocked(content))
+        return;
+    auto const& decider =
+        members_.owner(absl::StrCat("content ", content), now);
+    if (decider != members_.self() || !crashes_.begin_retrial(content, now))
+        return;
+    request.tolerated_crashes = crashes_.crashes_of(content);
+    log("content_retried", &request,
+        {{"crashes", std::to_string(request.tolerated_crashes)}});
+}
+
 void reducer::record_crash_evidence(active_request const& request,
                                     attempt_ended const& in,
                                     attempt_outcome outcome, time_point now)
--- a/packages/decision/src/gateway/reducer_requests.cpp
+++ b/packages/decision/src/gateway/reducer_requests.cpp
@@ -153,6 +153,7 @@
         request.expected_domain = expected_runner->entry.failure_domain;
     retry_budget_.count_request(request.service, now);
     requests_[in.request] = std::move(entry);
+    allow_retrial(request, now);
     if (is_blocked(request))
     {
         fail_request(request, refusal::crashes_runners, now);
--- a/packages/decision/tests/gateway/crash_blame_test.cpp
+++ b/packages/decision/tests/gateway/crash_blame_test.cpp
@@ -178,6 +178,23 @@
     }
 }
 
+// Guards against retrials of blocked content by several VMs, or by each of its
+// requests.
+TEST(crash_blame, of_content_is_tried_again_seldom)
+{
+    constexpr duration long_day = 35min;
+    crash_simulation fleet(3, 6, 1);
+    crash_load load;
+    load.per_second = 0.2;
+    load.deadly_content = true;
+    fleet.add_load(load, 4s, long_day);
+    fleet.run_until(long_day);
+    auto const& crashes = fleet.crashes();
+    ASSERT_GE(crashes.size(), 4U);
+    EXPECT_LE(crashes.size(), 5U);
+    EXPECT_GE(crashes[3] - crashes[2], 10min);
+}
+
 // Guards against a store that is written to for each request that ran on a
 // runner when it ended for reasons of its own.
 TEST(crash_blame, of_sound_content_is_seldom_stored)
--- a/packages/decision/tests/gateway/tables_test.cpp
+++ b/packages/decision/tests/gateway/tables_test.cpp
@@ -176,6 +176,32 @@
     EXPECT_FALSE(started.is_blocked(7));
 }
 
+// Sound content that was running on three runners when they ended was refused
+// for good. Content that crashes runners must not get more than three sends.
+TEST(crash_registry, lets_blocked_content_run_again_twice_at_most)
+{
+    crash_registry crashes;
+    for (std::uint32_t n = 0; n < crash_registry::crash_limit; ++n)
+        crashes.record_crash(7, start);
+    EXPECT_FALSE(crashes.begin_retrial(7, start + 1min));
+    int retrials = 0;
+    for (auto now = start; now < start + 10h; now += 10s)
+    {
+        if (!crashes.begin_retrial(7, now))
+            continue;
+        ++retrials;
+        EXPECT_FALSE(crashes.begin_retrial(7, now + 1s));
+        crashes.record_crash(7, now);
+    }
+    EXPECT_EQ(retrials, 2);
+    // A VM that starts waits as well.
+    crash_registry started;
+    started.restore({{7, 3}}, true, start);
+    EXPECT_FALSE(started.begin_retrial(7, start + 1min));
+    EXPECT_TRUE(started.begin_retrial(7, start + 11min));
+    EXPECT_FALSE(started.begin_retrial(8, start + 11min));
+}
+
 TEST(crash_registry, shares_blocked_content_first)
 {
     crash_registry crashes;
