gateway: crash records that are cleared during a write are deleted

Cause: a write that was acknowledged after its records had been cleared left no revision to delete them by, and the object stayed in the store. Change: the answer is read by what the call did, not by what is wanted now. Measured: crash_records, 8 tests pass; the new one was not run before the fix. Conclusion: content that has run leaves nothing in the store.

--- a/packages/decision/src/gateway/crash_registry.cpp
+++ b/packages/decision/src/gateway/crash_registry.cpp
@@ -134,6 +134,7 @@
         chosen.resize(max_stored_records);
     }
     std::vector<stored_crashes> out;
+    out.reserve(chosen.size());
     for (auto const& it : chosen)
         out.push_back({it.first, it.second.crashes});
     std::sort(out.begin(), out.end(),
--- a/packages/gateway/include/buckthornvale/gateway/store/crash_record_writer.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/crash_record_writer.hpp
@@ -54,7 +54,7 @@
 
     //! Takes over the records of a VM that is gone, and deletes its object when
     //! they are written.
-    void take_over(std::string vm_name);
+    void take_over(std::string const& vm_name);
 
 private:
     struct former_object
@@ -76,7 +76,8 @@
     record_list wanted_;
     bool changed_ = false; //!< since the last write that was acknowledged
     bool calling_ = false;
-    bool waiting_ = false; //!< for the timer
+    bool deleting_ = false; //!< by the call in progress
+    bool waiting_ = false;  //!< for the timer
     //! Of the object in the store; not set if it is not known to exist.
     std::optional<std::uint64_t> revision_;
     std::uint32_t failed_calls_ = 0;
--- a/packages/gateway/src/store/crash_record_writer.cpp
+++ b/packages/gateway/src/store/crash_record_writer.cpp
@@ -79,6 +79,7 @@
     if (wanted_.empty() && !revision_)
         return;
     calling_ = true;
+    deleting_ = wanted_.empty();
     callbacks_.call(next_request(), [this](net::call_result const& result)
                     { handle_response(result); });
 }
@@ -107,7 +108,7 @@
         failed_calls_ = 0;
         auto const object = platform::decode_object(result.body);
         bool const kept = object && object->name == vm_name_;
-        revision_ = kept && !wanted_.empty()
+        revision_ = kept && !deleting_
                         ? std::optional<std::uint64_t>(object->revision)
                         : std::nullopt;
         callbacks_.acknowledged(wanted_.size());
@@ -138,7 +139,7 @@
     callbacks_.found(platform::decode_crash_records(*object));
 }
 
-void crash_record_writer::take_over(std::string vm_name)
+void crash_record_writer::take_over(std::string const& vm_name)
 {
     callbacks_.call(
         platform::read_crash_records_request(vm_name),
--- a/packages/gateway/tests/crash_record_writer_test.cpp
+++ b/packages/gateway/tests/crash_record_writer_test.cpp
@@ -228,5 +228,14 @@
     EXPECT_TRUE(store.objects.empty());
 }
 
+// The count was cleared while it was written, and stayed in the store.
+TEST_F(crash_records, that_are_cleared_during_a_write_are_deleted)
+{
+    writer.write(two);
+    writer.write({});
+    run_until_acknowledged(2);
+    EXPECT_TRUE(store.objects.empty());
+}
+
 } // namespace
 } // namespace buckthornvale::gateway::store
