gateway: no list of crash records at the first start, one short watch of members

Change: VMs do not list crash records when all start for the first time, as nothing can have crashed then. After a change of the members one watch is short, not two. Measured: tests of decision (the known failure apart), crash_records and store_timing pass. Conclusion: both are calls that brought nothing.

--- a/packages/decision/src/gateway/reducer_crashes.cpp
+++ b/packages/decision/src/gateway/reducer_crashes.cpp
@@ -262,7 +262,7 @@
 
 void reducer::store_changed_crash_records()
 {
-    if (!settings_.await_crash_records || !crashes_.take_change())
+    if (!crashes_.take_change())
         return;
     auto records = crashes_.to_store();
     if (records == crash_records_stored_)
--- a/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
+++ b/packages/gateway/include/buckthornvale/gateway/store/store_watcher.hpp
@@ -35,9 +35,8 @@
     duration pause{};              //!< between a change and the next watch
     duration pause_after_outage{}; //!< same, shortly after an outage
 
-    //! If set, `max_silence` is this after a change, and grows by
-    //! `silence_growth` with each watch that brings none. For changes that come
-    //! in bursts and have no bound.
+    //! If set, `max_silence` is this for the first watch after a change. For
+    //! changes that come in bursts and have no bound.
     std::optional<duration> first_silence{};
 
     //! The objects are listed at the start and after a restore of the store,
@@ -45,9 +44,6 @@
     bool lists_only = false;
 };
 
-//! Growth of the silence of a watch with `first_silence`.
-constexpr int silence_growth = 3;
-
 //! Longest wait of a watch after an idle time of its connection.
 duration watch_wait(duration max_silence, duration idle);
 
--- a/packages/gateway/src/gateway_process.cpp
+++ b/packages/gateway/src/gateway_process.cpp
@@ -107,7 +107,7 @@
                 settings_.first_start ? time_point() : now(),
                 settings_.evacuation_timeout,
                 cold_starts_of(settings_),
-                true}),
+                !settings_.first_start}),
       log_writer_(log_descriptor, settings_.vm_name),
       answer_memory_(std::make_shared<answer_memory>(settings_.memory_bytes /
                                                      answer_memory_divisor)),
--- a/packages/gateway/src/gateway_store.cpp
+++ b/packages/gateway/src/gateway_store.cpp
@@ -46,9 +46,12 @@
         {platform::object_kind::runners, store::runner_watch_timing(settings_),
          "runners", &gateway_process::apply_runners},
         {platform::object_kind::members, store::member_watch_timing(),
-         "members", &gateway_process::apply_members},
-        {platform::object_kind::crash_records, store::crash_records_timing(),
-         "crash_records", &gateway_process::apply_crash_records}};
+         "members", &gateway_process::apply_members}};
+    // When all VMs start for the first time, nothing can have crashed.
+    if (!settings_.first_start)
+        kinds.push_back({platform::object_kind::crash_records,
+                         store::crash_records_timing(), "crash_records",
+                         &gateway_process::apply_crash_records});
     if (settings_.evacuation_timeout)
         kinds.push_back({platform::object_kind::evacuations,
                          store::evacuation_watch_timing(settings_),
--- a/packages/gateway/src/store/store_watcher.cpp
+++ b/packages/gateway/src/store/store_watcher.cpp
@@ -353,8 +353,7 @@
     // Changes that cannot be read may come as often as others.
     if (page->objects.empty() && page->unnamed == 0)
     {
-        max_silence_ =
-            std::min(max_silence_ * silence_growth, timing_.max_silence);
+        max_silence_ = timing_.max_silence;
         continue_now();
         return;
     }
